--- /dev/null
+++ b/cmd/pinebay/main.go
@@ -0,0 +1,103 @@
+// Command pinebay is the daemon of a controller. It schedules jobs that serve
+// and train language models on rented machines.
+package main
+
+import (
+	// Linked against the system's C library, as the platform asks.
+	_ "runtime/cgo"
+
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"pinebay/internal/config"
+	"pinebay/internal/daemon"
+)
+
+// version is that of CHANGELOG.md.
+const version = "0.1.0"
+
+// errUsage marks what ends the program with status 2.
+var errUsage = errors.New("usage")
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "pinebay:", strings.ReplaceAll(err.Error(), "\n", " "))
+		if errors.Is(err, errUsage) {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:           "pinebay --config FILE",
+		Short:         "Run a controller of the pinebay scheduler",
+		Version:       version,
+		Args:          func(_ *cobra.Command, args []string) error { return noArgs(args) },
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				return fmt.Errorf("%w: --config FILE is missing", errUsage)
+			}
+			cfg, err := config.Load(path)
+			if err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			log, err := logger(os.Stderr, os.Getenv("LOG_LEVEL"))
+			if err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			limit(cfg)
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return daemon.New(cfg, log).Run(ctx)
+		},
+	}
+	cmd.SetContext(context.Background())
+	cmd.Flags().StringVar(&path, "config", "", "settings file of this controller (TOML)")
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
+	return cmd
+}
+
+func noArgs(args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("%w: unexpected argument %q", errUsage, args[0])
+	}
+	return nil
+}
+
+// limit fits the runtime to the machine: one core, and a memory limit below
+// which the collector may be lazy, since processor time is scarcer.
+func limit(cfg *config.Settings) {
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(int64(cfg.Deploy.Quota.RAMMB * 0.6 * (1 << 20)))
+}
+
+func logger(w io.Writer, level string) (*slog.Logger, error) {
+	l := slog.LevelInfo
+	switch level {
+	case "", "info":
+	case "error":
+		l = slog.LevelError
+	case "debug":
+		l = slog.LevelDebug
+	default:
+		return nil, fmt.Errorf("variable LOG_LEVEL: %q is not error, info or debug", level)
+	}
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l})), nil
+}
--- /dev/null
+++ b/internal/coordination/election/election.go
@@ -0,0 +1,304 @@
+// Package election decides which controller leads. The leader holds a key of
+// the state service by a lease; each change of leader raises the term, whose
+// number is the workers' token and whose record fences every write. So taking
+// over early is safe, and this state machine only has to keep it calm.
+package election
+
+import (
+	"sort"
+	"time"
+)
+
+// Role of this controller.
+type Role int
+
+// Roles.
+const (
+	Following Role = iota
+	Claiming
+	Leading
+)
+
+// Times of the election; all are ratios of the settings' figures.
+type Times struct {
+	Beat   time.Duration // between two beats to a peer
+	Silent time.Duration // a leader that is silent so long may be replaced
+	TTL    time.Duration // of the leader's lease
+	Hold   time.Duration // a leader without any confirmation goes on so long
+	Step   time.Duration // between candidates that wake at the same time
+}
+
+// Events.
+type (
+	// Tick lets time pass.
+	Tick struct{}
+	// Key is what the state service says of the leader's key.
+	Key struct {
+		Present bool
+		Node    string
+		Term    uint64
+	}
+	// Beat is a peer's message; Reply is true if it answers ours, sent at Sent.
+	Beat struct {
+		From   string
+		Term   uint64
+		Leader string
+		Reply  bool
+		Sent   time.Duration
+	}
+	// Lost says that a peer's connection to us has ended.
+	Lost struct{ Peer string }
+	// Claimed is the outcome of a claim. Without Won, Key says who leads, if known.
+	Claimed struct {
+		Won   bool
+		Term  uint64
+		Stamp uint64
+		Lease uint64
+		Sent  time.Duration
+	}
+	// Renewed is the outcome of a renewal.
+	Renewed struct {
+		OK, NoLease bool
+		Term        uint64
+		Sent        time.Duration
+	}
+	// Higher says that a higher term exists somewhere.
+	Higher struct{ Term uint64 }
+	// Resign ends our leadership, if the term is still ours.
+	Resign struct{ Term uint64 }
+)
+
+// Effects.
+type (
+	// Claim asks for the leadership, over a leader of at most the given term.
+	Claim struct{ Over uint64 }
+	// Renew renews the leader's lease.
+	Renew struct{ Lease, Term uint64 }
+	// Lead begins the leadership of a term.
+	Lead struct{ Term, Stamp uint64 }
+	// Yield ends the leadership of a term.
+	Yield struct{ Term uint64 }
+)
+
+// Machine is the state machine of one controller.
+type Machine struct {
+	self  string
+	peers []string
+	times Times
+
+	role    Role
+	term    uint64 // highest known
+	leader  string // of that term, as far as known
+	heard   time.Duration
+	keyTerm uint64
+	keyNode string
+	keyGone bool
+	keySeen bool
+	claimAt time.Duration // 0: none intended
+
+	lease   uint64
+	renewed time.Duration // when the last confirmed renewal was sent
+	asked   time.Duration
+	asking  bool
+	acks    map[string]time.Duration // when the last acknowledged beat was sent
+	out     []any
+}
+
+// New returns a follower that knows nothing.
+func New(now time.Duration, self string, peers []string, t Times) *Machine {
+	return &Machine{self: self, peers: peers, times: t, heard: now, acks: map[string]time.Duration{}}
+}
+
+// View is what others may know of the machine.
+type View struct {
+	Term    uint64
+	Leader  string // "" when unknown or silent
+	Leading bool
+}
+
+// View returns the current view.
+func (m *Machine) View(now time.Duration) View {
+	v := View{Term: m.term, Leader: m.leader, Leading: m.role == Leading}
+	if !v.Leading && (m.leader == m.self || now-m.heard > m.times.Silent) {
+		v.Leader = ""
+	}
+	return v
+}
+
+// Step takes an event and returns what is to be done.
+func (m *Machine) Step(now time.Duration, event any) []any {
+	m.out = nil
+	switch e := event.(type) {
+	case Tick:
+		m.tick(now)
+	case Key:
+		m.key(now, e)
+	case Beat:
+		m.beat(now, e)
+	case Lost:
+		if m.role == Following && e.Peer == m.leader {
+			// A live leader connects again within a beat.
+			m.intend(now + 2*m.times.Beat)
+		}
+	case Claimed:
+		m.claimed(now, e)
+	case Renewed:
+		m.renewal(now, e)
+	case Higher:
+		m.higher(now, e.Term, "")
+	case Resign:
+		if m.role == Leading && e.Term == m.term {
+			m.yield(now)
+			m.leader = ""
+			m.intend(now + m.times.Beat)
+		}
+	}
+	return m.out
+}
+
+// rank spreads candidates that wake at the same time; the order changes from
+// term to term, so that a bad candidate is not first for ever.
+func (m *Machine) rank() int {
+	all := append([]string{m.self}, m.peers...)
+	sort.Strings(all)
+	return int((uint64(sort.SearchStrings(all, m.self)) + m.term) % uint64(len(all)))
+}
+
+func (m *Machine) intend(at time.Duration) {
+	at += time.Duration(m.rank()) * m.times.Step
+	if m.claimAt == 0 || at < m.claimAt {
+		m.claimAt = at
+	}
+}
+
+func (m *Machine) tick(now time.Duration) {
+	switch m.role {
+	case Following:
+		if m.claimAt == 0 && (now-m.heard > m.times.Silent || m.keyGone) {
+			m.intend(now)
+		}
+		if m.claimAt != 0 && now >= m.claimAt {
+			m.claimAt = 0
+			m.role = Claiming
+			m.out = append(m.out, Claim{Over: m.term})
+		}
+	case Leading:
+		if !m.valid(now) {
+			// Nobody confirms us: others may lead, and know of cancellations
+			// that we don't. Our workers must be free to find them.
+			m.yield(now)
+			m.leader = ""
+			return
+		}
+		if !m.asking && now-m.asked >= m.times.TTL/3 {
+			m.asking, m.asked = true, now
+			m.out = append(m.out, Renew{m.lease, m.term})
+		}
+	}
+}
+
+// valid says whether the state service or a majority of the controllers has
+// confirmed the leadership lately.
+func (m *Machine) valid(now time.Duration) bool {
+	if now-m.renewed < m.times.Hold {
+		return true
+	}
+	n := 1
+	for _, at := range m.acks {
+		if now-at < m.times.Hold {
+			n++
+		}
+	}
+	return 2*n > len(m.peers)+1 && len(m.peers) > 0
+}
+
+func (m *Machine) key(now time.Duration, e Key) {
+	m.keySeen = true
+	if e.Present && e.Term >= m.keyTerm {
+		m.keyTerm, m.keyNode, m.keyGone = e.Term, e.Node, false
+		if e.Term > m.term || e.Term == m.term && m.leader == "" && m.role != Leading {
+			m.higher(now, e.Term, e.Node)
+		}
+		if e.Node == m.self && m.role == Following && e.Term == m.term {
+			// An earlier life of ours held it: nobody is there.
+			m.leader = ""
+			m.intend(now)
+		}
+	}
+	if !e.Present && e.Term >= m.keyTerm {
+		m.keyGone = true
+		if m.role == Following {
+			m.intend(now)
+		}
+	}
+}
+
+func (m *Machine) beat(now time.Duration, e Beat) {
+	if e.Term > m.term {
+		m.higher(now, e.Term, e.Leader)
+	}
+	if m.role == Leading && e.Reply && e.Term == m.term && e.Leader == m.self {
+		m.acks[e.From] = max(m.acks[e.From], e.Sent)
+	}
+	if m.role != Leading && !e.Reply && e.Term == m.term && e.Leader == e.From {
+		m.leader, m.heard = e.From, now
+		m.claimAt = 0
+	}
+}
+
+// higher takes in that a later term exists.
+func (m *Machine) higher(now time.Duration, term uint64, leader string) {
+	if term < m.term || term == m.term && leader == "" {
+		return
+	}
+	if m.role == Leading && term > m.term {
+		m.yield(now)
+	}
+	m.term, m.leader, m.heard = term, leader, now
+	m.keyGone = m.keyGone && term <= m.keyTerm
+	m.claimAt = 0
+}
+
+func (m *Machine) yield(now time.Duration) {
+	m.out = append(m.out, Yield{m.term})
+	m.role, m.lease, m.asking = Following, 0, false
+	m.heard = now
+	clear(m.acks)
+}
+
+func (m *Machine) claimed(now time.Duration, e Claimed) {
+	if m.role != Claiming {
+		return
+	}
+	m.role = Following
+	if !e.Won {
+		// The state service was silent or somebody was quicker: be calm.
+		m.intend(now + m.times.TTL/4)
+		return
+	}
+	if e.Term <= m.term && m.term != 0 && m.leader != "" && m.leader != m.self {
+		return // a later leader is known already
+	}
+	m.role, m.term, m.leader = Leading, e.Term, m.self
+	m.lease, m.renewed, m.asked, m.asking = e.Lease, e.Sent, now, false
+	m.keyGone, m.keyTerm, m.keyNode = false, e.Term, m.self
+	m.claimAt = 0
+	clear(m.acks)
+	m.out = append(m.out, Lead{e.Term, e.Stamp})
+}
+
+func (m *Machine) renewal(now time.Duration, e Renewed) {
+	if m.role != Leading || e.Term != m.term {
+		return
+	}
+	m.asking = false
+	switch {
+	case e.OK:
+		m.renewed = max(m.renewed, e.Sent)
+	case e.NoLease:
+		m.yield(now)
+		m.leader = ""
+		m.keyGone = true
+		m.intend(now)
+	}
+}
--- /dev/null
+++ b/internal/coordination/fleet/fleet.go
@@ -0,0 +1,387 @@
+// Package fleet decides which machines to rent and which to return. It does
+// no I/O and reads no clock.
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+)
+
+// Unit is room that is wanted: Count tasks of the same need.
+type Unit struct {
+	Job   *protocol.Job
+	Zone  string // the only zone that will do, or ""
+	Count int
+	Spare bool // kept ready for jobs to come, not for one that waits
+}
+
+// Rent asks for machines.
+type Rent struct{ Rental protocol.Rental }
+
+// Release returns machines.
+type Release struct{ Names []string }
+
+// List asks the cloud for its list.
+type List struct{}
+
+type pool struct {
+	kind, zone string
+	spot       bool
+}
+
+// Fleet is the leader's view of what it rents.
+type Fleet struct {
+	cloud   config.Cloud
+	workers config.Workers
+	term    uint64
+	seq     uint64
+
+	blocked   map[pool]time.Duration // refused lately
+	refusals  map[pool]int
+	pending   map[string]pool // rentals under way, by request
+	counts    map[string]int
+	releasing map[string]bool
+	listing   bool
+	listedAt  time.Duration
+	complete  time.Duration // when a whole list first came
+	firstSeen map[string]time.Duration
+	failed    map[string]bool
+}
+
+// New returns the fleet of a term.
+func New(term uint64, cloud config.Cloud, workers config.Workers) *Fleet {
+	return &Fleet{
+		cloud: cloud, workers: workers, term: term, listedAt: math.MinInt64 / 2,
+		blocked: map[pool]time.Duration{}, refusals: map[pool]int{}, pending: map[string]pool{}, counts: map[string]int{},
+		releasing: map[string]bool{}, firstSeen: map[string]time.Duration{}, failed: map[string]bool{},
+	}
+}
+
+func (f *Fleet) lag() time.Duration { return config.Seconds(2 * f.cloud.ListLagS) }
+
+// Known says whether a whole list has come since the term began: before that
+// we don't know what is already rented.
+func (f *Fleet) Known() bool { return f.complete > 0 }
+
+// Listed takes in the cloud's list, asked for at the given time. It returns
+// the machines that are proven gone: a list asked for later than twice the lag
+// after a machine was first seen listed describes a later moment than that, so
+// if the machine is missing there, it has left for good.
+func (f *Fleet) Listed(now, asked time.Duration, p *part.Part, list []protocol.ListedMachine) (gone []string) {
+	f.listing = false
+	seen := make(map[string]bool, len(list))
+	for i := range list {
+		l := &list[i]
+		seen[l.Name] = true
+		if _, ok := f.firstSeen[l.Name]; !ok {
+			f.firstSeen[l.Name] = now
+		}
+		if f.releasing[l.Name] {
+			continue
+		}
+		m := p.Machine(l.Name)
+		if m == nil {
+			if f.goneNames(l.Name) {
+				continue // an old list: it is gone already
+			}
+			m = p.Ensure(now, l.Name)
+			m.Rented = now - config.Seconds(l.AgeS)
+		}
+		m.Listed = true
+		if !m.Up {
+			m.Addr, m.Type, m.Zone, m.Spot = l.Addr, l.Type, l.Zone, l.Spot
+		}
+		if l.State == protocol.MachineFailed {
+			f.failed[l.Name] = true
+			m.Condemned = true
+		}
+	}
+	for name, first := range f.firstSeen {
+		if seen[name] || asked <= first+f.lag() {
+			continue
+		}
+		if m := p.Machine(name); m != nil {
+			if now-m.Heard < f.lag() {
+				continue // it speaks; the list must be wrong
+			}
+			gone = append(gone, name)
+		}
+		delete(f.firstSeen, name)
+		delete(f.failed, name)
+	}
+	sort.Strings(gone)
+	if f.complete == 0 {
+		f.complete = now
+	}
+	return gone
+}
+
+// returned remembers names that were released, so that old lists and late
+// reports do not bring them back.
+const returnedMark = time.Duration(math.MaxInt64 / 2)
+
+func (f *Fleet) goneNames(name string) bool { return f.firstSeen[name] == returnedMark }
+
+// Gone says whether the machine was released.
+func (f *Fleet) Gone(name string) bool { return f.goneNames(name) }
+
+// ListFailed notes that a list did not come.
+func (f *Fleet) ListFailed() { f.listing = false }
+
+// Rented takes in the outcome of a rental.
+func (f *Fleet) Rented(now, asked time.Duration, p *part.Part, request string, names []string, refused bool) {
+	pl, ok := f.pending[request]
+	if !ok {
+		return
+	}
+	want := f.counts[request]
+	delete(f.pending, request)
+	delete(f.counts, request)
+	for _, n := range names {
+		m := p.Ensure(now, n)
+		m.Rented = asked
+		if !m.Up {
+			m.Type, m.Zone, m.Spot = pl.kind, pl.zone, pl.spot
+		}
+	}
+	if refused || len(names) < want {
+		n := min(f.refusals[pl]+1, 4)
+		f.refusals[pl] = n
+		f.blocked[pl] = now + time.Duration(n)*f.lag()/2
+		return
+	}
+	delete(f.refusals, pl)
+}
+
+// Released takes in the outcome of a release, and returns whether the machines
+// are proven gone.
+func (f *Fleet) Released(names []string, ok bool) {
+	for _, n := range names {
+		delete(f.releasing, n)
+		if ok {
+			f.firstSeen[n] = returnedMark
+			delete(f.failed, n)
+		}
+	}
+}
+
+// Silence fences machines: those that cannot be heard for a lease are
+// released, since only that proves their tasks gone. When many fall silent at
+// once, our own network is the likelier cause, and we wait.
+func (f *Fleet) silent(now time.Duration, p *part.Part) {
+	lease := config.Seconds(f.workers.LeaseS)
+	up, quiet := 0, 0
+	var dead []*part.Machine
+	p.Each(func(m *part.Machine) {
+		if !m.Up && m.Count() == 0 {
+			return
+		}
+		up++
+		if now-m.Heard > lease/2 {
+			quiet++
+		}
+		if now-m.Heard > lease {
+			dead = append(dead, m)
+		}
+	})
+	many := quiet > max(2, up/6)
+	for i, m := range dead {
+		if many && (now-m.Heard < 3*lease || i > max(1, up/20)) {
+			continue
+		}
+		m.Condemned = true
+	}
+}
+
+// Plan compares what is wanted with what there is.
+func (f *Fleet) Plan(now time.Duration, p *part.Part, units []Unit) (effects []any) {
+	if !f.listing && now-f.listedAt >= config.Seconds(f.cloud.ListLagS/2) {
+		f.listing, f.listedAt = true, now
+		effects = append(effects, List{})
+	}
+	f.silent(now, p)
+	used := map[string]bool{}
+	if f.Known() {
+		var rents []any
+		rents, used = f.rent(now, p, units)
+		effects = append(effects, rents...)
+	}
+	return append(effects, f.release(now, p, used)...)
+}
+
+// room is a machine, there or to be rented, in which wanted tasks are packed.
+type room struct {
+	name string
+	pool pool
+	free part.Need
+	new  bool
+}
+
+func (f *Fleet) rent(now time.Duration, p *part.Part, units []Unit) (effects []any, used map[string]bool) {
+	var rooms []*room
+	perZone := map[string]int{}
+	used = map[string]bool{}
+	p.Each(func(m *part.Machine) {
+		t := p.Type(m.Type)
+		if t == nil || m.Condemned || m.Notice || m.Sick {
+			return
+		}
+		perZone[m.Zone]++
+		if m.Up && now-m.Heard > p.Silent() {
+			return
+		}
+		rooms = append(rooms, &room{name: m.Name, pool: pool{m.Type, m.Zone, m.Spot}, free: p.Free(m)})
+	})
+	for req, pl := range f.pending {
+		if t := p.Type(pl.kind); t != nil {
+			for range f.counts[req] {
+				perZone[pl.zone]++
+				rooms = append(rooms, &room{pool: pl, free: part.CapacityOf(t)})
+			}
+		}
+	}
+	wanted := map[pool]int{}
+	total := 0
+	for _, u := range units {
+		need := part.NeedOf(u.Job)
+		left := u.Count
+		fits := func(r *room) bool {
+			t := p.Type(r.pool.kind)
+			return t != nil && t.Allows(u.Job) && (u.Zone == "" || u.Zone == r.pool.zone) &&
+				(u.Job.Zone == "" || u.Job.Zone == r.pool.zone) && (!r.pool.spot || u.Job.Spot) && need.Fits(r.free)
+		}
+		for left > 0 {
+			var best *room
+			for _, r := range rooms {
+				if fits(r) && (best == nil || tighter(r.free, best.free)) {
+					best = r
+				}
+			}
+			if best == nil {
+				pl, ok := f.choose(now, p, u, perZone)
+				if !ok || total >= protocol.MaxRental {
+					break
+				}
+				best = &room{pool: pl, free: part.CapacityOf(p.Type(pl.kind)), new: true}
+				if !need.Fits(best.free) {
+					break
+				}
+				rooms = append(rooms, best)
+				wanted[pl]++
+				perZone[pl.zone]++
+				total++
+			}
+			used[best.name] = true
+			for left > 0 && need.Fits(best.free) {
+				best.free = best.free.Minus(need)
+				left--
+				if need == (part.Need{}) {
+					left = 0
+				}
+			}
+		}
+	}
+	pools := make([]pool, 0, len(wanted))
+	for pl := range wanted {
+		pools = append(pools, pl)
+	}
+	sort.Slice(pools, func(i, j int) bool { return fmt.Sprint(pools[i]) < fmt.Sprint(pools[j]) })
+	for _, pl := range pools {
+		f.seq++
+		// The term makes the name unique across leaders and restarts.
+		req := fmt.Sprintf("r-%d-%d", f.term, f.seq)
+		f.pending[req], f.counts[req] = pl, wanted[pl]
+		effects = append(effects, Rent{protocol.Rental{Request: req, Type: pl.kind, Zone: pl.zone, Spot: pl.spot, Count: wanted[pl]}})
+	}
+	return effects, used
+}
+
+func tighter(a, b part.Need) bool {
+	if a.GPUs != b.GPUs {
+		return a.GPUs < b.GPUs
+	}
+	return a.CPUs < b.CPUs
+}
+
+// choose picks the pool to rent from: what the job allows, cheap first, then
+// the zone with fewer machines.
+func (f *Fleet) choose(now time.Duration, p *part.Part, u Unit, perZone map[string]int) (pool, bool) {
+	var best pool
+	bestCost := math.Inf(1)
+	names := make([]string, 0, len(p.Types()))
+	for n := range p.Types() {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		t := p.Type(n)
+		k := t.Fits(u.Job)
+		if k == 0 || !t.Allows(u.Job) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if u.Zone != "" && z != u.Zone || u.Job.Zone != "" && z != u.Job.Zone {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				if spot && (!u.Job.Spot || u.Job.CheckpointS == 0) {
+					continue // work that cannot save does not bear a taking
+				}
+				pl := pool{n, z, spot}
+				if now < f.blocked[pl] {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				cost := price / float64(k) * (1 + 1e-3*float64(perZone[z]))
+				if cost < bestCost {
+					best, bestCost = pl, cost
+				}
+			}
+		}
+	}
+	return best, !math.IsInf(bestCost, 1)
+}
+
+func (f *Fleet) release(now time.Duration, p *part.Part, used map[string]bool) (effects []any) {
+	var names []string
+	p.Each(func(m *part.Machine) {
+		if f.releasing[m.Name] || len(names) >= protocol.MaxRelease {
+			return
+		}
+		t := p.Type(m.Type)
+		if t == nil {
+			if m.Count() > 0 && m.Condemned {
+				names = append(names, m.Name)
+			}
+			return
+		}
+		boot := config.Seconds(t.BootS)
+		switch {
+		case m.Sick && m.Count() == 0, m.Notice && m.Count() == 0, m.Condemned:
+		case !m.Up && now-m.Rented > 4*boot && now-m.Heard > boot:
+			// It never came up, and is charged until it is deleted.
+		case m.Up && m.Count() == 0 && !used[m.Name] && f.Known() && now-m.IdleSince > boot/2 && now-m.Rented > time.Minute:
+			// Idle beyond what is forecast; a machine is paid for a minute anyway.
+		default:
+			return
+		}
+		m.Condemned = true
+		names = append(names, m.Name)
+	})
+	for _, n := range names {
+		f.releasing[n] = true
+	}
+	if len(names) > 0 {
+		effects = append(effects, Release{names})
+	}
+	return effects
+}
--- /dev/null
+++ b/internal/coordination/intake/intake.go
@@ -0,0 +1,305 @@
+// Package intake serves users: it accepts, answers for and cancels jobs. Any
+// controller does so, leader or not, since the state service decides.
+package intake
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+	"pinebay/internal/transport"
+)
+
+// Intake answers users.
+type Intake struct {
+	cfg    *config.Deployment
+	store  *storage.Client
+	log    *slog.Logger
+	status func(context.Context, string) (protocol.JobStatus, bool)
+	types  atomic.Pointer[[]protocol.MachineType]
+
+	mu      sync.Mutex
+	finals  map[string]protocol.JobStatus
+	maxKept int
+}
+
+// New returns an intake. status asks the leader about a job, briefly.
+func New(cfg *config.Deployment, store *storage.Client, log *slog.Logger,
+	status func(context.Context, string) (protocol.JobStatus, bool)) *Intake {
+	// Final states never change, so they may be kept: some hundred a MB.
+	return &Intake{cfg: cfg, store: store, log: log, status: status,
+		finals: map[string]protocol.JobStatus{}, maxKept: int(cfg.Quota.RAMMB * 100)}
+}
+
+// SetTypes tells which machine types there are.
+func (in *Intake) SetTypes(types []protocol.MachineType) { in.types.Store(&types) }
+
+// Ready says whether the machine types are known.
+func (in *Intake) Ready() bool { return in.types.Load() != nil }
+
+// Routes adds the users' paths to the router.
+func (in *Intake) Routes(r chi.Router) {
+	r.Post("/submissions", in.submit)
+	r.Get("/submissions/{id}", in.query)
+	r.Post("/submissions/{id}/withdraw", in.withdraw)
+}
+
+// patience bounds how long a user is kept waiting, well inside the 2 s and 5 s
+// that users wait.
+const (
+	pollPatience   = 1500 * time.Millisecond
+	submitPatience = 3 * time.Second
+)
+
+func refuse(w http.ResponseWriter, status int, why string) {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", "1")
+	}
+	transport.Answer(w, status, protocol.Problem{Error: why})
+}
+
+func (in *Intake) submit(w http.ResponseWriter, r *http.Request) {
+	raw, err := transport.ReadBody(w, r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	job, err := protocol.DecodeJob(raw)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	types := in.types.Load()
+	if types == nil {
+		refuse(w, http.StatusServiceUnavailable, "machine types are not known yet")
+		return
+	}
+	if why := Impossible(in.cfg, *types, job); why != "" {
+		refuse(w, http.StatusUnprocessableEntity, why)
+		return
+	}
+	job.Types = knownTypes(*types, job.Types)
+	ctx, cancel := context.WithTimeout(r.Context(), submitPatience)
+	defer cancel()
+	status, st := in.accept(ctx, job)
+	if status >= 400 {
+		refuse(w, status, "the state service did not answer")
+		return
+	}
+	transport.Answer(w, status, st)
+}
+
+// accept records a job, unless it is known.
+func (in *Intake) accept(ctx context.Context, job *protocol.Job) (int, protocol.JobStatus) {
+	value, err := protocol.Encode(storage.LiveRecord{Job: *job, AtMS: time.Now().UnixMilli()})
+	if err != nil {
+		return http.StatusServiceUnavailable, protocol.JobStatus{}
+	}
+	live, ended := storage.LiveKey(job.ID), storage.EndedKey(job.ID)
+	t := protocol.Txn{
+		If:   []protocol.Cond{{Key: live}, {Key: ended}},
+		Then: []protocol.Op{{Put: live, Value: value}},
+	}
+	for {
+		_, ok, err := in.store.Txn(ctx, storage.Accept, t)
+		switch {
+		case err == nil && ok:
+			return http.StatusCreated, protocol.JobStatus{ID: job.ID, Standing: protocol.Queued}
+		case err == nil:
+			st, found, err := in.lookup(ctx, job.ID)
+			if err != nil || !found {
+				return http.StatusServiceUnavailable, protocol.JobStatus{}
+			}
+			return http.StatusOK, st
+		case ctx.Err() != nil || !errors.Is(err, storage.ErrBusy):
+			// An outage, or no answer: the user is told at once when to come
+			// back. Should the job have been recorded, the retry will see it.
+			in.log.Debug("submission put off", "job", job.ID, "err", err)
+			return http.StatusServiceUnavailable, protocol.JobStatus{}
+		}
+		storage.Pause(ctx, retryPause) // over the rate for the moment
+	}
+}
+
+const retryPause = 50 * time.Millisecond
+
+// lookup reads a job's state through to the state service, unless it is final
+// and known. Reading the live key first is right, for the move is one way.
+func (in *Intake) lookup(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
+	in.mu.Lock()
+	st, ok := in.finals[id]
+	in.mu.Unlock()
+	if ok {
+		return st, true, nil
+	}
+	p, err := in.store.Get(ctx, storage.Consult, storage.LiveKey(id))
+	if err != nil {
+		return st, false, err
+	}
+	if p.Version != 0 {
+		if st, ok := in.status(ctx, id); ok {
+			return st, true, nil
+		}
+		return protocol.JobStatus{ID: id, Standing: protocol.Queued}, true, nil
+	}
+	p, err = in.store.Get(ctx, storage.Consult, storage.EndedKey(id))
+	if err != nil || p.Version == 0 {
+		return st, false, err
+	}
+	var rec storage.EndedRecord
+	if err := protocol.Decode(p.Value, &rec); err != nil {
+		return st, false, err
+	}
+	st = protocol.JobStatus{ID: id, Standing: rec.Standing, Done: rec.Done}
+	in.keep(st)
+	return st, true, nil
+}
+
+func (in *Intake) keep(st protocol.JobStatus) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if len(in.finals) >= in.maxKept {
+		n := in.maxKept / 8
+		for id := range in.finals {
+			delete(in.finals, id)
+			if n--; n < 0 {
+				break
+			}
+		}
+	}
+	in.finals[st.ID] = st
+}
+
+func (in *Intake) query(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	if !protocol.ValidJobID(id) {
+		refuse(w, http.StatusNotFound, "no such job")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), pollPatience)
+	defer cancel()
+	st, found, err := in.lookup(ctx, id)
+	switch {
+	case err != nil:
+		refuse(w, http.StatusServiceUnavailable, "the state service did not answer")
+	case !found:
+		refuse(w, http.StatusNotFound, "no such job")
+	default:
+		transport.Answer(w, http.StatusOK, st)
+	}
+}
+
+func (in *Intake) withdraw(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	if !protocol.ValidJobID(id) {
+		refuse(w, http.StatusNotFound, "no such job")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitPatience)
+	defer cancel()
+	status, st := in.cancel(ctx, id)
+	switch status {
+	case http.StatusOK:
+		transport.Answer(w, status, st)
+	case http.StatusNotFound:
+		refuse(w, status, "no such job")
+	default:
+		refuse(w, status, "the state service did not answer")
+	}
+}
+
+// cancel moves a live job to its final place, in one transaction.
+func (in *Intake) cancel(ctx context.Context, id string) (int, protocol.JobStatus) {
+	value, err := protocol.Encode(storage.EndedRecord{Standing: protocol.Cancelled})
+	if err != nil {
+		return http.StatusServiceUnavailable, protocol.JobStatus{}
+	}
+	for ctx.Err() == nil {
+		p, err := in.store.Get(ctx, storage.Accept, storage.LiveKey(id))
+		if err == nil && p.Version == 0 {
+			st, found, err := in.lookup(ctx, id)
+			switch {
+			case err != nil || found && !st.Standing.Final():
+				return http.StatusServiceUnavailable, st
+			case !found:
+				return http.StatusNotFound, st
+			}
+			return http.StatusOK, st
+		}
+		if err == nil {
+			_, ok, terr := in.store.Txn(ctx, storage.Accept, protocol.Txn{
+				If:   []protocol.Cond{{Key: storage.LiveKey(id), Version: p.Version}, {Key: storage.EndedKey(id)}},
+				Then: []protocol.Op{{Delete: storage.LiveKey(id)}, {Put: storage.EndedKey(id), Value: value}},
+			})
+			if terr == nil && ok {
+				st := protocol.JobStatus{ID: id, Standing: protocol.Cancelled}
+				in.keep(st)
+				return http.StatusOK, st
+			}
+			err = terr
+		}
+		if err != nil && !errors.Is(err, storage.ErrBusy) {
+			break // the user is told at once when to come back
+		}
+		storage.Pause(ctx, retryPause)
+	}
+	return http.StatusServiceUnavailable, protocol.JobStatus{}
+}
+
+// knownTypes drops names that no machine type has, and repeats, so that a
+// record stays small whatever a user lists.
+func knownTypes(types []protocol.MachineType, names []string) []string {
+	var out []string
+	for _, t := range types {
+		for _, n := range names {
+			if n == t.Name {
+				out = append(out, n)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// Impossible says why a job can never run, or "".
+func Impossible(cfg *config.Deployment, types []protocol.MachineType, j *protocol.Job) string {
+	team := cfg.Team(j.Team)
+	if team == nil {
+		return "unknown team " + strconv.Quote(j.Team)
+	}
+	zones := map[string]bool{}
+	for i := range types {
+		if t := &types[i]; t.Allows(j) && t.Fits(j) > 0 {
+			for _, z := range t.Zones {
+				if j.Zone == "" || j.Zone == z {
+					zones[z] = true
+				}
+			}
+		}
+	}
+	if len(zones) == 0 {
+		return "a task fits no allowed machine type"
+	}
+	n := float64(j.Tasks)
+	if j.Shape == protocol.Array {
+		n = 1
+	}
+	const slack = 1e-6
+	if team.CPUsMax > 0 && n*j.CPUs > team.CPUsMax+slack || team.GPUsMax > 0 && n*j.GPUs > team.GPUsMax+slack {
+		return "needs more than the team's limit"
+	}
+	if j.Spread && j.Tasks > 1 && (j.SameZone || len(zones) < 2) {
+		return "its tasks must be spread over zones and may not be"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/coordination/part/part.go
@@ -0,0 +1,605 @@
+// Package part keeps what a controller knows of the machines that it owns:
+// their reports, their room, the placements on them and the commands that are
+// due. It grants room, starts only what a written record names, and decides
+// when a task is proven gone. It does no I/O and reads no clock.
+package part
+
+import (
+	"sort"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+)
+
+// Need is what a task takes of its machine.
+type Need struct{ CPUs, GPUs, MemoryGB float64 }
+
+const slack = 1e-6 // amounts are decimal numbers
+
+// Fits says whether n fits into room.
+func (n Need) Fits(room Need) bool {
+	return n.CPUs <= room.CPUs+slack && n.GPUs <= room.GPUs+slack && n.MemoryGB <= room.MemoryGB+slack
+}
+
+// Plus returns the sum of both.
+func (n Need) Plus(o Need) Need {
+	return Need{n.CPUs + o.CPUs, n.GPUs + o.GPUs, n.MemoryGB + o.MemoryGB}
+}
+
+// Minus returns what is left of n without o.
+func (n Need) Minus(o Need) Need {
+	return Need{n.CPUs - o.CPUs, n.GPUs - o.GPUs, n.MemoryGB - o.MemoryGB}
+}
+
+// Share returns the largest part of cap that n takes.
+func (n Need) Share(cap Need) float64 {
+	s := 0.0
+	for _, r := range [][2]float64{{n.CPUs, cap.CPUs}, {n.GPUs, cap.GPUs}, {n.MemoryGB, cap.MemoryGB}} {
+		if r[1] > 0 {
+			s = max(s, r[0]/r[1])
+		}
+	}
+	return s
+}
+
+// NeedOf returns what each task of the job takes.
+func NeedOf(j *protocol.Job) Need { return Need{j.CPUs, j.GPUs, j.MemoryGB} }
+
+// CapacityOf returns what a machine of the type offers.
+func CapacityOf(t *protocol.MachineType) Need { return Need{t.CPUs, t.GPUs, t.MemoryGB} }
+
+// Placement is one attempt of a task on a machine, from its grant until it is
+// proven gone.
+type Placement struct {
+	Task    protocol.TaskID
+	Attempt uint64
+	Machine string
+	Session uint64
+	Zone    string
+	Need    Need
+	Team    string
+	Rank    int // of the job's priority
+	Job     *protocol.Job
+
+	Granted  time.Duration
+	Recorded bool // a record names it
+	Written  bool // it may be started: all that must be recorded first is
+	Seen     bool // its machine has reported it
+	State    protocol.TaskState
+	Since    time.Duration // when State was first seen
+	Cause    protocol.Cause
+	Saved    bool
+	Gone     bool // proven gone
+
+	Stopping  bool
+	GraceS    float64
+	StopAt    time.Duration
+	Cancelled bool
+
+	sent       bool // a run has left for the machine
+	runTerm    uint64
+	unanswered bool // a direct run had no answer: it may be executed late
+}
+
+// exit is an exited task that the machine still reports.
+type exit struct {
+	attempt    uint64
+	settled    bool // the record no longer counts on it
+	runTerm    uint64
+	unanswered bool
+	at         time.Duration
+}
+
+// image is a machine's copy of an image, as far as can be told.
+type image struct {
+	sizeGB float64
+	ready  time.Duration
+	used   time.Duration
+}
+
+// Machine is a rented machine.
+type Machine struct {
+	Name, Addr, Type, Zone string
+	Spot                   bool
+	Session, Seq, Token    uint64
+	Up                     bool // its worker has been heard
+	Listed                 bool
+	Rented                 time.Duration // when the request was sent, as far as known
+	Heard                  time.Duration // last message, or when we began to listen
+	Notice                 bool          // the cloud takes it away
+	Condemned              bool          // it is being returned; nothing new goes there
+	Sick                   bool          // it fails tasks, or cannot be commanded
+	MutedUntil             time.Duration // it does not take commands
+	IdleSince              time.Duration
+	Busy                   bool // a direct command is on its way
+	RetryAt                time.Duration
+
+	Reserved      string // job that room is being cleared for
+	ReservedUntil time.Duration
+
+	Errors     map[string]bool // jobs whose tasks failed here since the last success
+	placements map[protocol.TaskID]*Placement
+	used       Need
+	exits      map[protocol.TaskID]*exit
+	stray      map[protocol.TaskID]uint64
+	images     map[string]*image
+}
+
+// Placements calls f for each placement that may be on the machine.
+func (m *Machine) Placements(f func(*Placement)) {
+	for _, p := range m.placements {
+		f(p)
+	}
+}
+
+// Count returns how many tasks may be on the machine.
+func (m *Machine) Count() int { return len(m.placements) }
+
+// Part is the set of machines that a controller owns.
+type Part struct {
+	term     uint64
+	workers  config.Workers
+	types    map[string]*protocol.MachineType
+	machines map[string]*Machine
+	names    []string // sorted, for the same decisions every time
+	usage    map[string]Need
+	hold     time.Duration
+}
+
+// New returns an empty part of the given term.
+func New(term uint64, w config.Workers) *Part {
+	return &Part{
+		term: term, workers: w,
+		types: map[string]*protocol.MachineType{}, machines: map[string]*Machine{}, usage: map[string]Need{},
+		// Copies of an answered command may still come for a while; its exited
+		// entry on the machine makes them harmless until then.
+		hold: config.Seconds(6 * w.CancelS),
+	}
+}
+
+// SetTypes replaces the list of machine types.
+func (p *Part) SetTypes(types []protocol.MachineType) {
+	for i := range types {
+		p.types[types[i].Name] = &types[i]
+	}
+}
+
+// Type returns a machine type, or nil.
+func (p *Part) Type(name string) *protocol.MachineType { return p.types[name] }
+
+// Types returns the machine types by name.
+func (p *Part) Types() map[string]*protocol.MachineType { return p.types }
+
+// Machine returns a machine, or nil.
+func (p *Part) Machine(name string) *Machine { return p.machines[name] }
+
+// Each calls f for every machine in name order.
+func (p *Part) Each(f func(*Machine)) {
+	for _, n := range p.names {
+		f(p.machines[n])
+	}
+}
+
+// Len returns the number of machines.
+func (p *Part) Len() int { return len(p.names) }
+
+// Usage returns what a team's tasks may be using.
+func (p *Part) Usage(team string) Need { return p.usage[team] }
+
+// Ensure returns the machine of that name, making a blank one if need be.
+func (p *Part) Ensure(now time.Duration, name string) *Machine {
+	if m := p.machines[name]; m != nil {
+		return m
+	}
+	m := &Machine{
+		Name: name, Heard: now, Rented: now, IdleSince: now,
+		Errors: map[string]bool{}, placements: map[protocol.TaskID]*Placement{},
+		exits: map[protocol.TaskID]*exit{}, stray: map[protocol.TaskID]uint64{}, images: map[string]*image{},
+	}
+	p.machines[name] = m
+	i := sort.SearchStrings(p.names, name)
+	p.names = append(p.names, "")
+	copy(p.names[i+1:], p.names[i:])
+	p.names[i] = name
+	return m
+}
+
+// Free returns the room on a machine that is not promised to anybody.
+func (p *Part) Free(m *Machine) Need {
+	t := p.types[m.Type]
+	if t == nil {
+		return Need{}
+	}
+	return CapacityOf(t).Minus(m.used)
+}
+
+// Open says whether new tasks may go to the machine now.
+func (p *Part) Open(now time.Duration, m *Machine) bool {
+	return m.Up && !m.Notice && !m.Condemned && !m.Sick && len(m.stray) == 0 &&
+		now >= m.MutedUntil && now-m.Heard < p.Silent()
+}
+
+// Silent is how long a machine may be silent before nothing new goes there.
+func (p *Part) Silent() time.Duration {
+	return config.Seconds(min(p.workers.LeaseS/2, 2.5*p.workers.ReportS))
+}
+
+// Grant promises the named room to placements, all or none.
+func (p *Part) Grant(now time.Duration, ps []*Placement) bool {
+	for i, pl := range ps {
+		m := p.machines[pl.Machine]
+		if m == nil || !p.Open(now, m) || m.placements[pl.Task] != nil || !pl.Need.Fits(p.Free(m)) {
+			for _, done := range ps[:i] {
+				p.Refuse(now, done)
+			}
+			return false
+		}
+		pl.Session, pl.Zone, pl.Granted = m.Session, m.Zone, now
+		p.add(m, pl)
+		p.useImage(now, m, pl.Job)
+	}
+	return true
+}
+
+// Adopt takes over a placement that a record names.
+func (p *Part) Adopt(now time.Duration, pl *Placement) {
+	m := p.Ensure(now, pl.Machine)
+	if m.Zone == "" {
+		m.Zone = pl.Zone
+	}
+	pl.Written, pl.sent, pl.Granted = true, true, now
+	p.add(m, pl)
+}
+
+func (p *Part) add(m *Machine, pl *Placement) {
+	m.placements[pl.Task] = pl
+	m.used = m.used.Plus(pl.Need)
+	p.usage[pl.Team] = p.usage[pl.Team].Plus(pl.Need)
+}
+
+// remove takes a placement that is gone off the books.
+func (p *Part) remove(now time.Duration, m *Machine, pl *Placement) {
+	pl.Gone = true
+	if m.placements[pl.Task] != pl {
+		return
+	}
+	delete(m.placements, pl.Task)
+	m.used = m.used.Minus(pl.Need)
+	p.usage[pl.Team] = p.usage[pl.Team].Minus(pl.Need)
+	if len(m.placements) == 0 {
+		m.used = Need{}
+		m.IdleSince = now
+	}
+}
+
+// Refuse gives granted room back. Nothing of it may have been started.
+func (p *Part) Refuse(now time.Duration, pl *Placement) {
+	if m := p.machines[pl.Machine]; m != nil {
+		p.remove(now, m, pl)
+		p.dropFetch(now, m, pl)
+	}
+}
+
+// Start lets a placement's run go out, now that a record names it.
+func (p *Part) Start(pl *Placement) { pl.Written = true }
+
+// Stop asks that a placement ends. A run that has never left for the machine
+// needs no proof: the placement is gone at once, and Stop returns true.
+func (p *Part) Stop(now time.Duration, pl *Placement, graceS float64, cancelled bool) bool {
+	if pl.Gone {
+		return false
+	}
+	if !pl.Stopping {
+		pl.Stopping, pl.StopAt, pl.GraceS = true, now, graceS
+	}
+	pl.GraceS = min(pl.GraceS, graceS)
+	pl.Cancelled = pl.Cancelled || cancelled
+	if m := p.machines[pl.Machine]; m != nil {
+		m.RetryAt = 0
+	}
+	if !pl.sent {
+		p.Refuse(now, pl)
+		return true
+	}
+	return false
+}
+
+// Settle says that the records no longer count on an exited placement.
+func (p *Part) Settle(pl *Placement) {
+	if m := p.machines[pl.Machine]; m != nil {
+		if e := m.exits[pl.Task]; e != nil && e.attempt == pl.Attempt {
+			e.settled = true
+		}
+	}
+}
+
+// Fact is something that a part learnt of a placement.
+type Fact struct {
+	Placement *Placement
+	Lost      bool // gone without having exited by itself
+}
+
+// Report takes in a worker's message. It returns what changed; newer is false
+// for copies and latecomers, whose task lists prove nothing but exits.
+func (p *Part) Report(now time.Duration, r *protocol.Report) (m *Machine, facts []Fact, newer bool) {
+	m = p.Ensure(now, r.Machine)
+	newer = r.Session > m.Session || r.Session == m.Session && r.Seq > m.Seq
+	if r.Session > m.Session {
+		// The worker has killed everything of its earlier sessions.
+		for _, pl := range sorted(m.placements) {
+			if pl.Session < r.Session {
+				p.remove(now, m, pl)
+				facts = append(facts, Fact{pl, true})
+			}
+		}
+		if m.Session != 0 {
+			// Its lease ran out while we may have been answering: wait until it
+			// has shown that it takes commands.
+			m.MutedUntil = now + config.Seconds(p.workers.ReportS)
+		}
+		m.exits, m.stray = map[protocol.TaskID]*exit{}, map[protocol.TaskID]uint64{}
+		m.Session, m.Seq = r.Session, 0
+	}
+	if r.Session < m.Session {
+		return m, facts, false
+	}
+	if newer {
+		m.Seq = r.Seq
+		m.Heard, m.Up = now, true
+		m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
+		m.Token = max(m.Token, r.Token)
+		m.Notice = m.Notice || r.NoticeS != nil
+		clear(m.stray)
+	}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id, err := protocol.ParseTaskID(t.Name)
+		if err != nil {
+			continue // a stranger's task is nothing that we can command
+		}
+		if f, ok := p.task(now, m, id, t, newer); ok {
+			facts = append(facts, f)
+		}
+	}
+	return m, facts, newer
+}
+
+// task takes in one task of a report.
+func (p *Part) task(now time.Duration, m *Machine, id protocol.TaskID, t *protocol.TaskReport, newer bool) (Fact, bool) {
+	pl := m.placements[id]
+	if pl == nil || pl.Attempt != t.Attempt || pl.Session != m.Session {
+		e := m.exits[id]
+		known := e != nil && e.attempt == t.Attempt
+		switch {
+		case t.State == protocol.Exited && !known && (pl == nil || pl.Attempt > t.Attempt) && (e == nil || e.attempt < t.Attempt):
+			// Nothing of this term: an earlier leader's, whose outcome is
+			// recorded, or else the record would still name it.
+			m.exits[id] = &exit{attempt: t.Attempt, settled: true, runTerm: p.term - 1, at: now}
+		case t.State != protocol.Exited && newer && !known:
+			m.stray[id] = t.Attempt
+		}
+		return Fact{}, false
+	}
+	pl.sent = true
+	changed := !pl.Seen
+	pl.Seen = true
+	if t.State == protocol.Exited {
+		pl.State, pl.Cause, pl.Saved, pl.Since = t.State, t.Cause, t.Saved, now
+		p.remove(now, m, pl)
+		m.exits[id] = &exit{attempt: pl.Attempt, runTerm: pl.runTerm, unanswered: pl.unanswered, at: now}
+		switch t.Cause {
+		case protocol.CauseDone:
+			clear(m.Errors)
+		case protocol.CauseError:
+			m.Errors[id.Job] = true
+		}
+		if t.Cause != protocol.CauseDone {
+			p.dropFetch(now, m, pl)
+		}
+		return Fact{Placement: pl}, true
+	}
+	if newer && pl.State != t.State {
+		pl.State, pl.Since = t.State, now
+		changed = true
+		if t.State != protocol.Fetching && pl.Job != nil {
+			if im := m.images[pl.Job.Image]; im != nil {
+				im.ready = min(im.ready, now)
+			} else {
+				m.images[pl.Job.Image] = &image{sizeGB: pl.Job.ImageGB, ready: now, used: now}
+			}
+		}
+	}
+	return Fact{Placement: pl}, changed
+}
+
+// Lost says that a machine is proven gone, with all that was on it.
+func (p *Part) Lost(now time.Duration, name string) []Fact {
+	m := p.machines[name]
+	if m == nil {
+		return nil
+	}
+	var facts []Fact
+	for _, pl := range sorted(m.placements) {
+		p.remove(now, m, pl)
+		facts = append(facts, Fact{pl, true})
+	}
+	delete(p.machines, name)
+	i := sort.SearchStrings(p.names, name)
+	p.names = append(p.names[:i], p.names[i+1:]...)
+	return facts
+}
+
+func sorted(ps map[protocol.TaskID]*Placement) []*Placement {
+	list := make([]*Placement, 0, len(ps))
+	for _, pl := range ps {
+		list = append(list, pl)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Task.Job != list[j].Task.Job {
+			return list[i].Task.Job < list[j].Task.Job
+		}
+		return list[i].Task.Task < list[j].Task.Task
+	})
+	return list
+}
+
+// Orders returns the commands that are due to a machine, and notes that they
+// are on their way. maxOrders keeps an answer inside the protocol's limit.
+func (p *Part) Orders(now time.Duration, m *Machine) []protocol.Command {
+	const maxOrders = 400
+	var out []protocol.Command
+	run := func(pl *Placement) {
+		pl.sent = true
+		pl.runTerm = p.term
+		out = append(out, protocol.Command{Verb: protocol.Run, Name: pl.Task.String(), Attempt: pl.Attempt})
+	}
+	stop := func(id protocol.TaskID, attempt uint64, graceS float64) {
+		out = append(out, protocol.Command{Verb: protocol.Stop, Name: id.String(), Attempt: attempt, GraceS: &graceS})
+	}
+	if len(m.placements) > 0 {
+		for _, pl := range sorted(m.placements) {
+			if len(out) >= maxOrders || !pl.Written || pl.Session != m.Session {
+				continue
+			}
+			switch {
+			case !pl.Stopping && !pl.Seen:
+				run(pl)
+			case pl.Stopping && pl.Seen:
+				if pl.State != protocol.Saving || pl.GraceS == 0 {
+					stop(pl.Task, pl.Attempt, pl.GraceS)
+				}
+			case pl.Stopping:
+				// A run may still be under way. Running and stopping it leaves an
+				// exited entry that makes the late copy harmless; but long after a
+				// cancel not even that moment is allowed.
+				if !pl.Cancelled || now-pl.StopAt < config.Seconds(p.workers.CancelS/2) {
+					run(pl)
+				}
+				stop(pl.Task, pl.Attempt, 0)
+			}
+		}
+	}
+	for id, attempt := range m.stray {
+		if len(out) < maxOrders {
+			stop(id, attempt, 0)
+		}
+	}
+	for id, e := range m.exits {
+		if len(out) < maxOrders && p.forgettable(now, m, e) {
+			out = append(out, protocol.Command{Verb: protocol.Forget, Name: id.String(), Attempt: e.attempt})
+			delete(m.exits, id)
+		}
+	}
+	return out
+}
+
+// forgettable says whether no run of an exited attempt can reach the machine
+// any more: after forget, a late copy would start the attempt again.
+func (p *Part) forgettable(now time.Duration, m *Machine, e *exit) bool {
+	if !e.settled {
+		return false
+	}
+	return e.runTerm < p.term && m.Token >= p.term || !e.unanswered && now-e.at > p.hold
+}
+
+// Urgent returns the machines that should be sent commands directly, since
+// waiting for their next report would be noticed.
+func (p *Part) Urgent(now time.Duration) []*Machine {
+	var out []*Machine
+	for _, n := range p.names {
+		m := p.machines[n]
+		if !m.Up || m.Busy || m.Addr == "" || now < m.RetryAt {
+			continue
+		}
+		for _, pl := range m.placements {
+			if pl.Written && pl.Session == m.Session &&
+				(!pl.Seen || pl.Stopping && (pl.State != protocol.Saving || pl.GraceS == 0)) {
+				out = append(out, m)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// Answered notes the outcome of a direct command: ok when it was executed.
+func (p *Part) Answered(now time.Duration, m *Machine, ok bool) {
+	m.Busy = false
+	if !ok {
+		// The next report is the natural time for another try. Whatever was in
+		// the command may still be executed, minutes later.
+		m.RetryAt = now + config.Seconds(p.workers.ReportS)
+		for _, pl := range m.placements {
+			pl.unanswered = true
+		}
+		for _, e := range m.exits {
+			e.unanswered = true
+		}
+		return
+	}
+	m.RetryAt = now + config.Seconds(p.workers.ReportS/4)
+}
+
+// Warm estimates how long a machine needs until it has the job's image.
+func (p *Part) Warm(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
+	if im := m.images[j.Image]; im != nil {
+		return max(0, im.ready-now)
+	}
+	t := p.types[m.Type]
+	if t == nil || t.FetchGBPerS <= 0 {
+		return 0
+	}
+	fetches := 1
+	for _, im := range m.images {
+		if im.ready > now {
+			fetches++
+		}
+	}
+	return config.Seconds(j.ImageGB / t.FetchGBPerS * float64(fetches))
+}
+
+// useImage notes that a machine will have an image, and which ones give way.
+func (p *Part) useImage(now time.Duration, m *Machine, j *protocol.Job) {
+	ready := now + p.Warm(now, m, j)
+	im := m.images[j.Image]
+	if im == nil {
+		im = &image{sizeGB: j.ImageGB, ready: ready}
+		m.images[j.Image] = im
+	}
+	im.used = now
+	t := p.types[m.Type]
+	if t == nil {
+		return
+	}
+	for {
+		total, oldest := 0.0, ""
+		for name, im := range m.images {
+			total += im.sizeGB
+			if name != j.Image && (oldest == "" || im.used < m.images[oldest].used) {
+				oldest = name
+			}
+		}
+		if total <= t.CacheGB || oldest == "" {
+			return
+		}
+		delete(m.images, oldest)
+	}
+}
+
+// dropFetch forgets an image whose fetch was given up with its last task.
+func (p *Part) dropFetch(now time.Duration, m *Machine, pl *Placement) {
+	if pl.Job == nil {
+		return
+	}
+	im := m.images[pl.Job.Image]
+	if im == nil || im.ready <= now {
+		return
+	}
+	for _, o := range m.placements {
+		if o.Job != nil && o.Job.Image == pl.Job.Image {
+			return
+		}
+	}
+	delete(m.images, pl.Job.Image)
+}
--- /dev/null
+++ b/internal/coordination/scheduler/allocate.go
@@ -0,0 +1,561 @@
+package scheduler
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/fleet"
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+)
+
+// shortCycles is how many cycles a gang's partial room stays closed before
+// smaller jobs may backfill it, for one cycle at a time.
+const shortCycles = 3
+
+// candidate is a machine that takes new tasks in this cycle.
+type candidate struct {
+	m    *part.Machine
+	kind *protocol.MachineType
+	free part.Need // less what was granted or is held in this cycle
+}
+
+// schedule is the cycle: jobs by priority, then age, teams in turn.
+func (c *Core) schedule(now time.Duration, jobs []*job) {
+	var waiting []*job
+	for _, j := range jobs {
+		if c.waits(now, j) {
+			waiting = append(waiting, j)
+		}
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	var cands []*candidate
+	c.part.Each(func(m *part.Machine) {
+		if t := c.part.Type(m.Type); t != nil && c.part.Open(now, m) {
+			cands = append(cands, &candidate{m, t, c.part.Free(m)})
+		}
+	})
+	for len(waiting) > 0 {
+		i := c.next(waiting)
+		j := waiting[i]
+		waiting = append(waiting[:i], waiting[i+1:]...)
+		c.place(now, j, cands)
+	}
+}
+
+// waits says whether a job has tasks that may be placed now.
+func (c *Core) waits(now time.Duration, j *job) bool {
+	if j.counts[pending] == 0 || j.over || j.writing || j.finishing || len(j.granted) > 0 || now < j.notBefore {
+		return false
+	}
+	return j.spec.Shape != protocol.Gang || len(j.places) == 0
+}
+
+// next picks the job to serve: teams within their guarantee first, then by
+// priority; among equals the team that has least for its share, and of its
+// queue the oldest. The list is sorted by priority and age.
+func (c *Core) next(waiting []*job) int {
+	best := 0
+	within := func(j *job) bool {
+		t := c.cfg.Team(j.spec.Team)
+		if t == nil || t.CPUs == 0 && t.GPUs == 0 {
+			return false
+		}
+		u := c.part.Usage(j.spec.Team).Plus(j.need)
+		return (t.CPUs == 0 || u.CPUs <= t.CPUs) && (t.GPUs == 0 || u.GPUs <= t.GPUs)
+	}
+	if len(c.cfg.Teams) < 2 {
+		return 0
+	}
+	for i, j := range waiting[1:] {
+		b := waiting[best]
+		if j.spec.Team == b.spec.Team {
+			continue // the older or higher one of a team stands first
+		}
+		switch jw, bw := within(j), within(b); {
+		case jw != bw:
+			if jw {
+				best = i + 1
+			}
+		case j.rank != b.rank:
+			if j.rank < b.rank {
+				best = i + 1
+			}
+		case c.teamShare(j.spec.Team) < c.teamShare(b.spec.Team):
+			best = i + 1
+		}
+	}
+	return best
+}
+
+// teamShare is what a team uses for its weight: its guarantee, or 1.
+func (c *Core) teamShare(team string) float64 {
+	u := c.part.Usage(team)
+	t := c.cfg.Team(team)
+	if t != nil && (t.GPUs > 0 || t.CPUs > 0) {
+		return u.Share(part.Need{CPUs: t.CPUs, GPUs: t.GPUs})
+	}
+	return u.GPUs + u.CPUs
+}
+
+// allowance is how many more tasks of the job its team's limit lets start.
+func (c *Core) allowance(j *job) int {
+	t := c.cfg.Team(j.spec.Team)
+	n := math.MaxInt32
+	if t == nil {
+		return n
+	}
+	u := c.part.Usage(j.spec.Team)
+	if t.CPUsMax > 0 && j.need.CPUs > 0 {
+		n = min(n, int((t.CPUsMax-u.CPUs)/j.need.CPUs+1e-9))
+	}
+	if t.GPUsMax > 0 && j.need.GPUs > 0 {
+		n = min(n, int((t.GPUsMax-u.GPUs)/j.need.GPUs+1e-9))
+	}
+	return max(0, n)
+}
+
+// limits are the places that are left to a job, given its other tasks.
+type limits struct {
+	zone    string // the only one, or ""
+	perZone map[string]int
+	most    int // tasks in one zone
+}
+
+func (c *Core) limits(j *job) *limits {
+	l := &limits{zone: j.spec.Zone, perZone: map[string]int{}, most: math.MaxInt}
+	for _, pl := range j.places {
+		l.perZone[pl.Zone]++
+		if j.spec.SameZone {
+			l.zone = pl.Zone
+		}
+	}
+	if j.spec.Spread {
+		l.most = (j.spec.Tasks + 1) / 2
+	}
+	return l
+}
+
+func (l *limits) allow(zone string) bool {
+	return (l.zone == "" || l.zone == zone) && l.perZone[zone] < l.most
+}
+
+// fits is the predicate: whether the job allows the machine at all.
+func fits(now time.Duration, j *job, x *candidate, l *limits) bool {
+	if x.m.Spot && !j.spec.Spot || !x.kind.Allows(&j.spec) || !l.allow(x.m.Zone) {
+		return false
+	}
+	return x.m.Reserved == "" || x.m.Reserved == j.spec.ID || now >= x.m.ReservedUntil
+}
+
+// score orders machines that fit, lower is better, in seconds: the wait for
+// the image, then what packs tightly.
+func (c *Core) score(now time.Duration, j *job, x *candidate, l *limits) float64 {
+	s := c.part.Warm(now, x.m, &j.spec).Seconds()
+	s += x.free.Minus(j.need).Share(part.CapacityOf(x.kind))
+	if j.spec.Spread {
+		s += float64(l.perZone[x.m.Zone]) / float64(j.spec.Tasks)
+	}
+	if x.m.Spot {
+		if j.spec.CheckpointS > 0 {
+			s--
+		} else {
+			s += x.kind.BootS
+		}
+	}
+	if j.failedOn[x.m.Name] {
+		s += 10 * x.kind.BootS
+	}
+	return s + float64(len(x.m.Errors))*x.kind.BootS
+}
+
+func (c *Core) pick(now time.Duration, j *job, cands []*candidate, l *limits) *candidate {
+	var best *candidate
+	bestScore := 0.0
+	for _, x := range cands {
+		if !j.need.Fits(x.free) || !fits(now, j, x, l) {
+			continue
+		}
+		if s := c.score(now, j, x, l); best == nil || s < bestScore {
+			best, bestScore = x, s
+		}
+	}
+	return best
+}
+
+// place allocates as much of a job as there is room for: up to minAvailable
+// or nothing for a gang, task by task for the others.
+func (c *Core) place(now time.Duration, j *job, cands []*candidate) {
+	allowed := c.allowance(j)
+	gang := j.spec.Shape == protocol.Gang
+	if gang && allowed < j.spec.Tasks {
+		return
+	}
+	l := c.limits(j)
+	var chosen []*candidate
+	var tasks []int
+	if gang && j.spec.SameZone && l.zone == "" {
+		chosen, l = c.bestZone(now, j, cands, l)
+	} else {
+		chosen = c.allocate(now, j, cands, l, min(allowed, j.counts[pending]))
+	}
+	if gang && len(chosen) < j.spec.Tasks {
+		c.hold(now, j, cands, chosen, l)
+		return
+	}
+	t := -1
+	for range chosen {
+		t = j.nextPending(t + 1)
+		tasks = append(tasks, t)
+	}
+	c.grant(now, j, tasks, chosen)
+	if len(chosen) < min(allowed, j.counts[pending]+len(chosen)) {
+		j.short++
+		c.preempt(now, j, cands, l, min(allowed, j.counts[pending]))
+	} else {
+		j.short = 0
+	}
+}
+
+// allocate takes room for up to n tasks, machine by machine.
+func (c *Core) allocate(now time.Duration, j *job, cands []*candidate, l *limits, n int) []*candidate {
+	var chosen []*candidate
+	for len(chosen) < n {
+		x := c.pick(now, j, cands, l)
+		if x == nil {
+			break
+		}
+		x.free = x.free.Minus(j.need)
+		l.perZone[x.m.Zone]++
+		if j.spec.SameZone {
+			l.zone = x.m.Zone
+		}
+		chosen = append(chosen, x)
+	}
+	return chosen
+}
+
+func release(j *job, chosen []*candidate) {
+	for _, x := range chosen {
+		x.free = x.free.Plus(j.need)
+	}
+}
+
+// bestZone tries the zones for a gang that must be in one, and keeps the room
+// in the one that holds all of it, or else most of it.
+func (c *Core) bestZone(now time.Duration, j *job, cands []*candidate, l *limits) ([]*candidate, *limits) {
+	zones := map[string]bool{}
+	for _, x := range cands {
+		zones[x.m.Zone] = true
+	}
+	names := make([]string, 0, len(zones))
+	for z := range zones {
+		names = append(names, z)
+	}
+	sort.Strings(names)
+	best, bestN, bestScore := "", -1, 0.0
+	try := func(z string) ([]*candidate, *limits, float64) {
+		zl := &limits{zone: z, perZone: map[string]int{}, most: l.most}
+		got := c.allocate(now, j, cands, zl, j.spec.Tasks)
+		s := 0.0
+		for _, x := range got {
+			s = max(s, c.part.Warm(now, x.m, &j.spec).Seconds())
+		}
+		return got, zl, s
+	}
+	for _, z := range names {
+		got, _, s := try(z)
+		release(j, got)
+		if len(got) > bestN || len(got) == bestN && s < bestScore {
+			best, bestN, bestScore = z, len(got), s
+		}
+	}
+	if best == "" {
+		return nil, l
+	}
+	got, zl, _ := try(best)
+	return got, zl
+}
+
+// hold keeps the room of a short gang closed to others until the next cycle:
+// what it was allocated, and for each task without room the machine that is
+// nearest to having it. Every fourth short cycle smaller jobs may backfill.
+func (c *Core) hold(now time.Duration, j *job, cands, chosen []*candidate, l *limits) {
+	j.short++
+	missing := j.spec.Tasks - len(chosen)
+	c.preempt(now, j, cands, l, missing)
+	if j.short%(shortCycles+1) == 0 {
+		release(j, chosen)
+		return
+	}
+	taken := map[*candidate]bool{}
+	for range missing {
+		var best *candidate
+		for _, x := range cands {
+			if taken[x] || !fits(now, j, x, l) || !j.need.Fits(part.CapacityOf(x.kind)) {
+				continue
+			}
+			if best == nil || x.free.Share(part.CapacityOf(x.kind)) > best.free.Share(part.CapacityOf(best.kind)) {
+				best = x
+			}
+		}
+		if best == nil {
+			return
+		}
+		taken[best] = true
+		best.free = part.Need{CPUs: -1, GPUs: -1, MemoryGB: -1}
+	}
+}
+
+// grant promises room for the tasks, and has their placements recorded.
+func (c *Core) grant(now time.Duration, j *job, tasks []int, chosen []*candidate) {
+	if len(chosen) == 0 {
+		return
+	}
+	attempt := uint64(0)
+	if j.spec.Shape == protocol.Gang {
+		attempt = j.attempt(0)
+	}
+	var ps []*part.Placement
+	for i, x := range chosen {
+		t := tasks[i]
+		a := attempt
+		if a == 0 {
+			a = j.attempt(t)
+		}
+		ps = append(ps, &part.Placement{
+			Task: protocol.TaskID{Job: j.spec.ID, Task: t}, Attempt: a, Machine: x.m.Name,
+			Need: j.need, Team: j.spec.Team, Rank: j.rank, Job: &j.spec,
+		})
+		p := j.pageOf(t)
+		p.attempts = max(p.attempts, a)
+	}
+	if !c.part.Grant(now, ps) {
+		c.due = true // the part knows better; ask again with what it says
+		return
+	}
+	for _, pl := range ps {
+		t := pl.Task.Task
+		j.set(t, placed)
+		j.places[t] = pl
+		j.touch(t, now)
+		j.granted = append(j.granted, pl)
+		if m := c.part.Machine(pl.Machine); m.Reserved == j.spec.ID {
+			m.Reserved = ""
+		}
+	}
+}
+
+// preempt stops work of lower priority to make room for up to n tasks, on the
+// machines where least is lost, and reserves the room.
+func (c *Core) preempt(now time.Duration, j *job, cands []*candidate, l *limits, n int) {
+	if j.short < 2 {
+		return
+	}
+	for _, x := range cands {
+		if x.m.Reserved == j.spec.ID && now < x.m.ReservedUntil {
+			n-- // cleared already, and not yet free
+		}
+	}
+	for ; n > 0; n-- {
+		var best *candidate
+		var bestVictims []*part.Placement
+		bestCost := math.Inf(1)
+		for _, x := range cands {
+			if !fits(now, j, x, l) || x.m.Reserved == j.spec.ID || !j.need.Fits(part.CapacityOf(x.kind)) {
+				continue
+			}
+			victims, cost, ok := c.victims(now, j, x)
+			cost += c.part.Warm(now, x.m, &j.spec).Seconds()
+			if ok && cost < bestCost {
+				best, bestVictims, bestCost = x, victims, cost
+			}
+		}
+		if best == nil {
+			return
+		}
+		wait := 0.0
+		for _, v := range bestVictims {
+			if !v.Stopping {
+				c.log.Info("preempted", "task", v.Task, "for", j.spec.ID, "machine", v.Machine)
+				c.stopOrderly(now, v)
+			}
+			wait = max(wait, v.GraceS)
+		}
+		best.m.Reserved = j.spec.ID
+		best.m.ReservedUntil = now + config.Seconds(wait+3*c.cfg.Workers.ReportS) + Cycle
+	}
+}
+
+// victims chooses the work that would have to leave a machine. Its cost is in
+// seconds of work lost or moved.
+func (c *Core) victims(now time.Duration, j *job, x *candidate) (out []*part.Placement, cost float64, ok bool) {
+	room := c.part.Free(x.m)
+	var lower []*part.Placement
+	x.m.Placements(func(pl *part.Placement) {
+		switch {
+		case pl.Stopping:
+			room = room.Plus(pl.Need)
+			out = append(out, pl)
+		case pl.Rank > j.rank && pl.Team == j.spec.Team, c.borrows(pl) && pl.Team != j.spec.Team && c.owed(j):
+			lower = append(lower, pl)
+		}
+	})
+	sort.Slice(lower, func(a, b int) bool {
+		if lower[a].Rank != lower[b].Rank {
+			return lower[a].Rank > lower[b].Rank
+		}
+		if lower[a].Since != lower[b].Since {
+			return lower[a].Since > lower[b].Since
+		}
+		return lower[a].Task.String() < lower[b].Task.String()
+	})
+	for _, pl := range lower {
+		if j.need.Fits(room) {
+			break
+		}
+		room = room.Plus(pl.Need)
+		out = append(out, pl)
+		lost := (now - pl.Since).Seconds()
+		if pl.Job != nil && pl.Job.CheckpointS > 0 {
+			lost = pl.Job.SaveS
+		}
+		cost += 1 + lost*pl.Need.Share(part.CapacityOf(x.kind))
+	}
+	return out, cost, j.need.Fits(room)
+}
+
+// borrows says whether a placement's team uses more than its guarantee.
+func (c *Core) borrows(pl *part.Placement) bool {
+	t := c.cfg.Team(pl.Team)
+	u := c.part.Usage(pl.Team)
+	return t == nil || u.CPUs > t.CPUs || u.GPUs > t.GPUs
+}
+
+// owed says whether a job's team is still within its guarantee with one more
+// of its tasks.
+func (c *Core) owed(j *job) bool {
+	t := c.cfg.Team(j.spec.Team)
+	if t == nil || t.CPUs == 0 && t.GPUs == 0 {
+		return false
+	}
+	u := c.part.Usage(j.spec.Team).Plus(j.need)
+	return (t.CPUs == 0 || u.CPUs <= t.CPUs) && (t.GPUs == 0 || u.GPUs <= t.GPUs)
+}
+
+// demand lists the room that is wanted: for tasks that wait, and then for the
+// jobs that are likely to come before a machine rented now would be up.
+func (c *Core) demand(now time.Duration, jobs []*job) []fleet.Unit {
+	var units []fleet.Unit
+	for _, j := range jobs {
+		n := min(j.counts[pending], c.allowance(j))
+		if n == 0 || j.over || j.finishing || len(j.failedOn) > 2 {
+			continue
+		}
+		l := c.limits(j)
+		if !j.spec.Spread || l.zone != "" {
+			units = append(units, fleet.Unit{Job: &j.spec, Zone: l.zone, Count: n})
+			continue
+		}
+		units = append(units, c.spreadUnits(&j.spec, l, n)...)
+	}
+	return append(units, c.spare(now)...)
+}
+
+// spreadUnits deals tasks to zones as the job's spread demands.
+func (c *Core) spreadUnits(spec *protocol.Job, l *limits, n int) []fleet.Unit {
+	zones := map[string]bool{}
+	for _, t := range c.part.Types() {
+		if t.Allows(spec) {
+			for _, z := range t.Zones {
+				zones[z] = true
+			}
+		}
+	}
+	var names []string
+	for z := range zones {
+		names = append(names, z)
+	}
+	sort.Strings(names)
+	counts := map[string]int{}
+	for ; n > 0; n-- {
+		best := ""
+		for _, z := range names {
+			if l.perZone[z]+counts[z] < l.most && (best == "" || l.perZone[z]+counts[z] < l.perZone[best]+counts[best]) {
+				best = z
+			}
+		}
+		if best == "" {
+			break
+		}
+		counts[best]++
+	}
+	var units []fleet.Unit
+	for _, z := range names {
+		if counts[z] > 0 {
+			units = append(units, fleet.Unit{Job: spec, Zone: z, Count: counts[z]})
+		}
+	}
+	return units
+}
+
+// spare is the room kept for classes whose aim on waiting is shorter than a
+// machine takes to come up with their image.
+func (c *Core) spare(now time.Duration) []fleet.Unit {
+	var units []fleet.Unit
+	classes := make([]string, 0, len(c.sample))
+	for class := range c.sample {
+		classes = append(classes, class)
+	}
+	sort.Strings(classes)
+	for _, class := range classes {
+		spec := c.sample[class]
+		within := math.Inf(1)
+		for _, o := range c.cfg.Objectives {
+			if o.Kind == "wait" && o.Class == class {
+				within = min(within, o.WithinS)
+			}
+		}
+		boot, ready := 0.0, math.Inf(1)
+		for _, t := range c.part.Types() {
+			if t.Allows(spec) && t.Fits(spec) > 0 && t.FetchGBPerS > 0 {
+				if r := t.BootS + spec.ImageGB/t.FetchGBPerS; r < ready {
+					boot, ready = t.BootS, r
+				}
+			}
+		}
+		if within >= ready || math.IsInf(ready, 1) {
+			continue
+		}
+		// Arrivals of the last few boot times tell the rate; room for those of
+		// one boot time to come, and some for chance.
+		window := config.Seconds(3 * boot)
+		n := 0
+		as := c.arrivals[class]
+		for len(as) > 0 && as[0] < now-window {
+			as = as[1:]
+		}
+		c.arrivals[class] = as
+		n = len(as)
+		mean := float64(n) / 3 * 1.2
+		jobs := mean + math.Sqrt(mean)
+		tasks := int(math.Ceil(jobs * c.sizes[class]))
+		if tasks == 0 {
+			continue
+		}
+		if spec.Spread {
+			l := &limits{perZone: map[string]int{}, most: (tasks + 1) / 2}
+			for _, u := range c.spreadUnits(spec, l, tasks) {
+				u.Spare = true
+				units = append(units, u)
+			}
+			continue
+		}
+		units = append(units, fleet.Unit{Job: spec, Count: tasks, Spare: true})
+	}
+	return units
+}
--- /dev/null
+++ b/internal/coordination/scheduler/job.go
@@ -0,0 +1,168 @@
+// Package scheduler is the leader's state machine: jobs and their tasks, the
+// cycle that places them, and what follows from reports, records and failures.
+// It does no I/O and reads no clock: a step takes an event and the time, and
+// returns effects.
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// taskState is where a task stands in the leader's books.
+type taskState uint8
+
+const (
+	pending taskState = iota
+	placed            // has a placement that is not proven gone
+	done
+)
+
+// job is an accepted job, or one that is over but not yet gone.
+type job struct {
+	spec  protocol.Job
+	need  part.Need
+	rank  int
+	stamp uint64 // version of its live record; 0 once it is over
+	atMS  int64
+	known time.Duration // when this leader learnt of it
+
+	tasks   []taskState
+	counts  [3]int
+	low     int // no task below it is pending
+	places  map[int]*part.Placement
+	pages   map[int]*page
+	perPage int
+
+	over      bool // cancelled, or its end is recorded
+	finishing bool // the transaction that ends it is under way
+	writing   bool
+	granted   []*part.Placement // wait for their record
+	stopping  bool              // gang: being stopped as a whole
+	short     int               // cycles in a row without enough room
+	notBefore time.Duration
+	failures  int
+	failedOn  map[string]bool
+}
+
+// page is a run of tasks that share a record.
+type page struct {
+	stamp    uint64
+	attempts uint64
+	dirty    bool
+	dirtyAt  time.Duration
+	exits    []*part.Placement // gone, and still in the record
+}
+
+func newJob(spec protocol.Job, stamp uint64, atMS int64, now time.Duration, perPage int) *job {
+	return &job{
+		spec: spec, need: part.NeedOf(&spec), rank: spec.Priority.Rank(), stamp: stamp, atMS: atMS, known: now,
+		tasks: make([]taskState, spec.Tasks), counts: [3]int{spec.Tasks, 0, 0},
+		places: map[int]*part.Placement{}, pages: map[int]*page{}, perPage: perPage, failedOn: map[string]bool{},
+	}
+}
+
+func (j *job) set(task int, s taskState) {
+	if task < 0 || task >= len(j.tasks) {
+		return
+	}
+	j.counts[j.tasks[task]]--
+	j.counts[s]++
+	j.tasks[task] = s
+	if s == pending && task < j.low {
+		j.low = task
+	}
+}
+
+// nextPending returns the first pending task from the given one on, or -1.
+func (j *job) nextPending(from int) int {
+	for t := max(from, j.low); t < len(j.tasks); t++ {
+		if j.tasks[t] == pending {
+			if from <= j.low {
+				j.low = t
+			}
+			return t
+		}
+	}
+	return -1
+}
+
+func (j *job) page(n int) *page {
+	p := j.pages[n]
+	if p == nil {
+		p = &page{}
+		j.pages[n] = p
+	}
+	return p
+}
+
+func (j *job) pageOf(task int) *page { return j.page(task / j.perPage) }
+
+func (j *job) touch(task int, now time.Duration) {
+	p := j.pageOf(task)
+	if !p.dirty {
+		p.dirty, p.dirtyAt = true, now
+	}
+}
+
+// attempt returns the next attempt number of a task; those of a gang agree.
+func (j *job) attempt(task int) uint64 {
+	if j.spec.Shape != protocol.Gang {
+		return j.pageOf(task).attempts + 1
+	}
+	n := uint64(0)
+	for _, p := range j.pages {
+		n = max(n, p.attempts)
+	}
+	return n + 1
+}
+
+// record returns page n as it should be stored.
+func (j *job) record(n int, write string) *storage.PageRecord {
+	p := j.page(n)
+	r := &storage.PageRecord{
+		Write: write, Attempts: p.attempts, Team: j.spec.Team,
+		CPUs: j.need.CPUs, GPUs: j.need.GPUs, MemoryGB: j.need.MemoryGB,
+	}
+	for t := n * j.perPage; t < min((n+1)*j.perPage, len(j.tasks)); t++ {
+		if j.tasks[t] == done {
+			r.AddDone(t)
+		}
+		if pl := j.places[t]; pl != nil {
+			r.Places = append(r.Places, storage.Place{
+				Task: t, Machine: pl.Machine, Session: pl.Session, Attempt: pl.Attempt, Zone: r.ZoneIndex(pl.Zone),
+			})
+		}
+	}
+	return r
+}
+
+// dirtyPages lists the pages to be written, in order.
+func (j *job) dirtyPages() []int {
+	var ns []int
+	for n, p := range j.pages {
+		if p.dirty {
+			ns = append(ns, n)
+		}
+	}
+	sort.Ints(ns)
+	return ns
+}
+
+// standing is the job's state as its user should see it.
+func (j *job) standing() protocol.JobStatus {
+	s := protocol.JobStatus{ID: j.spec.ID, Standing: protocol.Queued, Done: j.counts[done]}
+	for _, pl := range j.places {
+		if pl.State == protocol.TaskRunning {
+			s.Running++
+		}
+	}
+	if s.Running > 0 {
+		s.Standing = protocol.Running
+	}
+	return s
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,438 @@
+// Package daemon puts a controller together: it wires the layers and runs the
+// election.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/sync/errgroup"
+
+	"pinebay/internal/actor"
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/election"
+	"pinebay/internal/coordination/intake"
+	"pinebay/internal/coordination/leader"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+	"pinebay/internal/transport"
+)
+
+// Shares of the sockets that a process may have.
+const (
+	socketsServed  = 0.6  // users and workers
+	socketsWorkers = 0.25 // direct commands
+)
+
+// Controller is one process of the service.
+type Controller struct {
+	cfg   *config.Settings
+	log   *slog.Logger
+	start time.Time
+	times election.Times
+
+	store   *storage.Client
+	cloud   *leader.Cloud
+	workers *transport.Client
+	mesh    *transport.Mesh
+	intake  *intake.Intake
+
+	box     *actor.Mailbox[any]
+	elect   *election.Machine
+	view    atomic.Pointer[election.View]
+	leading atomic.Pointer[leader.Leader]
+	peersOK atomic.Int64 // steady time when a peer last had the state service
+}
+
+// Times derives the election's times from the settings.
+func Times(d *config.Deployment) election.Times {
+	lease, cancel := config.Seconds(d.Workers.LeaseS), config.Seconds(d.Workers.CancelS)
+	base := min(lease, cancel/4)
+	return election.Times{
+		Beat: base / 40, Silent: base / 5, TTL: max(3*base/10, 100*time.Millisecond),
+		Hold: base / 2, Step: base / 50,
+	}
+}
+
+// New returns a controller that is not running yet.
+func New(cfg *config.Settings, log *slog.Logger) *Controller {
+	d := &cfg.Deploy
+	c := &Controller{cfg: cfg, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[any]()}
+	c.store = storage.NewClient(d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
+	c.cloud = leader.NewCloud(cfg.Outside.Cloud, d.Cloud)
+	c.workers = transport.NewClient(1, int(float64(d.Quota.MaxSockets)*socketsWorkers), config.Seconds(d.Workers.LeaseS))
+	c.intake = intake.New(d, c.store, c.log, c.status)
+	peers := map[string]string{}
+	var names []string
+	for _, p := range cfg.Seeds {
+		if p.Node == cfg.Node {
+			continue
+		}
+		peers[p.Node] = p.Addr
+		names = append(names, p.Node)
+	}
+	c.mesh = transport.NewMesh(cfg.Node, peers, c.times.Silent/2, c.log, c.answerPeer,
+		func(node string) { c.box.Send(election.Lost{Peer: node}) })
+	c.elect = election.New(c.now(), cfg.Node, names, c.times)
+	c.publish()
+	return c
+}
+
+func (c *Controller) now() time.Duration { return time.Since(c.start) }
+
+func (c *Controller) publish() {
+	v := c.elect.View(c.now())
+	c.view.Store(&v)
+}
+
+// Run serves until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	l, err := transport.Listen(c.cfg.Listen, int(float64(c.cfg.Deploy.Quota.MaxSockets)*socketsServed))
+	if err != nil {
+		return err
+	}
+	ml, err := net.Listen("tcp", c.cfg.MeshAddr)
+	if err != nil {
+		l.Close()
+		return fmt.Errorf("listen on %s: %w", c.cfg.MeshAddr, err)
+	}
+	lease := config.Seconds(c.cfg.Deploy.Workers.LeaseS)
+	srv := &http.Server{
+		Handler: c.routes(), ReadHeaderTimeout: lease, ReadTimeout: lease, IdleTimeout: max(3*lease, 30*time.Second),
+		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve: %w", err)
+		}
+		return nil
+	})
+	g.Go(func() error { return c.mesh.Serve(ctx, ml) })
+	g.Go(func() error {
+		<-ctx.Done()
+		return srv.Close()
+	})
+	g.Go(func() error { c.runElection(ctx); return nil })
+	g.Go(func() error { c.watchLeader(ctx); return nil })
+	g.Go(func() error { c.learnTypes(ctx); return nil })
+	for _, p := range c.mesh.Peers() {
+		g.Go(func() error { c.beat(ctx, p); return nil })
+	}
+	return g.Wait()
+}
+
+func (c *Controller) routes() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/ready", c.ready)
+	r.Post("/v1/report", c.report)
+	c.intake.Routes(r)
+	return r
+}
+
+// ready says whether users should come here. During an outage that all
+// controllers share, going away would only add to the trouble; a controller
+// that alone cannot reach the state service should not be asked.
+func (c *Controller) ready(w http.ResponseWriter, _ *http.Request) {
+	status := http.StatusOK
+	if !c.intake.Ready() {
+		status = http.StatusServiceUnavailable
+	} else if silent := c.store.SilentFor(); silent > c.times.Silent {
+		peers := c.now() - time.Duration(c.peersOK.Load())
+		if peers < silent/2 || !c.meshAlive() {
+			status = http.StatusServiceUnavailable
+		}
+	}
+	w.WriteHeader(status)
+}
+
+// meshAlive says whether a majority of the controllers is in contact.
+func (c *Controller) meshAlive() bool {
+	v := c.view.Load()
+	return v.Leading || v.Leader != "" || len(c.cfg.Seeds) == 0
+}
+
+func (c *Controller) report(w http.ResponseWriter, r *http.Request) {
+	l := c.leading.Load()
+	if l == nil {
+		c.redirect(w)
+		return
+	}
+	raw, err := transport.ReadBody(w, r)
+	if err != nil {
+		transport.Answer(w, http.StatusBadRequest, protocol.Problem{Error: err.Error()})
+		return
+	}
+	rep, err := protocol.DecodeReport(raw)
+	if err != nil {
+		c.log.Info("report refused", "remote", r.RemoteAddr, "err", err)
+		transport.Answer(w, http.StatusBadRequest, protocol.Problem{Error: err.Error()})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), reportPatience)
+	defer cancel()
+	a, ok := l.Report(ctx, rep)
+	if !ok || c.leading.Load() != l {
+		// A 200 with a token that the worker has to drop would hold it here.
+		c.redirect(w)
+		return
+	}
+	transport.Answer(w, http.StatusOK, a)
+}
+
+// reportPatience stays inside the 4 s that a worker waits.
+const reportPatience = 3 * time.Second
+
+func (c *Controller) redirect(w http.ResponseWriter) {
+	v := c.view.Load()
+	if v.Leader == "" || v.Leader == c.cfg.Node {
+		transport.Answer(w, http.StatusServiceUnavailable, protocol.Problem{Error: "no leader is known here"})
+		return
+	}
+	transport.Answer(w, http.StatusMisdirectedRequest, protocol.Redirect{Leader: v.Leader})
+}
+
+// status asks the leader about a job, over the mesh if it is not here.
+func (c *Controller) status(ctx context.Context, id string) (protocol.JobStatus, bool) {
+	if l := c.leading.Load(); l != nil {
+		return l.Status(ctx, id)
+	}
+	v := c.view.Load()
+	if v.Leader == "" || v.Leader == c.cfg.Node {
+		return protocol.JobStatus{}, false
+	}
+	r, err := c.mesh.Call(ctx, v.Leader, protocol.MeshMessage{Kind: protocol.MeshStatus, Job: id})
+	if err != nil || r.Status == nil || r.Status.ID != id {
+		return protocol.JobStatus{}, false
+	}
+	return *r.Status, true
+}
+
+// answerPeer answers a peer's message.
+func (c *Controller) answerPeer(m *protocol.MeshMessage) *protocol.MeshMessage {
+	v := c.view.Load()
+	reply := &protocol.MeshMessage{Kind: protocol.MeshReply}
+	switch m.Kind {
+	case protocol.MeshBeat:
+		c.heardPeer(m)
+		c.box.Send(election.Beat{From: m.From, Term: m.Term, Leader: m.Leader})
+		reply.Term, reply.Leader = v.Term, v.Leader
+		if m.Leader == m.From && m.Term >= v.Term {
+			reply.Term, reply.Leader = m.Term, m.From // what we shall have taken in
+		}
+		reply.StateOK = c.stateOK()
+	case protocol.MeshStatus:
+		if l := c.leading.Load(); l != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), c.times.Silent/2)
+			defer cancel()
+			if s, ok := l.Status(ctx, m.Job); ok {
+				reply.Status = &s
+			}
+		}
+	}
+	return reply
+}
+
+func (c *Controller) stateOK() bool { return c.store.SilentFor() < c.times.Silent/2 }
+
+func (c *Controller) heardPeer(m *protocol.MeshMessage) {
+	if m.StateOK {
+		c.peersOK.Store(int64(c.now()))
+	}
+}
+
+// beat tells one peer regularly who leads, and hears what it knows.
+func (c *Controller) beat(ctx context.Context, peer string) {
+	t := time.NewTicker(c.times.Beat)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		v := c.view.Load()
+		sent := c.now()
+		r, err := c.mesh.Call(ctx, peer, protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK()})
+		if err == nil {
+			c.heardPeer(r)
+			c.box.Send(election.Beat{From: peer, Term: r.Term, Leader: r.Leader, Reply: true, Sent: sent})
+		}
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+}
+
+// runElection is the election's actor.
+func (c *Controller) runElection(ctx context.Context) {
+	step := func(e any) {
+		effects := c.elect.Step(c.now(), e)
+		c.publish()
+		for _, e := range effects {
+			c.carryOut(ctx, e)
+		}
+	}
+	c.box.Run(ctx, c.times.Beat, step, func() { step(election.Tick{}) })
+	if l := c.leading.Swap(nil); l != nil {
+		l.Stop()
+	}
+}
+
+func (c *Controller) carryOut(ctx context.Context, effect any) {
+	switch e := effect.(type) {
+	case election.Claim:
+		go func() { c.box.Send(c.claim(ctx, e)) }()
+	case election.Renew:
+		go func() {
+			sent := c.now()
+			err := c.store.Renew(ctx, e.Lease)
+			c.box.Send(election.Renewed{OK: err == nil, NoLease: errors.Is(err, storage.ErrNoLease), Term: e.Term, Sent: sent})
+		}()
+	case election.Lead:
+		l := leader.Start(ctx, leader.Deps{
+			Cfg: &c.cfg.Deploy, Log: c.log, Store: c.store, Cloud: c.cloud, Workers: c.workers, Now: c.now,
+			Types: c.intake.SetTypes,
+			Deposed: func(term, token uint64, reason string) {
+				if token > term {
+					c.box.Send(election.Higher{Term: token})
+				}
+				c.box.Send(election.Resign{Term: term})
+			},
+		}, e.Term, e.Stamp)
+		if old := c.leading.Swap(l); old != nil {
+			old.Stop()
+		}
+	case election.Yield:
+		c.log.Info("yielding", "term", e.Term)
+		if l := c.leading.Load(); l != nil && l.Term() == e.Term {
+			c.leading.Store(nil)
+			l.Stop()
+		}
+	}
+}
+
+// claim tries to take the leadership once. Its transaction holds only while
+// neither the leader's key nor the term has changed.
+func (c *Controller) claim(ctx context.Context, e election.Claim) election.Claimed {
+	sent := c.now()
+	fail := func(err error) election.Claimed {
+		c.log.Debug("claim failed", "err", err)
+		return election.Claimed{}
+	}
+	tp, err := c.store.Get(ctx, storage.Urgent, storage.TermKey)
+	if err != nil {
+		return fail(err)
+	}
+	var rec storage.TermRecord
+	if tp.Version != 0 {
+		if err := protocol.Decode(tp.Value, &rec); err != nil {
+			return fail(err)
+		}
+	}
+	lp, err := c.store.Get(ctx, storage.Urgent, storage.LeaderKey)
+	if err != nil {
+		return fail(err)
+	}
+	if rec.Term > e.Over && lp.Version != 0 && rec.Node != c.cfg.Node {
+		c.box.Send(election.Key{Present: true, Node: rec.Node, Term: rec.Term})
+		return election.Claimed{}
+	}
+	lease, err := c.store.Lease(ctx, c.times.TTL)
+	if err != nil {
+		return fail(err)
+	}
+	// A worker may have seen a token that no record tells of any more only if
+	// the state service lost it; be above what we have seen all the same.
+	term := max(rec.Term, e.Over) + 1
+	value, err := protocol.Encode(storage.TermRecord{Term: term, Node: c.cfg.Node, Claim: fmt.Sprint(lease)})
+	if err != nil {
+		return fail(err)
+	}
+	lvalue, err := protocol.Encode(storage.LeaderRecord{Node: c.cfg.Node, Term: term})
+	if err != nil {
+		return fail(err)
+	}
+	rev, ok, err := c.store.Txn(ctx, storage.Urgent, protocol.Txn{
+		If:   []protocol.Cond{{Key: storage.TermKey, Version: tp.Version}, {Key: storage.LeaderKey, Version: lp.Version}},
+		Then: []protocol.Op{{Put: storage.TermKey, Value: value}, {Put: storage.LeaderKey, Value: lvalue, Lease: lease}},
+	})
+	if err != nil || !ok {
+		return fail(fmt.Errorf("transaction ok=%v: %w", ok, err))
+	}
+	return election.Claimed{Won: true, Term: term, Stamp: rev, Lease: lease, Sent: sent}
+}
+
+// watchLeader follows the leader's key.
+func (c *Controller) watchLeader(ctx context.Context) {
+	var rev uint64
+	wait := config.Seconds(c.cfg.Deploy.Workers.LeaseS)
+	fresh := false
+	for ctx.Err() == nil {
+		if !fresh {
+			p, err := c.store.Get(ctx, storage.Urgent, storage.LeaderKey)
+			if err != nil {
+				storage.Pause(ctx, c.times.Beat)
+				continue
+			}
+			c.leaderKey(p.Value, p.Version)
+			rev, fresh = max(rev, p.Version), true
+			if p.Version == 0 {
+				pairs, r, err := c.store.List(ctx, storage.LeaderKey)
+				if err != nil {
+					fresh = false
+					storage.Pause(ctx, c.times.Beat)
+					continue
+				}
+				rev = max(rev, r)
+				for _, p := range pairs {
+					c.leaderKey(p.Value, p.Version)
+				}
+			}
+		}
+		ev, err := c.store.Watch(ctx, storage.LeaderKey, rev, wait)
+		if err != nil {
+			fresh = !errors.Is(err, storage.ErrCompacted)
+			storage.Pause(ctx, c.times.Beat)
+			continue
+		}
+		rev = max(rev, ev.Revision)
+		for _, e := range ev.Events {
+			if e.Delete != "" {
+				c.leaderKey(nil, 0)
+			} else {
+				c.leaderKey(e.Value, e.Version)
+			}
+		}
+	}
+}
+
+func (c *Controller) leaderKey(value []byte, version uint64) {
+	if version == 0 {
+		c.box.Send(election.Key{Term: c.view.Load().Term})
+		return
+	}
+	var rec storage.LeaderRecord
+	if err := protocol.Decode(value, &rec); err != nil {
+		c.log.Error("leader record out of form", "err", err)
+		return
+	}
+	c.box.Send(election.Key{Present: true, Node: rec.Node, Term: rec.Term})
+}
+
+// learnTypes reads the machine types once, without which nobody can be
+// answered; the leader follows the prices.
+func (c *Controller) learnTypes(ctx context.Context) {
+	for ctx.Err() == nil && !c.intake.Ready() {
+		types, err := c.cloud.Types(ctx, c.store)
+		if err == nil {
+			c.intake.SetTypes(types)
+			return
+		}
+		c.log.Info("machine types not read", "err", err)
+		storage.Pause(ctx, c.times.Beat*2)
+	}
+}
--- /dev/null
+++ b/internal/storage/client.go
@@ -0,0 +1,249 @@
+// Package storage keeps what must last: a client of the state service with
+// rate budgets, and the records that the controllers keep there.
+package storage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+	"pinebay/internal/transport"
+)
+
+// ErrUnavailable says that a request was not executed.
+var ErrUnavailable = errors.New("state service unavailable")
+
+// ErrBusy says that a request was not executed because a budget is used up;
+// it can be tried again in a moment. It is a kind of ErrUnavailable.
+var ErrBusy = fmt.Errorf("%w: over the rate", ErrUnavailable)
+
+// ErrUncertain says that a request may have been executed, or may yet be.
+var ErrUncertain = errors.New("no answer from the state service")
+
+// ErrNoLease says that a lease has ended.
+var ErrNoLease = errors.New("no such lease")
+
+// ErrCompacted says that a watch asked for changes too old to be kept.
+var ErrCompacted = errors.New("changes no longer kept")
+
+// Use says what a request is for, and so which budget pays for it.
+type Use int
+
+// Uses of the state service.
+const (
+	Urgent  Use = iota // leadership: never waits for a budget
+	Decide             // the leader's placements
+	Accept             // acceptance and cancels
+	Consult            // users' polls
+	Bulk               // done batches and cleaning
+)
+
+// Client speaks to the state service.
+type Client struct {
+	base    string
+	calls   *transport.Client
+	watches *transport.Client
+	timeout time.Duration
+	reads   map[Use]*rate.Limiter
+	writes  map[Use]*rate.Limiter
+	lastOK  atomic.Int64 // steady time of the last answer, from start
+	start   time.Time
+}
+
+// NewClient returns a client. The limits of the service are shared between
+// the controllers; within a controller no use can starve one before it.
+func NewClient(d *config.Deployment, addr string, timeout time.Duration) *Client {
+	// A read or write beyond a second's share waits; the service's own 429
+	// corrects where several controllers are busy at once.
+	share := func(limit, part float64) *rate.Limiter {
+		r := limit * part
+		return rate.NewLimiter(rate.Limit(r), max(1, int(r)))
+	}
+	n := float64(d.Nodes)
+	perHost := max(4, d.Quota.MaxSockets/32)
+	return &Client{
+		base:    "http://" + addr,
+		calls:   transport.NewClient(perHost, perHost, config.Seconds(d.Workers.LeaseS)),
+		watches: transport.NewClient(4, 4, config.Seconds(d.Workers.LeaseS)),
+		timeout: timeout,
+		reads: map[Use]*rate.Limiter{
+			Decide: share(d.State.RPS, 0.5), Accept: share(d.State.RPS, 1/n),
+			Consult: share(d.State.RPS, 0.6/n), Bulk: share(d.State.RPS, 0.1),
+		},
+		writes: map[Use]*rate.Limiter{
+			Decide: share(d.State.WriteRPS, 0.6), Accept: share(d.State.WriteRPS, 1/n),
+			Bulk: share(d.State.WriteRPS, 0.2),
+		},
+		start: time.Now(),
+	}
+}
+
+// SilentFor returns how long ago the service last gave an answer.
+func (c *Client) SilentFor() time.Duration {
+	return time.Since(c.start) - time.Duration(c.lastOK.Load())
+}
+
+func (c *Client) call(ctx context.Context, use Use, writes int, method, path string, body any) (int, []byte, error) {
+	if l := c.reads[use]; l != nil {
+		if err := l.Wait(ctx); err != nil {
+			return 0, nil, fmt.Errorf("%w: %w", ErrBusy, err)
+		}
+	}
+	if l := c.writes[use]; l != nil && writes > 0 {
+		if err := l.WaitN(ctx, min(writes, l.Burst())); err != nil {
+			return 0, nil, fmt.Errorf("%w: %w", ErrBusy, err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	status, raw, err := c.calls.Do(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUncertain, err)
+	}
+	return status, raw, c.judge(status, raw)
+}
+
+// judge notes the service's answer and turns refusals into errors.
+func (c *Client) judge(status int, raw []byte) error {
+	switch status {
+	case http.StatusTooManyRequests:
+		c.lastOK.Store(int64(time.Since(c.start)))
+		return ErrBusy
+	case http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	case http.StatusOK, http.StatusNotFound, http.StatusConflict, http.StatusGone:
+		c.lastOK.Store(int64(time.Since(c.start)))
+		return nil
+	default:
+		return fmt.Errorf("state service: status %d: %.80q", status, raw)
+	}
+}
+
+// Get reads a key; a version of 0 means that it does not exist.
+func (c *Client) Get(ctx context.Context, use Use, key string) (protocol.Pair, error) {
+	var p protocol.Pair
+	status, raw, err := c.call(ctx, use, 0, http.MethodGet, "/kv/"+key, nil)
+	if err != nil {
+		return p, err
+	}
+	if status == http.StatusNotFound {
+		return protocol.Pair{Key: key}, nil
+	}
+	if err := protocol.Decode(raw, &p); err != nil {
+		return p, fmt.Errorf("get %s: %w", key, err)
+	}
+	return p, nil
+}
+
+// List reads all keys with a prefix. The revision is that of the first page:
+// a watch from there misses nothing.
+func (c *Client) List(ctx context.Context, prefix string) ([]protocol.Pair, uint64, error) {
+	var all []protocol.Pair
+	var rev uint64
+	from := ""
+	for {
+		path := "/kv?prefix=" + url.QueryEscape(prefix) + "&limit=500"
+		if from != "" {
+			path += "&from=" + url.QueryEscape(from)
+		}
+		_, raw, err := c.call(ctx, Decide, 0, http.MethodGet, path, nil)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+		}
+		var page protocol.Pairs
+		if err := protocol.Decode(raw, &page); err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+		}
+		if rev == 0 {
+			rev = page.Revision
+		}
+		all = append(all, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return all, rev, nil
+		}
+		from = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Txn tries a transaction once. ok is false when a condition failed.
+func (c *Client) Txn(ctx context.Context, use Use, t protocol.Txn) (rev uint64, ok bool, err error) {
+	rev, ok, _, err = c.TxnFailed(ctx, use, t)
+	return rev, ok, err
+}
+
+// TxnFailed is Txn, and also returns the keys whose conditions failed.
+func (c *Client) TxnFailed(ctx context.Context, use Use, t protocol.Txn) (rev uint64, ok bool, failed []string, err error) {
+	status, raw, err := c.call(ctx, use, len(t.Then), http.MethodPost, "/multi", t)
+	if err != nil {
+		return 0, false, nil, err
+	}
+	var r protocol.TxnResult
+	if err := protocol.Decode(raw, &r); err != nil {
+		return 0, false, nil, fmt.Errorf("transaction: %w", err)
+	}
+	return r.Revision, status == http.StatusOK, r.Failed, nil
+}
+
+// Lease asks for a lease.
+func (c *Client) Lease(ctx context.Context, ttl time.Duration) (uint64, error) {
+	_, raw, err := c.call(ctx, Urgent, 0, http.MethodPost, "/grants", protocol.LeaseRequest{TTLMS: ttl.Milliseconds()})
+	if err != nil {
+		return 0, err
+	}
+	var r protocol.LeaseResult
+	if err := protocol.Decode(raw, &r); err != nil {
+		return 0, fmt.Errorf("lease: %w", err)
+	}
+	return r.Lease, nil
+}
+
+// Renew renews a lease.
+func (c *Client) Renew(ctx context.Context, lease uint64) error {
+	status, _, err := c.call(ctx, Urgent, 0, http.MethodPost, "/grants/"+strconv.FormatUint(lease, 10)+"/extend", struct{}{})
+	if err == nil && status == http.StatusNotFound {
+		return ErrNoLease
+	}
+	return err
+}
+
+// Watch waits up to wait for changes after rev to keys with the prefix.
+func (c *Client) Watch(ctx context.Context, prefix string, rev uint64, wait time.Duration) (*protocol.Events, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+2*c.timeout)
+	defer cancel()
+	path := fmt.Sprintf("%s/changes?prefix=%s&from=%d&block_ms=%d", c.base, url.QueryEscape(prefix), rev, wait.Milliseconds())
+	status, raw, err := c.watches.Do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUncertain, err)
+	}
+	if err := c.judge(status, raw); err != nil {
+		return nil, err
+	}
+	if status == http.StatusGone {
+		return nil, ErrCompacted
+	}
+	var e protocol.Events
+	if err := protocol.Decode(raw, &e); err != nil {
+		return nil, fmt.Errorf("watch %s: %w", prefix, err)
+	}
+	return &e, nil
+}
+
+// Pause waits for about d, give or take a half, or until the context ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d/2 + time.Duration(rand.Float64()*float64(d)))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/transport/mesh.go
@@ -0,0 +1,248 @@
+package transport
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"pinebay/internal/protocol"
+)
+
+// maxFrame bounds a frame of the mesh.
+const maxFrame = 64 << 10
+
+// ErrNoPeer says that a peer cannot be reached.
+var ErrNoPeer = errors.New("peer not reachable")
+
+// WriteFrame writes one length-framed message.
+func WriteFrame(w io.Writer, raw []byte) error {
+	if len(raw) > maxFrame {
+		return fmt.Errorf("%w: frame of %d bytes", protocol.ErrMalformed, len(raw))
+	}
+	buf := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(raw)), uint32(len(raw)))
+	_, err := w.Write(append(buf, raw...))
+	return err
+}
+
+// ReadFrame reads one length-framed message.
+func ReadFrame(r io.Reader) ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n == 0 || n > maxFrame {
+		return nil, fmt.Errorf("%w: frame of %d bytes", protocol.ErrMalformed, n)
+	}
+	raw := make([]byte, n)
+	_, err := io.ReadFull(r, raw)
+	return raw, err
+}
+
+// Mesh connects the controllers. Every pair holds one connection a direction;
+// requests go out on the own one and are answered there.
+type Mesh struct {
+	self    string
+	timeout time.Duration
+	log     *slog.Logger
+	handle  func(*protocol.MeshMessage) *protocol.MeshMessage
+	lost    func(node string)
+	peers   map[string]*peer
+}
+
+// NewMesh returns a mesh of self with the named peers. handle answers a
+// peer's request; lost is told when a peer's connection to us ends.
+func NewMesh(self string, peers map[string]string, timeout time.Duration, log *slog.Logger,
+	handle func(*protocol.MeshMessage) *protocol.MeshMessage, lost func(string)) *Mesh {
+	m := &Mesh{self: self, timeout: timeout, log: log, handle: handle, lost: lost, peers: map[string]*peer{}}
+	for node, addr := range peers {
+		m.peers[node] = &peer{addr: addr, waiting: map[uint64]chan *protocol.MeshMessage{}}
+	}
+	return m
+}
+
+// Peers returns the names of the other controllers.
+func (m *Mesh) Peers() []string {
+	var names []string
+	for n := range m.peers {
+		names = append(names, n)
+	}
+	return names
+}
+
+// Serve answers peers on the listener until the context ends.
+func (m *Mesh) Serve(ctx context.Context, l net.Listener) error {
+	context.AfterFunc(ctx, func() { l.Close() })
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("mesh: %w", err)
+		}
+		go m.serveConn(ctx, c)
+	}
+}
+
+func (m *Mesh) serveConn(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	from := ""
+	for {
+		raw, err := ReadFrame(c)
+		if err != nil {
+			if from != "" && !errors.Is(err, protocol.ErrMalformed) {
+				m.lost(from)
+			}
+			return
+		}
+		msg, err := protocol.DecodeMesh(raw)
+		if err != nil || m.peers[msg.From] == nil {
+			m.log.Info("mesh frame refused", "remote", c.RemoteAddr(), "err", err)
+			return
+		}
+		from = msg.From
+		reply := m.handle(msg)
+		reply.ID, reply.From = msg.ID, m.self
+		out, err := protocol.EncodeMesh(reply)
+		if err != nil {
+			m.log.Error("mesh reply", "err", err)
+			return
+		}
+		if err := c.SetWriteDeadline(time.Now().Add(m.timeout)); err != nil {
+			return
+		}
+		if err := WriteFrame(c, out); err != nil {
+			return
+		}
+	}
+}
+
+type peer struct {
+	addr    string
+	mu      sync.Mutex
+	conn    net.Conn
+	dialing bool
+	next    uint64
+	waiting map[uint64]chan *protocol.MeshMessage
+}
+
+// Call sends a request to a peer and returns its answer.
+func (m *Mesh) Call(ctx context.Context, node string, msg protocol.MeshMessage) (*protocol.MeshMessage, error) {
+	p := m.peers[node]
+	if p == nil {
+		return nil, fmt.Errorf("%w: unknown node %q", ErrNoPeer, node)
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.timeout)
+	defer cancel()
+	if err := p.connect(ctx); err != nil {
+		return nil, err
+	}
+	answer := make(chan *protocol.MeshMessage, 1)
+	p.mu.Lock()
+	c := p.conn
+	if c == nil {
+		p.mu.Unlock()
+		return nil, ErrNoPeer
+	}
+	p.next++
+	id := p.next
+	msg.ID, msg.From = id, m.self
+	raw, err := protocol.EncodeMesh(&msg)
+	if err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
+	p.waiting[id] = answer
+	deadline, _ := ctx.Deadline()
+	err = c.SetWriteDeadline(deadline)
+	if err == nil {
+		err = WriteFrame(c, raw)
+	}
+	p.mu.Unlock()
+	if err != nil {
+		p.drop(c)
+		return nil, fmt.Errorf("mesh to %s: %w", node, err)
+	}
+	select {
+	case r, ok := <-answer:
+		if !ok {
+			return nil, fmt.Errorf("mesh to %s: %w", node, ErrNoPeer)
+		}
+		return r, nil
+	case <-ctx.Done():
+		// A silent connection may be behind a cut: begin anew next time.
+		p.drop(c)
+		return nil, fmt.Errorf("mesh to %s: %w", node, ctx.Err())
+	}
+}
+
+func (p *peer) connect(ctx context.Context) error {
+	p.mu.Lock()
+	if p.conn != nil {
+		p.mu.Unlock()
+		return nil
+	}
+	if p.dialing {
+		p.mu.Unlock()
+		return ErrNoPeer
+	}
+	p.dialing = true
+	p.mu.Unlock()
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.addr)
+	p.mu.Lock()
+	p.dialing = false
+	if err == nil {
+		p.conn = c
+	}
+	p.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNoPeer, err)
+	}
+	go p.read(c)
+	return nil
+}
+
+func (p *peer) read(c net.Conn) {
+	defer p.drop(c)
+	for {
+		raw, err := ReadFrame(c)
+		if err != nil {
+			return
+		}
+		msg, err := protocol.DecodeMesh(raw)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		ch := p.waiting[msg.ID]
+		delete(p.waiting, msg.ID)
+		p.mu.Unlock()
+		if ch != nil {
+			ch <- msg
+		}
+	}
+}
+
+// drop closes a connection and fails what waits on it.
+func (p *peer) drop(c net.Conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != c {
+		return
+	}
+	p.conn = nil
+	for id, ch := range p.waiting {
+		close(ch)
+		delete(p.waiting, id)
+	}
+}
