Guard against late run copies: token epochs, and no new attempt beside an old entry

The whole-system model showed a task started twice: a copy of an answered run came late, after a newer attempt on the same machine had replaced the exited entry that makes copies harmless. A machine with such an entry now takes no new attempt of the task, and the leader raises the machine's epoch (low bits of the token) so that old commands are refused and entries can be forgotten.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -309,6 +309,13 @@
 	return a.CPUs < b.CPUs
 }
 
+// CanRent says whether machines for the job may be had in the zone, as far as
+// the last refusals tell.
+func (f *Fleet) CanRent(now time.Duration, p *part.Part, j *protocol.Job, zone string) bool {
+	_, ok := f.choose(now, p, Unit{Job: j, Zone: zone}, nil)
+	return ok
+}
+
 // choose picks the pool to rent from: what the job allows, cheap first, then
 // the zone with fewer machines.
 func (f *Fleet) choose(now time.Duration, p *part.Part, u Unit, perZone map[string]int) (pool, bool) {
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -29,8 +29,8 @@
 	Cloud   *Cloud
 	Workers *transport.Client
 	Now     func() time.Duration
-	// Deposed is told why the term is over, and of a higher token if one was seen.
-	Deposed func(term, token uint64, reason string)
+	// Deposed is told why the term is over, and of a later one if it was seen.
+	Deposed func(term, later uint64, reason string)
 	// Types is told of machine types that were read.
 	Types func([]protocol.MachineType)
 }
@@ -122,11 +122,11 @@
 		case query:
 			e.reply <- protocol.JobStatus{}
 		case scheduler.Reported:
-			if e.Report.Token > l.term {
-				l.Deposed(l.term, e.Report.Token, "a worker has seen a higher token")
+			if t := protocol.TermOf(e.Report.Token); t > l.term {
+				l.Deposed(l.term, t, "a worker has seen a later term")
 				return
 			}
-			e.Tag.(chan protocol.ReportAnswer) <- protocol.ReportAnswer{Token: l.term, Commands: []protocol.Command{}}
+			e.Tag.(chan protocol.ReportAnswer) <- protocol.ReportAnswer{Token: protocol.Token(l.term, 0), Commands: []protocol.Command{}}
 			early[e.Report.Machine] = e.Report
 		case loaded:
 			core = scheduler.New(now, l.Cfg, l.Log, l.term, l.stamp, e.types, e.live, e.pages, time.Now().UnixMilli())
@@ -219,8 +219,8 @@
 				ch <- e.Body
 			}
 		case scheduler.Depose:
-			l.Log.Info("deposed", "reason", e.Reason, "token", e.Token)
-			l.Deposed(l.term, e.Token, e.Reason)
+			l.Log.Info("deposed", "reason", e.Reason, "later", e.Term)
+			l.Deposed(l.term, e.Term, e.Reason)
 		case scheduler.Write:
 			go l.write(e)
 		case scheduler.Order:
--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -77,18 +77,16 @@
 	StopAt    time.Duration
 	Cancelled bool
 
-	sent       bool // a run has left for the machine
-	runTerm    uint64
-	unanswered bool // a direct run had no answer: it may be executed late
+	sent     bool   // a run has left for the machine
+	runToken uint64 // with this token, the last time
 }
 
 // exit is an exited task that the machine still reports.
 type exit struct {
-	attempt    uint64
-	settled    bool // the record no longer counts on it
-	runTerm    uint64
-	unanswered bool
-	at         time.Duration
+	attempt  uint64
+	settled  bool // the record no longer counts on it
+	runToken uint64
+	at       time.Duration
 }
 
 // image is a machine's copy of an image, as far as can be told.
@@ -115,6 +113,9 @@
 	Busy                   bool // a direct command is on its way
 	RetryAt                time.Duration
 
+	epoch  uint64        // of the commands to it, within our term
+	turned time.Duration // when the epoch was raised
+
 	Reserved      string // job that room is being cleared for
 	ReservedUntil time.Duration
 
@@ -144,7 +145,6 @@
 	machines map[string]*Machine
 	names    []string // sorted, for the same decisions every time
 	usage    map[string]Need
-	hold     time.Duration
 }
 
 // New returns an empty part of the given term.
@@ -152,9 +152,6 @@
 	return &Part{
 		term: term, workers: w,
 		types: map[string]*protocol.MachineType{}, machines: map[string]*Machine{}, usage: map[string]Need{},
-		// Copies of an answered command may still come for a while; its exited
-		// entry on the machine makes them harmless until then.
-		hold: config.Seconds(6 * w.CancelS),
 	}
 }
 
@@ -225,11 +222,19 @@
 	return config.Seconds(min(p.workers.LeaseS/2, 2.5*p.workers.ReportS))
 }
 
+// Haunted says whether an earlier attempt of the task is or was on the machine
+// and its run may still come again, late. A new attempt there would replace
+// the exited entry that makes such a copy harmless, and the old attempt could
+// start once the new one has left.
+func (m *Machine) Haunted(task protocol.TaskID) bool {
+	return m.placements[task] != nil || m.exits[task] != nil
+}
+
 // Grant promises the named room to placements, all or none.
 func (p *Part) Grant(now time.Duration, ps []*Placement) bool {
 	for i, pl := range ps {
 		m := p.machines[pl.Machine]
-		if m == nil || !p.Open(now, m) || m.placements[pl.Task] != nil || !pl.Need.Fits(p.Free(m)) {
+		if m == nil || !p.Open(now, m) || m.Haunted(pl.Task) || !pl.Need.Fits(p.Free(m)) {
 			for _, done := range ps[:i] {
 				p.Refuse(now, done)
 			}
@@ -375,7 +380,7 @@
 		case t.State == protocol.Exited && !known && (pl == nil || pl.Attempt > t.Attempt) && (e == nil || e.attempt < t.Attempt):
 			// Nothing of this term: an earlier leader's, whose outcome is
 			// recorded, or else the record would still name it.
-			m.exits[id] = &exit{attempt: t.Attempt, settled: true, runTerm: p.term - 1, at: now}
+			m.exits[id] = &exit{attempt: t.Attempt, settled: true, runToken: protocol.Token(p.term, 0) - 1, at: now}
 		case t.State != protocol.Exited && newer && !known:
 			m.stray[id] = t.Attempt
 		}
@@ -387,7 +392,7 @@
 	if t.State == protocol.Exited {
 		pl.State, pl.Cause, pl.Saved, pl.Since = t.State, t.Cause, t.Saved, now
 		p.remove(now, m, pl)
-		m.exits[id] = &exit{attempt: pl.Attempt, runTerm: pl.runTerm, unanswered: pl.unanswered, at: now}
+		m.exits[id] = &exit{attempt: pl.Attempt, runToken: pl.runToken, at: now}
 		switch t.Cause {
 		case protocol.CauseDone:
 			clear(m.Errors)
@@ -448,10 +453,11 @@
 // are on their way. maxOrders keeps an answer inside the protocol's limit.
 func (p *Part) Orders(now time.Duration, m *Machine) []protocol.Command {
 	const maxOrders = 400
+	p.turn(now, m)
 	var out []protocol.Command
 	run := func(pl *Placement) {
 		pl.sent = true
-		pl.runTerm = p.term
+		pl.runToken = p.Token(m)
 		out = append(out, protocol.Command{Verb: protocol.Run, Name: pl.Task.String(), Attempt: pl.Attempt})
 	}
 	stop := func(id protocol.TaskID, attempt uint64, graceS float64) {
@@ -486,7 +492,7 @@
 		}
 	}
 	for id, e := range m.exits {
-		if len(out) < maxOrders && p.forgettable(now, m, e) {
+		if len(out) < maxOrders && p.forgettable(m, e) {
 			out = append(out, protocol.Command{Verb: protocol.Forget, Name: id.String(), Attempt: e.attempt})
 			delete(m.exits, id)
 		}
@@ -495,12 +501,35 @@
 }
 
 // forgettable says whether no run of an exited attempt can reach the machine
-// any more: after forget, a late copy would start the attempt again.
-func (p *Part) forgettable(now time.Duration, m *Machine, e *exit) bool {
-	if !e.settled {
-		return false
+// any more: after forget, a late copy would start the attempt again. Commands
+// with a token below the highest that the worker has seen are refused.
+func (p *Part) forgettable(m *Machine, e *exit) bool {
+	return e.settled && e.runToken < m.Token
+}
+
+// Token is what commands to the machine carry now.
+func (p *Part) Token(m *Machine) uint64 { return protocol.Token(p.term, m.epoch) }
+
+// turn raises the machine's epoch when exited entries wait for it, so that
+// late copies of their runs are refused and the entries can be forgotten. It
+// waits for starts under way, which the change would only delay.
+func (p *Part) turn(now time.Duration, m *Machine) {
+	pause := config.Seconds(p.workers.LeaseS / 2)
+	if m.Busy || now-m.turned < pause || m.epoch >= protocol.MaxEpoch {
+		return
+	}
+	for _, pl := range m.placements {
+		if pl.Written && !pl.Seen {
+			return
+		}
+	}
+	for _, e := range m.exits {
+		if e.settled && e.runToken >= p.Token(m) && now-e.at > pause {
+			m.epoch++
+			m.turned = now
+			return
+		}
 	}
-	return e.runTerm < p.term && m.Token >= p.term || !e.unanswered && now-e.at > p.hold
 }
 
 // Urgent returns the machines that should be sent commands directly, since
@@ -527,15 +556,8 @@
 func (p *Part) Answered(now time.Duration, m *Machine, ok bool) {
 	m.Busy = false
 	if !ok {
-		// The next report is the natural time for another try. Whatever was in
-		// the command may still be executed, minutes later.
+		// The next report is the natural time for another try.
 		m.RetryAt = now + config.Seconds(p.workers.ReportS)
-		for _, pl := range m.placements {
-			pl.unanswered = true
-		}
-		for _, e := range m.exits {
-			e.unanswered = true
-		}
 		return
 	}
 	m.RetryAt = now + config.Seconds(p.workers.ReportS/4)
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -173,18 +173,23 @@
 	return s + float64(len(x.m.Errors))*x.kind.BootS
 }
 
-func (c *Core) pick(now time.Duration, j *job, cands []*candidate, l *limits) *candidate {
-	var best *candidate
+// pick chooses the machine for a task. haunted says that one was passed over
+// just for this task's sake, so that another task may still have it.
+func (c *Core) pick(now time.Duration, j *job, task int, cands []*candidate, l *limits) (best *candidate, haunted bool) {
 	bestScore := 0.0
 	for _, x := range cands {
 		if !j.need.Fits(x.free) || !fits(now, j, x, l) {
 			continue
 		}
+		if x.m.Haunted(protocol.TaskID{Job: j.spec.ID, Task: task}) {
+			haunted = true
+			continue
+		}
 		if s := c.score(now, j, x, l); best == nil || s < bestScore {
 			best, bestScore = x, s
 		}
 	}
-	return best
+	return best, haunted
 }
 
 // place allocates as much of a job as there is room for: up to minAvailable
@@ -196,37 +201,41 @@
 		return
 	}
 	l := c.limits(j)
-	var chosen []*candidate
-	var tasks []int
+	var got allocation
 	if gang && j.spec.SameZone && l.zone == "" {
-		chosen, l = c.bestZone(now, j, cands, l)
+		got, l = c.bestZone(now, j, cands, l)
 	} else {
-		chosen = c.allocate(now, j, cands, l, min(allowed, j.counts[pending]))
+		got = c.allocate(now, j, cands, l, min(allowed, j.counts[pending]))
 	}
-	if gang && len(chosen) < j.spec.Tasks {
-		c.hold(now, j, cands, chosen, l)
+	if gang && len(got) < j.spec.Tasks {
+		c.hold(now, j, cands, got, l)
 		return
 	}
-	t := -1
-	for range chosen {
-		t = j.nextPending(t + 1)
-		tasks = append(tasks, t)
-	}
-	c.grant(now, j, tasks, chosen)
-	if len(chosen) < min(allowed, j.counts[pending]+len(chosen)) {
+	wanted := min(allowed, j.counts[pending])
+	c.grant(now, j, got)
+	if len(got) < wanted {
 		j.short++
-		c.preempt(now, j, cands, l, min(allowed, j.counts[pending]))
+		c.preempt(now, j, cands, l, wanted-len(got))
 	} else {
 		j.short = 0
 	}
 }
 
-// allocate takes room for up to n tasks, machine by machine.
-func (c *Core) allocate(now time.Duration, j *job, cands []*candidate, l *limits, n int) []*candidate {
-	var chosen []*candidate
-	for len(chosen) < n {
-		x := c.pick(now, j, cands, l)
+// allocation is room taken for tasks.
+type allocation []struct {
+	task int
+	x    *candidate
+}
+
+// allocate takes room for up to n tasks, task by task.
+func (c *Core) allocate(now time.Duration, j *job, cands []*candidate, l *limits, n int) allocation {
+	var got allocation
+	for t := j.nextPending(0); t >= 0 && len(got) < n; t = j.nextPending(t + 1) {
+		x, haunted := c.pick(now, j, t, cands, l)
 		if x == nil {
+			if haunted {
+				continue
+			}
 			break
 		}
 		x.free = x.free.Minus(j.need)
@@ -234,40 +243,34 @@
 		if j.spec.SameZone {
 			l.zone = x.m.Zone
 		}
-		chosen = append(chosen, x)
+		got = append(got, struct {
+			task int
+			x    *candidate
+		}{t, x})
 	}
-	return chosen
+	return got
 }
 
-func release(j *job, chosen []*candidate) {
-	for _, x := range chosen {
-		x.free = x.free.Plus(j.need)
+func release(j *job, got allocation) {
+	for _, g := range got {
+		g.x.free = g.x.free.Plus(j.need)
 	}
 }
 
 // bestZone tries the zones for a gang that must be in one, and keeps the room
 // in the one that holds all of it, or else most of it.
-func (c *Core) bestZone(now time.Duration, j *job, cands []*candidate, l *limits) ([]*candidate, *limits) {
-	zones := map[string]bool{}
-	for _, x := range cands {
-		zones[x.m.Zone] = true
-	}
-	names := make([]string, 0, len(zones))
-	for z := range zones {
-		names = append(names, z)
-	}
-	sort.Strings(names)
+func (c *Core) bestZone(now time.Duration, j *job, cands []*candidate, l *limits) (allocation, *limits) {
 	best, bestN, bestScore := "", -1, 0.0
-	try := func(z string) ([]*candidate, *limits, float64) {
+	try := func(z string) (allocation, *limits, float64) {
 		zl := &limits{zone: z, perZone: map[string]int{}, most: l.most}
 		got := c.allocate(now, j, cands, zl, j.spec.Tasks)
 		s := 0.0
-		for _, x := range got {
-			s = max(s, c.part.Warm(now, x.m, &j.spec).Seconds())
+		for _, g := range got {
+			s = max(s, c.part.Warm(now, g.x.m, &j.spec).Seconds())
 		}
 		return got, zl, s
 	}
-	for _, z := range names {
+	for _, z := range c.zones(&j.spec) {
 		got, _, s := try(z)
 		release(j, got)
 		if len(got) > bestN || len(got) == bestN && s < bestScore {
@@ -284,12 +287,12 @@
 // hold keeps the room of a short gang closed to others until the next cycle:
 // what it was allocated, and for each task without room the machine that is
 // nearest to having it. Every fourth short cycle smaller jobs may backfill.
-func (c *Core) hold(now time.Duration, j *job, cands, chosen []*candidate, l *limits) {
+func (c *Core) hold(now time.Duration, j *job, cands []*candidate, got allocation, l *limits) {
 	j.short++
-	missing := j.spec.Tasks - len(chosen)
+	missing := j.spec.Tasks - len(got)
 	c.preempt(now, j, cands, l, missing)
 	if j.short%(shortCycles+1) == 0 {
-		release(j, chosen)
+		release(j, got)
 		return
 	}
 	taken := map[*candidate]bool{}
@@ -312,8 +315,8 @@
 }
 
 // grant promises room for the tasks, and has their placements recorded.
-func (c *Core) grant(now time.Duration, j *job, tasks []int, chosen []*candidate) {
-	if len(chosen) == 0 {
+func (c *Core) grant(now time.Duration, j *job, got allocation) {
+	if len(got) == 0 {
 		return
 	}
 	attempt := uint64(0)
@@ -321,8 +324,8 @@
 		attempt = j.attempt(0)
 	}
 	var ps []*part.Placement
-	for i, x := range chosen {
-		t := tasks[i]
+	for _, g := range got {
+		t, x := g.task, g.x
 		a := attempt
 		if a == 0 {
 			a = j.attempt(t)
@@ -453,10 +456,23 @@
 	var units []fleet.Unit
 	for _, j := range jobs {
 		n := min(j.counts[pending], c.allowance(j))
-		if n == 0 || j.over || j.finishing || len(j.failedOn) > 2 {
+		if n == 0 || j.over || j.finishing {
 			continue
 		}
+		if j.suspect() {
+			// Its tasks fail everywhere. It still gets room, or it could never
+			// show that the machines were at fault, but just for one attempt.
+			if now < j.notBefore {
+				continue
+			}
+			if j.spec.Shape != protocol.Gang {
+				n = 1
+			}
+		}
 		l := c.limits(j)
+		if j.spec.SameZone && l.zone == "" && n > 1 {
+			l.zone = c.likelyZone(now, j)
+		}
 		if !j.spec.Spread || l.zone != "" {
 			units = append(units, fleet.Unit{Job: &j.spec, Zone: l.zone, Count: n})
 			continue
@@ -466,21 +482,58 @@
 	return append(units, c.spare(now)...)
 }
 
-// spreadUnits deals tasks to zones as the job's spread demands.
-func (c *Core) spreadUnits(spec *protocol.Job, l *limits, n int) []fleet.Unit {
+// likelyZone picks the zone in which room for a job that must be in one is
+// gathered. Without it, machines in several zones could look like enough room
+// while no zone has it, and the job would wait for ever.
+func (c *Core) likelyZone(now time.Duration, j *job) string {
+	room := map[string]int{}
+	c.part.Each(func(m *part.Machine) {
+		t := c.part.Type(m.Type)
+		if t == nil || !t.Allows(&j.spec) || m.Condemned || m.Notice || m.Sick || m.Spot && !j.spec.Spot {
+			return
+		}
+		free := c.part.Free(m)
+		for n := 0; n < j.spec.Tasks && j.need.Fits(free); n++ {
+			free = free.Minus(j.need)
+			room[m.Zone]++
+		}
+	})
+	best, bestRoom := "", -1
+	for _, z := range c.zones(&j.spec) {
+		n := room[z]
+		if n < j.spec.Tasks && c.fleet.CanRent(now, c.part, &j.spec, z) {
+			n += j.spec.Tasks
+		}
+		if n > bestRoom {
+			best, bestRoom = z, n
+		}
+	}
+	return best
+}
+
+// zones lists the zones that a job allows, in order.
+func (c *Core) zones(spec *protocol.Job) []string {
 	zones := map[string]bool{}
 	for _, t := range c.part.Types() {
 		if t.Allows(spec) {
 			for _, z := range t.Zones {
-				zones[z] = true
+				if spec.Zone == "" || spec.Zone == z {
+					zones[z] = true
+				}
 			}
 		}
 	}
-	var names []string
+	names := make([]string, 0, len(zones))
 	for z := range zones {
 		names = append(names, z)
 	}
 	sort.Strings(names)
+	return names
+}
+
+// spreadUnits deals tasks to zones as the job's spread demands.
+func (c *Core) spreadUnits(spec *protocol.Job, l *limits, n int) []fleet.Unit {
+	names := c.zones(spec)
 	counts := map[string]int{}
 	for ; n > 0; n-- {
 		best := ""
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -86,9 +86,10 @@
 		Machine, Addr string
 		Orders        protocol.Orders
 	}
-	// Depose says that this leader's time is over; Token is what showed it.
+	// Depose says that this leader's time is over; Term is a later one, if one
+	// was seen.
 	Depose struct {
-		Token  uint64
+		Term   uint64
 		Reason string
 	}
 )
@@ -279,11 +280,11 @@
 
 func (c *Core) reported(now time.Duration, e Reported) {
 	r := e.Report
-	if r.Token > c.term {
-		c.emit(Depose{Token: r.Token, Reason: "a worker has seen a higher token"})
+	if t := protocol.TermOf(r.Token); t > c.term {
+		c.emit(Depose{Term: t, Reason: "a worker has seen a later term"})
 		return
 	}
-	answer := protocol.ReportAnswer{Token: c.term, Commands: []protocol.Command{}}
+	answer := protocol.ReportAnswer{Token: protocol.Token(c.term, 0), Commands: []protocol.Command{}}
 	if c.fleet.Gone(r.Machine) {
 		c.emit(Answer{e.Tag, answer})
 		return
@@ -296,6 +297,7 @@
 			answer.Commands = cmds
 		}
 	}
+	answer.Token = c.part.Token(m)
 	c.emit(Answer{e.Tag, answer})
 }
 
@@ -304,8 +306,8 @@
 	if m == nil {
 		return
 	}
-	if e.Report != nil && e.Report.Token > c.term {
-		c.emit(Depose{Token: e.Report.Token, Reason: "a worker has seen a higher token"})
+	if e.Report != nil && protocol.TermOf(e.Report.Token) > c.term {
+		c.emit(Depose{Term: protocol.TermOf(e.Report.Token), Reason: "a worker has seen a later term"})
 		return
 	}
 	if e.Report != nil && e.Report.Machine == e.Machine {
@@ -338,8 +340,8 @@
 			continue
 		}
 		if !pl.Gone {
-			if pl.State == protocol.TaskRunning && j.failures > 0 && pl.Since == now {
-				j.failures--
+			if pl.State == protocol.TaskRunning && pl.Since == now {
+				j.failures = max(0, j.failures-1)
 			}
 			continue
 		}
@@ -367,6 +369,7 @@
 	case !lost && pl.Cause == protocol.CauseDone:
 		j.set(task, done)
 		j.touch(task, now)
+		clear(j.failedOn)
 		if j.spec.Shape == protocol.Gang {
 			// A gang completes together.
 			for t := range j.tasks {
@@ -382,6 +385,7 @@
 		return
 	}
 	j.set(task, pending)
+	j.touch(task, now) // or its exited entry could never be forgotten
 	if !lost {
 		c.failed(now, j, pl)
 	}
@@ -405,7 +409,7 @@
 	case protocol.CauseError:
 		j.failures++
 		j.failedOn[pl.Machine] = true
-		if len(j.failedOn) > 2 {
+		if j.suspect() {
 			// It fails everywhere: the job is at fault, not the machines. Back
 			// off, so that it spoils neither machines nor our verdict on them.
 			j.notBefore = now + min(Cycle<<min(j.failures, 6), config.Seconds(2*c.cfg.Workers.CancelS))
@@ -710,7 +714,7 @@
 			continue
 		}
 		m.Busy = true
-		c.emit(Order{Machine: m.Name, Addr: m.Addr, Orders: protocol.Orders{Token: c.term, Session: m.Session, Commands: cmds}})
+		c.emit(Order{Machine: m.Name, Addr: m.Addr, Orders: protocol.Orders{Token: c.part.Token(m), Session: m.Session, Commands: cmds}})
 	}
 }
 
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -153,6 +153,10 @@
 	return ns
 }
 
+// suspect says whether a job's tasks have failed on so many machines that the
+// job itself is likely to be at fault.
+func (j *job) suspect() bool { return len(j.failedOn) > 2 }
+
 // standing is the job's state as its user should see it.
 func (j *job) standing() protocol.JobStatus {
 	s := protocol.JobStatus{ID: j.spec.ID, Standing: protocol.Queued, Done: j.counts[done]}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -296,9 +296,9 @@
 		l := leader.Start(ctx, leader.Deps{
 			Cfg: &c.cfg.Deploy, Log: c.log, Store: c.store, Cloud: c.cloud, Workers: c.workers, Now: c.now,
 			Types: c.intake.SetTypes,
-			Deposed: func(term, token uint64, reason string) {
-				if token > term {
-					c.box.Send(election.Higher{Term: token})
+			Deposed: func(term, later uint64, _ string) {
+				if later > term {
+					c.box.Send(election.Higher{Term: later})
 				}
 				c.box.Send(election.Resign{Term: term})
 			},
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -124,3 +124,16 @@
 	Session  uint64    `msgpack:"shift"`
 	Commands []Command `msgpack:"orders"`
 }
+
+// epochBits is how many low bits of a token count the epochs within a term.
+const epochBits = 24
+
+// MaxEpoch is the last epoch of a term.
+const MaxEpoch = 1<<epochBits - 1
+
+// Token makes a worker's token from a term and an epoch. A leader may raise
+// the epoch of a machine to make its own earlier commands invalid there.
+func Token(term, epoch uint64) uint64 { return term<<epochBits | min(epoch, MaxEpoch) }
+
+// TermOf returns the term of a token.
+func TermOf(token uint64) uint64 { return token >> epochBits }
