--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) {
+	testkit.Seed()
+	os.Exit(m.Run())
+}
+
+const good = `
+node = "n-0"
+location = "a"
+listen = "10.0.0.1:8080"
+mesh_addr = "10.0.0.1:8081"
+unknown = 3
+[[seeds]]
+node = "n-1"
+peer_addr = "10.0.0.2:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[deployment]
+zones = ["a", "b"]
+[[deployment.teams]]
+name = "red"
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 45.0
+gang_peer_s = 4.0
+cancel_s = 40.0
+[deployment.state]
+rps = 120.0
+write_rps = 25.0
+value_kb = 8.0
+txn_ops = 16
+[deployment.cloud]
+rps = 2.0
+list_lag_s = 10.0
+[deployment.quota]
+core_share = 0.1
+ram_mb = 70.0
+max_sockets = 500
+`
+
+func TestGoodSettings(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Deploy.Nodes != 2 || s.Deploy.Team("red") == nil || s.Deploy.Team("blue") != nil || s.Deploy.Workers.LeaseS != 10 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// TestErrorsNameTheField breaks one line at a time; the message must be one
+// line that names the field.
+func TestErrorsNameTheField(t *testing.T) {
+	lines := strings.Split(good, "\n")
+	rapid.Check(t, func(t *rapid.T) {
+		i := rapid.IntRange(0, len(lines)-1).Draw(t, "line")
+		key, value, ok := strings.Cut(lines[i], " = ")
+		if !ok || key == "unknown" || key == "zones" || key == "location" {
+			return
+		}
+		broken := append([]string{}, lines...)
+		switch rapid.SampledFrom([]string{"drop", "type", "range"}).Draw(t, "how") {
+		case "drop":
+			broken[i] = ""
+		case "type":
+			broken[i] = key + " = [true]"
+		case "range":
+			if strings.HasPrefix(value, `"`) {
+				broken[i] = key + ` = ""`
+			} else {
+				broken[i] = key + " = -1"
+			}
+		}
+		_, err := Parse([]byte(strings.Join(broken, "\n")))
+		if err == nil {
+			t.Fatalf("%q was taken", broken[i])
+		}
+		if !strings.Contains(err.Error(), key) || strings.Contains(err.Error(), "\n") {
+			t.Fatalf("%q: message %q", broken[i], err)
+		}
+	})
+}
+
+func TestMissingFile(t *testing.T) {
+	if _, err := Load(t.TempDir() + "/none.toml"); err == nil {
+		t.Error("a missing file was taken")
+	}
+}
--- /dev/null
+++ b/internal/coordination/election/election_test.go
@@ -0,0 +1,217 @@
+package election
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) {
+	testkit.Seed()
+	os.Exit(m.Run())
+}
+
+const ms = time.Millisecond
+
+var times = Times{Beat: 100 * ms, Silent: time.Second, TTL: 1500 * ms, Hold: 2 * time.Second, Step: 100 * ms}
+
+// group is a set of controllers with a model of the leader's key.
+type group struct {
+	now     time.Duration
+	nodes   map[string]*Machine
+	names   []string
+	term    uint64 // of the record
+	node    string
+	lease   uint64
+	expires time.Duration
+	present bool
+	down    map[string]bool // without the state service
+	cut     map[string]bool // without the mesh
+	leads   map[uint64]string
+	t       *rapid.T
+}
+
+func newGroup(t *rapid.T, n int) *group {
+	g := &group{nodes: map[string]*Machine{}, down: map[string]bool{}, cut: map[string]bool{}, leads: map[uint64]string{}, t: t}
+	for i := range n {
+		g.names = append(g.names, fmt.Sprintf("n%d", i))
+	}
+	for _, n := range g.names {
+		g.restart(n)
+	}
+	return g
+}
+
+func (g *group) restart(name string) {
+	var peers []string
+	for _, n := range g.names {
+		if n != name {
+			peers = append(peers, n)
+		}
+	}
+	g.nodes[name] = New(g.now, name, peers, times)
+}
+
+func (g *group) step(name string, e any) {
+	m := g.nodes[name]
+	for _, out := range m.Step(g.now, e) {
+		switch o := out.(type) {
+		case Claim:
+			g.step(name, g.claim(name, o))
+		case Renew:
+			ok := !g.down[name] && g.lease == o.Lease && g.present
+			if ok {
+				g.expires = g.now + times.TTL
+			}
+			g.step(name, Renewed{OK: ok, NoLease: !ok && !g.down[name], Term: o.Term, Sent: g.now})
+		case Lead:
+			if other, ok := g.leads[o.Term]; ok {
+				g.t.Fatalf("term %d is led by %s and %s", o.Term, other, name)
+			}
+			g.leads[o.Term] = name
+		}
+	}
+}
+
+func (g *group) claim(name string, c Claim) Claimed {
+	if g.down[name] {
+		return Claimed{}
+	}
+	if g.term > c.Over && g.present && g.node != name {
+		g.step(name, Key{Present: true, Node: g.node, Term: g.term})
+		return Claimed{}
+	}
+	g.term = max(g.term, c.Over) + 1
+	g.node, g.present, g.expires = name, true, g.now+times.TTL
+	g.lease++
+	return Claimed{Won: true, Term: g.term, Stamp: g.term, Lease: g.lease, Sent: g.now}
+}
+
+func (g *group) tick() {
+	g.now += times.Beat / 2
+	if g.present && g.now > g.expires {
+		g.present = false
+	}
+	for _, n := range g.names {
+		if !g.down[n] {
+			g.step(n, Key{Present: g.present, Node: g.node, Term: g.term})
+		}
+		g.step(n, Tick{})
+		for _, o := range g.names {
+			if o == n || g.cut[n] || g.cut[o] {
+				continue
+			}
+			v := g.nodes[n].View(g.now)
+			g.step(o, Beat{From: n, Term: v.Term, Leader: v.Leader})
+			w := g.nodes[o].View(g.now)
+			g.step(n, Beat{From: o, Term: w.Term, Leader: w.Leader, Reply: true, Sent: g.now})
+		}
+	}
+}
+
+func (g *group) leaders() (out []string) {
+	for _, n := range g.names {
+		if g.nodes[n].View(g.now).Leading {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// TestOneLeaderPerTerm plays cuts, outages and restarts: no term is led by
+// two, and when the trouble is over there is one leader, who stays.
+func TestOneLeaderPerTerm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(t, 3)
+		for range rapid.IntRange(0, 12).Draw(t, "troubles") {
+			n := rapid.SampledFrom(g.names).Draw(t, "node")
+			switch rapid.IntRange(0, 4).Draw(t, "trouble") {
+			case 0:
+				g.restart(n)
+			case 1:
+				g.down[n] = !g.down[n]
+			case 2:
+				g.cut[n] = !g.cut[n]
+			case 3:
+				all := !g.down[n]
+				for _, o := range g.names {
+					g.down[o] = all
+				}
+			case 4:
+				g.step(n, Resign{Term: g.nodes[n].term})
+			}
+			for range rapid.IntRange(0, 80).Draw(t, "ticks") {
+				g.tick()
+			}
+		}
+		clear(g.down)
+		clear(g.cut)
+		for range 200 {
+			g.tick()
+		}
+		if l := g.leaders(); len(l) != 1 {
+			t.Fatalf("leaders after the trouble: %v", l)
+		}
+		before := g.term
+		for range 400 {
+			g.tick()
+		}
+		if g.term != before {
+			t.Fatalf("a quiet time saw terms %d to %d", before, g.term)
+		}
+	})
+}
+
+// TestOutageForAllKeepsTheLeader: while a majority confirms it by the mesh, a
+// leader goes on without the state service, and workers stay answered.
+func TestOutageForAllKeepsTheLeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(t, 3)
+		for range 100 {
+			g.tick()
+		}
+		before, term := g.leaders(), g.term
+		for _, n := range g.names {
+			g.down[n] = true
+		}
+		for range rapid.IntRange(1, 600).Draw(t, "ticks") {
+			// During an outage no lease ends.
+			g.expires = g.now + times.TTL
+			g.tick()
+			if l := g.leaders(); len(l) != 1 || l[0] != before[0] || g.nodes[l[0]].term != term {
+				t.Fatalf("leaders %v at %v, before %v", l, g.now, before)
+			}
+		}
+	})
+}
+
+// TestCutLeaderYields: one that nobody confirms stops within Hold, so that its
+// workers find a leader that knows of cancellations.
+func TestCutLeaderYields(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(t, 3)
+		for range 100 {
+			g.tick()
+		}
+		old := g.leaders()[0]
+		g.down[old], g.cut[old] = true, true
+		end := g.now + times.Hold + 2*times.Beat
+		for g.now < end {
+			g.tick()
+		}
+		if g.nodes[old].View(g.now).Leading {
+			t.Fatalf("%s still leads, unconfirmed", old)
+		}
+		for range 60 {
+			g.tick()
+		}
+		if l := g.leaders(); len(l) != 1 || l[0] == old {
+			t.Fatalf("leaders %v without %s", l, old)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/fleet/fleet_test.go
@@ -0,0 +1,163 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+)
+
+var (
+	kind    = protocol.MachineType{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, Price: 4, SpotPrice: 1, BootS: 30, Zones: []string{"a", "b"}}
+	workers = config.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
+	cloud   = config.Cloud{RPS: 2, ListLagS: 5}
+)
+
+func setup() (*Fleet, *part.Part) {
+	p := part.New(3, workers)
+	p.SetTypes([]protocol.MachineType{kind})
+	f := New(3, cloud, workers)
+	return f, p
+}
+
+func rentals(effects []any) (out []protocol.Rental) {
+	for _, e := range effects {
+		if r, ok := e.(Rent); ok {
+			out = append(out, r.Rental)
+		}
+	}
+	return out
+}
+
+func released(effects []any) (out []string) {
+	for _, e := range effects {
+		if r, ok := e.(Release); ok {
+			out = append(out, r.Names...)
+		}
+	}
+	return out
+}
+
+const s = time.Second
+
+// TestRentsWhatIsMissing: nothing is rented before the list is known, tasks
+// share machines, what is on its way counts, and names are never reused.
+func TestRentsWhatIsMissing(t *testing.T) {
+	f, p := setup()
+	j := &protocol.Job{ID: "j-1", GPUs: 2}
+	want := []Unit{{Job: j, Count: 10}}
+	if got := rentals(f.Plan(1*s, p, want)); got != nil {
+		t.Errorf("before the list: %v", got)
+	}
+	f.Listed(2*s, 1*s, p, nil)
+	got := rentals(f.Plan(2*s, p, want))
+	if n := count(got); n != 3 {
+		t.Errorf("10 tasks of 2 GPUs: %v", got)
+	}
+	if again := rentals(f.Plan(3*s, p, want)); again != nil {
+		t.Errorf("rented twice: %v", again)
+	}
+	for _, r := range got {
+		f.Rented(3*s, 2*s, p, r.Request, nil, true)
+	}
+	seen := map[string]bool{}
+	for i := range 40 {
+		for _, r := range rentals(f.Plan(time.Duration(4+i)*s, p, want)) {
+			if seen[r.Request] {
+				t.Errorf("name %s again", r.Request)
+			}
+			seen[r.Request] = true
+			f.Rented(time.Duration(4+i)*s, 0, p, r.Request, nil, true)
+		}
+	}
+	if len(seen) < 2 || len(seen) > 30 {
+		t.Errorf("%d tries in 40 s against refusals", len(seen))
+	}
+}
+
+func count(rs []protocol.Rental) int {
+	n := 0
+	for _, r := range rs {
+		n += r.Count
+	}
+	return n
+}
+
+// TestSpotOnlyForWorkThatBearsIt: spot is rented only for jobs that allow it
+// and save their progress.
+func TestSpotOnlyForWorkThatBearsIt(t *testing.T) {
+	for _, x := range []struct {
+		job  protocol.Job
+		spot bool
+	}{
+		{protocol.Job{GPUs: 8, Spot: true, CheckpointS: 10}, true},
+		{protocol.Job{GPUs: 8, Spot: true}, false},
+		{protocol.Job{GPUs: 8, CheckpointS: 10}, false},
+	} {
+		f, p := setup()
+		f.Listed(1, 0, p, nil)
+		got := rentals(f.Plan(2, p, []Unit{{Job: &x.job, Count: 1}}))
+		if len(got) != 1 || got[0].Spot != x.spot {
+			t.Errorf("%+v: %v", x.job, got)
+		}
+	}
+}
+
+// TestListProvesOnlyWhatItCan: lists lag and go back in time, so a machine is
+// gone only when it is missing from a list that describes a later moment than
+// one that had it, and only if it is silent.
+func TestListProvesOnlyWhatItCan(t *testing.T) {
+	f, p := setup()
+	m1 := []protocol.ListedMachine{{Name: "m1", Addr: "x", Type: "g8", Zone: "a", State: protocol.MachineRunning}}
+	f.Listed(10*s, 9*s, p, m1)
+	if gone := f.Listed(19*s, 18*s, p, nil); gone != nil {
+		t.Errorf("an old list proved %v", gone)
+	}
+	p.Report(25*s, &protocol.Report{Machine: "m1", Addr: "x", Type: "g8", Zone: "a", Session: 1, Seq: 1})
+	if gone := f.Listed(30*s, 29*s, p, nil); gone != nil {
+		t.Errorf("a machine that speaks is gone: %v", gone)
+	}
+	if gone := f.Listed(50*s, 49*s, p, nil); len(gone) != 1 {
+		t.Errorf("missing for good: %v", gone)
+	}
+}
+
+// TestReturns: machines that are idle, never came up, or failed go back; one
+// silent machine is fenced after a lease, many at once are not.
+func TestReturns(t *testing.T) {
+	f, p := setup()
+	f.Listed(1*s, 0, p, []protocol.ListedMachine{{Name: "bad", Addr: "x", Type: "g8", Zone: "a", State: protocol.MachineFailed}})
+	if got := released(f.Plan(2*s, p, nil)); len(got) != 1 || got[0] != "bad" {
+		t.Errorf("failed machine: %v", got)
+	}
+	f.Released([]string{"bad"}, true)
+	p.Lost(2*s, "bad")
+	f.Listed(3*s, 2*s, p, []protocol.ListedMachine{{Name: "bad", Type: "g8", Zone: "a", State: protocol.MachineRunning}})
+	if p.Machine("bad") != nil {
+		t.Error("an old list brought a returned machine back")
+	}
+	p.Ensure(3*s, "boot").Type = "g8"
+	if got := released(f.Plan(100*s, p, nil)); got != nil {
+		t.Errorf("still booting: %v", got)
+	}
+	if got := released(f.Plan(200*s, p, nil)); len(got) != 1 || got[0] != "boot" {
+		t.Errorf("never came up: %v", got)
+	}
+
+	for _, x := range []struct{ machines, silent, want int }{{12, 1, 1}, {12, 8, 0}} {
+		f, p := setup()
+		f.Listed(1*s, 0, p, nil)
+		hear := func(now time.Duration, from int, seq uint64) {
+			for i := from; i < x.machines; i++ {
+				p.Report(now, &protocol.Report{Machine: string(rune('a' + i)), Addr: "x", Type: "g8", Zone: "a", Session: 1, Seq: seq})
+			}
+		}
+		hear(10*s, 0, 1)
+		hear(21*s, x.silent, 2)
+		if got := released(f.Plan(21*s, p, nil)); len(got) != x.want {
+			t.Errorf("%d of %d silent: fenced %v", x.silent, x.machines, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/intake/intake_test.go
@@ -0,0 +1,189 @@
+package intake
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+	"pinebay/internal/standin"
+	"pinebay/internal/storage"
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) {
+	testkit.Seed()
+	os.Exit(m.Run())
+}
+
+type site struct {
+	t     testing.TB
+	state *standin.State
+	nodes []http.Handler
+}
+
+var kinds = []protocol.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, Zones: []string{"a", "b"}}}
+
+func newSite(t testing.TB) *site {
+	s := &site{t: t, state: standin.NewState()}
+	srv := httptest.NewServer(s.state)
+	t.Cleanup(srv.Close)
+	cfg := &config.Deployment{Nodes: 2, Teams: []config.Team{{Name: "red", GPUsMax: 16}},
+		State: config.State{RPS: 1e6, WriteRPS: 1e6, TxnOps: 16}, Workers: config.Workers{LeaseS: 10}, Quota: config.Quota{RAMMB: 1, MaxSockets: 500}}
+	for range 2 {
+		store := storage.NewClient(cfg, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
+		in := New(cfg, store, slog.New(slog.NewTextHandler(io.Discard, nil)),
+			func(context.Context, string) (protocol.JobStatus, bool) { return protocol.JobStatus{}, false })
+		in.SetTypes(kinds)
+		r := chi.NewRouter()
+		in.Routes(r)
+		s.nodes = append(s.nodes, r)
+	}
+	return s
+}
+
+func (s *site) call(node int, method, path string, body []byte) (int, protocol.JobStatus, http.Header) {
+	req := httptest.NewRequest(method, path, bytes.NewReader(body))
+	w := httptest.NewRecorder()
+	s.nodes[node].ServeHTTP(w, req)
+	var st protocol.JobStatus
+	if w.Code < 300 {
+		if err := protocol.Decode(w.Body.Bytes(), &st); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	return w.Code, st, w.Header()
+}
+
+func body(t testing.TB, j protocol.Job) []byte {
+	raw, err := protocol.Encode(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func array(id string) protocol.Job {
+	return protocol.Job{ID: id, Class: "c", Team: "red", Shape: protocol.Array, Priority: "normal", Tasks: 2, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "i"}
+}
+
+// TestNoOlderAnswer plays users of one job at both controllers, and a leader
+// that ends it: once a job was called accepted, cancelled or done, nothing
+// older is told by either.
+func TestNoOlderAnswer(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSite(t)
+		j := array("j-000001")
+		raw := body(t, j)
+		accepted, final := false, protocol.Standing("")
+		see := func(code int, st protocol.JobStatus) {
+			if accepted && code == http.StatusNotFound {
+				rt.Fatal("an accepted job was forgotten")
+			}
+			if code >= 300 {
+				return
+			}
+			accepted = true
+			if final != "" && st.Standing != final {
+				rt.Fatalf("told %s after %s", st.Standing, final)
+			}
+			if st.Standing.Final() {
+				final = st.Standing
+			}
+		}
+		for range rapid.IntRange(1, 15).Draw(rt, "steps") {
+			node := rapid.IntRange(0, 1).Draw(rt, "node")
+			switch rapid.IntRange(0, 3).Draw(rt, "what") {
+			case 0:
+				code, st, _ := s.call(node, "POST", "/submissions", raw)
+				if want := map[bool]int{false: 201, true: 200}[accepted]; code != want {
+					rt.Fatalf("submission: %d, want %d", code, want)
+				}
+				see(code, st)
+			case 1:
+				code, st, _ := s.call(node, "GET", "/submissions/j-000001", nil)
+				if !accepted && code != http.StatusNotFound {
+					rt.Fatalf("a job that nobody submitted: %d", code)
+				}
+				see(code, st)
+			case 2:
+				code, st, _ := s.call(node, "POST", "/submissions/j-000001/withdraw", nil)
+				if !accepted && code != http.StatusNotFound || accepted && (code != 200 || !st.Standing.Final()) {
+					rt.Fatalf("cancel: %d %+v", code, st)
+				}
+				see(code, st)
+			case 3:
+				live := s.state.Get(storage.LiveKey(j.ID))
+				if live.Version == 0 {
+					break
+				}
+				done, err := protocol.Encode(storage.EndedRecord{Standing: protocol.Done, Done: 2})
+				if err != nil {
+					rt.Fatal(err)
+				}
+				s.state.Txn(protocol.Txn{If: []protocol.Cond{{Key: live.Key, Version: live.Version}},
+					Then: []protocol.Op{{Delete: live.Key}, {Put: storage.EndedKey(j.ID), Value: done}}})
+			}
+		}
+	})
+}
+
+func TestEveryStatus(t *testing.T) {
+	s := newSite(t)
+	with := func(change func(*protocol.Job)) []byte {
+		j := array("j-000002")
+		change(&j)
+		return body(t, j)
+	}
+	for name, x := range map[string]struct {
+		raw  []byte
+		want int
+	}{
+		"empty":          {nil, 400},
+		"not a map":      {[]byte{0x93, 1, 2, 3}, 400},
+		"no id":          {with(func(j *protocol.Job) { j.ID = "" }), 400},
+		"other id":       {with(func(j *protocol.Job) { j.ID = "x/../1" }), 400},
+		"no tasks":       {with(func(j *protocol.Job) { j.Tasks = 0 }), 400},
+		"too many tasks": {with(func(j *protocol.Job) { j.Tasks = protocol.MaxTasks + 1 }), 400},
+		"oversized":      {with(func(j *protocol.Job) { j.Image = strings.Repeat("x", protocol.MaxBody) }), 400},
+		"team":           {with(func(j *protocol.Job) { j.Team = "blue" }), 422},
+		"too large":      {with(func(j *protocol.Job) { j.GPUs = 9 }), 422},
+		"type":           {with(func(j *protocol.Job) { j.Types = []string{"g9"} }), 422},
+		"zone":           {with(func(j *protocol.Job) { j.Zone = "c" }), 422},
+		"gang limit":     {with(func(j *protocol.Job) { j.Shape, j.Tasks, j.GPUs = protocol.Gang, 3, 8 }), 422},
+		"array limit":    {with(func(j *protocol.Job) { j.ID, j.Tasks, j.GPUs = "j-000003", 3, 8 }), 201},
+	} {
+		if code, _, _ := s.call(0, "POST", "/submissions", x.raw); code != x.want {
+			t.Errorf("%s: %d, want %d", name, code, x.want)
+		}
+	}
+	for path, want := range map[string]int{"/submissions/j-999999": 404, "/submissions/nonsense": 404, "/submissions/j-000003": 200} {
+		if code, _, _ := s.call(1, "GET", path, nil); code != want {
+			t.Errorf("%s: %d, want %d", path, code, want)
+		}
+	}
+}
+
+// TestOutageIsToldAtOnce: what cannot be taken is answered at once, with when
+// to come back; it is not held until the user gives up.
+func TestOutageIsToldAtOnce(t *testing.T) {
+	s := newSite(t)
+	s.state.Down = true
+	for _, x := range [][2]string{{"POST", "/submissions"}, {"GET", "/submissions/j-000001"}, {"POST", "/submissions/j-000001/withdraw"}} {
+		code, _, h := s.call(0, x[0], x[1], body(t, array("j-000001")))
+		if code != http.StatusServiceUnavailable || h.Get("Retry-After") == "" {
+			t.Errorf("%v: %d %v", x, code, h)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/part/part_test.go
@@ -0,0 +1,207 @@
+package part
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) {
+	testkit.Seed()
+	os.Exit(m.Run())
+}
+
+var kind = protocol.MachineType{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, CacheGB: 10, FetchGBPerS: 1, BootS: 30, Zones: []string{"a"}}
+
+func newPart(term uint64) *Part {
+	p := New(term, config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 40, GangPeerS: 4, CancelS: 40})
+	p.SetTypes([]protocol.MachineType{kind})
+	return p
+}
+
+func report(session, seq, token uint64, tasks ...protocol.TaskReport) *protocol.Report {
+	return &protocol.Report{Machine: "m1", Addr: "a", Type: "g8", Zone: "a", Session: session, Seq: seq, Token: token, Tasks: tasks}
+}
+
+func task(n int) protocol.TaskID { return protocol.TaskID{Job: "j-1", Task: n} }
+
+func placement(n int, gpus float64) *Placement {
+	return &Placement{Task: task(n), Attempt: 1, Machine: "m1", Need: Need{GPUs: gpus}, Team: "red",
+		Job: &protocol.Job{ID: "j-1", Image: "i", ImageGB: 1}}
+}
+
+// TestRoomIsNeverPromisedTwice grants, starts, stops and ends at random: what
+// is granted always fits, and the books close at nothing.
+func TestRoomIsNeverPromisedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPart(1)
+		now := time.Duration(0)
+		seq := uint64(1)
+		p.Report(now, report(1, seq, 0))
+		held := map[int]*Placement{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += 100 * time.Millisecond
+			if rapid.Bool().Draw(t, "grant") {
+				var ps []*Placement
+				sum := 0.0
+				for k := range rapid.IntRange(1, 3).Draw(t, "n") {
+					pl := placement(i*10+k, rapid.Float64Range(0.5, 5).Draw(t, "gpus"))
+					sum += pl.Need.GPUs
+					ps = append(ps, pl)
+				}
+				used := 0.0
+				for _, pl := range held {
+					used += pl.Need.GPUs
+				}
+				if ok := p.Grant(now, ps); ok != (used+sum <= kind.GPUs+1e-9) {
+					t.Fatalf("grant of %v beside %v: %v", sum, used, ok)
+				} else if ok {
+					for _, pl := range ps {
+						held[pl.Task.Task] = pl
+						p.Start(pl)
+					}
+				}
+				p.Orders(now, p.Machine("m1"))
+			} else {
+				seq++
+				var tasks []protocol.TaskReport
+				for n, pl := range held {
+					tasks = append(tasks, protocol.TaskReport{Name: pl.Task.String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseDone})
+					delete(held, n)
+				}
+				p.Report(now, report(1, seq, 0, tasks...))
+			}
+			used := 0.0
+			for _, pl := range held {
+				used += pl.Need.GPUs
+			}
+			if got := p.Usage("red").GPUs; got < used-1e-6 || got > used+1e-6 {
+				t.Fatalf("books say %v, held are %v", got, used)
+			}
+		}
+	})
+}
+
+// TestAbsenceIsNoProof: copies of old reports, and reports without the task,
+// never make a task gone; an exit, a larger session or a lost machine do.
+func TestAbsenceIsNoProof(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		do   func(p *Part) []Fact
+		gone bool
+	}{
+		{"newer report without it", func(p *Part) []Fact { _, f, _ := p.Report(5, report(3, 50, 0)); return f }, false},
+		{"older session", func(p *Part) []Fact { _, f, _ := p.Report(5, report(2, 99, 0)); return f }, false},
+		{"another attempt exited", func(p *Part) []Fact {
+			_, f, _ := p.Report(5, report(3, 50, 0, protocol.TaskReport{Name: task(1).String(), Attempt: 7, State: protocol.Exited}))
+			return f
+		}, false},
+		{"its attempt exited in another session", func(p *Part) []Fact {
+			_, f, _ := p.Report(5, report(2, 50, 0, protocol.TaskReport{Name: task(1).String(), Attempt: 1, State: protocol.Exited}))
+			return f
+		}, false},
+		{"its attempt exited, told late", func(p *Part) []Fact {
+			p.Report(4, report(3, 60, 0))
+			_, f, _ := p.Report(5, report(3, 50, 0, protocol.TaskReport{Name: task(1).String(), Attempt: 1, State: protocol.Exited}))
+			return f
+		}, true},
+		{"larger session", func(p *Part) []Fact { _, f, _ := p.Report(5, report(4, 1, 0)); return f }, true},
+		{"machine lost", func(p *Part) []Fact { return p.Lost(5, "m1") }, true},
+	} {
+		p := newPart(2)
+		pl := placement(1, 1)
+		pl.Session = 3
+		p.Adopt(0, pl)
+		p.Report(1, report(3, 10, 0))
+		facts := x.do(p)
+		gone := len(facts) == 1 && facts[0].Placement == pl && pl.Gone
+		if gone != x.gone || pl.Gone != x.gone {
+			t.Errorf("%s: gone %v, facts %v", x.name, gone, facts)
+		}
+	}
+}
+
+func verbs(cmds []protocol.Command) string {
+	s := ""
+	for _, c := range cmds {
+		s += string(c.Verb) + " "
+	}
+	return s
+}
+
+// TestForgetWaits: an exited entry protects against late copies of its run. It
+// is forgotten only once the record is settled and the worker refuses tokens
+// as low as the run's.
+func TestForgetWaits(t *testing.T) {
+	p := newPart(2)
+	p.Report(0, report(1, 1, 0))
+	m := p.Machine("m1")
+	pl := placement(1, 1)
+	if !p.Grant(0, []*Placement{pl}) {
+		t.Fatal("not granted")
+	}
+	if got := verbs(p.Orders(0, m)); got != "" {
+		t.Errorf("before its record: %q", got)
+	}
+	p.Start(pl)
+	if got := verbs(p.Orders(0, m)); got != "run " {
+		t.Errorf("after its record: %q", got)
+	}
+	exited := protocol.TaskReport{Name: task(1).String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseStopped}
+	first := p.Token(m)
+	p.Report(time.Second, report(1, 2, first, exited))
+	late := time.Hour
+	p.Report(late, report(1, 3, first, exited))
+	if got := verbs(p.Orders(late, m)); got != "" {
+		t.Errorf("unsettled: %q", got)
+	}
+	again := placement(1, 1)
+	again.Attempt = 2
+	if p.Grant(late, []*Placement{again}) {
+		t.Error("a new attempt was granted beside an entry whose run may come again")
+	}
+	p.Settle(pl)
+	if got := verbs(p.Orders(late, m)); got != "" || p.Token(m) <= first {
+		t.Errorf("settled: %q, token %d after %d", got, p.Token(m), first)
+	}
+	p.Report(late+1, report(1, 4, p.Token(m), exited))
+	if got := verbs(p.Orders(late+1, m)); got != "forget " {
+		t.Errorf("worker has seen the new token: %q", got)
+	}
+	if !p.Grant(late+2, []*Placement{again}) {
+		t.Error("not granted once forgotten")
+	}
+}
+
+// TestWithdrawnStartsLeaveAnEntry: a run without an answer is withdrawn by run
+// and stop, which makes late copies harmless; long after a cancel not even
+// that moment is allowed, and the machine's next session is the proof.
+func TestWithdrawnStartsLeaveAnEntry(t *testing.T) {
+	p := newPart(2)
+	p.Report(0, report(1, 1, 0))
+	m := p.Machine("m1")
+	pl := placement(1, 1)
+	p.Grant(0, []*Placement{pl})
+	p.Start(pl)
+	p.Orders(0, m)
+	if p.Stop(1, pl, 0, true) {
+		t.Fatal("a run that may be under way was called gone")
+	}
+	if got := verbs(p.Orders(2, m)); got != "run stop " {
+		t.Errorf("soon after: %q", got)
+	}
+	if got := verbs(p.Orders(30*time.Second, m)); got != "stop " {
+		t.Errorf("long after: %q", got)
+	}
+	never := placement(2, 1)
+	p.Grant(3, []*Placement{never})
+	if !p.Stop(3, never, 0, true) || !never.Gone {
+		t.Error("a run that never left needs no proof")
+	}
+}
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -397,7 +397,7 @@
 // victims chooses the work that would have to leave a machine. Its cost is in
 // seconds of work lost or moved.
 func (c *Core) victims(now time.Duration, j *job, x *candidate) (out []*part.Placement, cost float64, ok bool) {
-	room := c.part.Free(x.m)
+	room := x.free // less what this cycle has given away already
 	var lower []*part.Placement
 	x.m.Placements(func(pl *part.Placement) {
 		switch {
@@ -429,7 +429,7 @@
 		}
 		cost += 1 + lost*pl.Need.Share(part.CapacityOf(x.kind))
 	}
-	return out, cost, j.need.Fits(room)
+	return out, cost, len(out) > 0 && j.need.Fits(room)
 }
 
 // borrows says whether a placement's team uses more than its guarantee.
--- /dev/null
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -0,0 +1,429 @@
+package scheduler
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) {
+	testkit.Seed()
+	os.Exit(m.Run())
+}
+
+// bench drives a core whose writes succeed at once and whose machines are
+// just reports.
+type bench struct {
+	c     *Core
+	now   time.Duration
+	rev   uint64
+	seq   map[string]uint64
+	runs  map[protocol.TaskID]protocol.Command
+	on    map[protocol.TaskID]string // machine of each run
+	stops map[protocol.TaskID]float64
+	last  []protocol.Txn
+	tasks map[string]map[protocol.TaskID]protocol.TaskReport // by machine
+	token map[string]uint64
+	zone  map[string]string
+	spot  map[string]bool
+}
+
+func newBench(teams []config.Team, zones ...string) *bench {
+	cfg := &config.Deployment{
+		Nodes: 3, Teams: teams, Workers: config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 40, GangPeerS: 4, CancelS: 40},
+		State: config.State{RPS: 100, WriteRPS: 30, ValueKB: 8, TxnOps: 16}, Cloud: config.Cloud{RPS: 2, ListLagS: 5},
+	}
+	types := []protocol.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, CacheGB: 100, FetchGBPerS: 1, Price: 4, SpotPrice: 1, BootS: 30, Zones: zones}}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	return &bench{c: New(0, cfg, log, 5, 1, types, nil, nil, 0), rev: 10, seq: map[string]uint64{},
+		runs: map[protocol.TaskID]protocol.Command{}, on: map[protocol.TaskID]string{}, stops: map[protocol.TaskID]float64{},
+		tasks: map[string]map[protocol.TaskID]protocol.TaskReport{}, token: map[string]uint64{}, zone: map[string]string{}, spot: map[string]bool{}}
+}
+
+func (b *bench) do(e any) {
+	for _, out := range b.c.Step(b.now, e) {
+		switch o := out.(type) {
+		case Write:
+			b.rev++
+			b.last = append(b.last, o.Txn)
+			b.do(Written{Write: o.ID, OK: true, Rev: b.rev})
+		case Order:
+			b.take(o.Machine, o.Orders.Token, o.Orders.Commands)
+			b.do(OrdersDone{Machine: o.Machine, OK: true, Report: b.report(o.Machine)})
+		case Answer:
+			b.take(o.Tag.(string), o.Body.Token, o.Body.Commands)
+		}
+	}
+}
+
+func (b *bench) take(machine string, token uint64, cmds []protocol.Command) {
+	b.token[machine] = max(b.token[machine], token)
+	for _, c := range cmds {
+		id, err := protocol.ParseTaskID(c.Name)
+		if err != nil {
+			panic(err) // the core made it
+		}
+		switch c.Verb {
+		case protocol.Run:
+			b.runs[id], b.on[id] = c, machine
+			b.tasks[machine][id] = protocol.TaskReport{Name: c.Name, Attempt: c.Attempt, State: protocol.Fetching}
+		case protocol.Stop:
+			b.stops[id] = *c.GraceS
+		case protocol.Forget:
+			delete(b.tasks[machine], id)
+		}
+	}
+}
+
+func (b *bench) report(name string) *protocol.Report {
+	b.seq[name]++
+	r := &protocol.Report{Machine: name, Addr: "x", Type: "g8", Zone: b.zone[name], Spot: b.spot[name], Session: 1,
+		Seq: b.seq[name], Token: b.token[name]}
+	for _, t := range b.tasks[name] {
+		r.Tasks = append(r.Tasks, t)
+	}
+	return r
+}
+
+// machine reports for a machine, whose tasks are now as given.
+func (b *bench) machine(name, zone string, spot bool, tasks ...protocol.TaskReport) {
+	if b.tasks[name] == nil {
+		b.tasks[name] = map[protocol.TaskID]protocol.TaskReport{}
+	}
+	b.zone[name], b.spot[name] = zone, spot
+	for _, t := range tasks {
+		id, err := protocol.ParseTaskID(t.Name)
+		if err != nil {
+			panic(err) // the test made it
+		}
+		b.tasks[name][id] = t
+	}
+	b.do(Reported{Tag: name, Report: b.report(name)})
+}
+
+func (b *bench) job(j protocol.Job) {
+	b.rev++
+	b.do(JobSet{Record: storage.LiveRecord{Job: j, AtMS: b.now.Milliseconds()}, Stamp: b.rev})
+}
+
+func (b *bench) cycle() {
+	b.now += Cycle
+	b.do(Tick{})
+}
+
+func spec(id string, shape protocol.Shape, prio protocol.Priority, tasks int, gpus float64) protocol.Job {
+	return protocol.Job{ID: id, Class: "c", Team: "red", Shape: shape, Priority: prio, Tasks: tasks, CPUs: 1, GPUs: gpus, MemoryGB: 1, Image: "i", ImageGB: 1}
+}
+
+func (b *bench) started(id string) int {
+	n := 0
+	for t := range b.runs {
+		if t.Job == id {
+			n++
+		}
+	}
+	return n
+}
+
+func running(id protocol.TaskID, attempt uint64) protocol.TaskReport {
+	return protocol.TaskReport{Name: id.String(), Attempt: attempt, State: protocol.TaskRunning}
+}
+
+// TestAllocationInvariants throws jobs at machines: gangs start whole or not
+// at all, nothing is overcommitted, and limits, zones and kinds are kept.
+func TestAllocationInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := float64(rapid.IntRange(0, 30).Draw(t, "limit"))
+		b := newBench([]config.Team{{Name: "red", GPUsMax: limit}, {Name: "blue"}}, "a", "b")
+		zone, spot := map[string]string{}, map[string]bool{}
+		for i := range rapid.IntRange(1, 6).Draw(t, "machines") {
+			name := fmt.Sprintf("m%d", i)
+			zone[name] = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
+			spot[name] = rapid.IntRange(0, 3).Draw(t, "spot") == 0
+			b.machine(name, zone[name], spot[name])
+		}
+		jobs := map[string]protocol.Job{}
+		for i := range rapid.IntRange(1, 12).Draw(t, "jobs") {
+			j := spec(fmt.Sprintf("j-%d", i), rapid.SampledFrom([]protocol.Shape{protocol.Array, protocol.Gang, protocol.Service}).Draw(t, "shape"),
+				rapid.SampledFrom([]protocol.Priority{"critical", "normal", "best_effort"}).Draw(t, "prio"),
+				rapid.IntRange(1, 9).Draw(t, "tasks"), float64(rapid.IntRange(1, 8).Draw(t, "gpus")))
+			j.Team = rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team")
+			j.SameZone = rapid.Bool().Draw(t, "same")
+			j.Spread = !j.SameZone && rapid.Bool().Draw(t, "spread")
+			j.Spot = rapid.Bool().Draw(t, "spot")
+			if rapid.Bool().Draw(t, "fixed") {
+				j.Zone = "a"
+			}
+			jobs[j.ID] = j
+			b.job(j)
+			if rapid.Bool().Draw(t, "cycle") {
+				b.cycle()
+			}
+		}
+		for range 6 {
+			b.cycle()
+		}
+		used, red := map[string]float64{}, 0.0
+		zones := map[string]map[string]int{}
+		for id, m := range b.on {
+			j := jobs[id.Job]
+			used[m] += j.GPUs
+			if j.Team == "red" {
+				red += j.GPUs
+			}
+			if zones[id.Job] == nil {
+				zones[id.Job] = map[string]int{}
+			}
+			zones[id.Job][zone[m]]++
+			if spot[m] && !j.Spot || j.Zone != "" && j.Zone != zone[m] {
+				t.Fatalf("%v on %s: zone %s spot %v", id, m, zone[m], spot[m])
+			}
+		}
+		for m, u := range used {
+			if u > 8 {
+				t.Fatalf("%s holds %v of 8 GPUs", m, u)
+			}
+		}
+		if limit > 0 && red > limit {
+			t.Fatalf("team uses %v of %v", red, limit)
+		}
+		for id, j := range jobs {
+			n := b.started(id)
+			if j.Shape == protocol.Gang && n != 0 && n != j.Tasks {
+				t.Fatalf("gang %s: %d of %d started", id, n, j.Tasks)
+			}
+			if j.SameZone && len(zones[id]) > 1 {
+				t.Fatalf("%s is in zones %v", id, zones[id])
+			}
+			for z, n := range zones[id] {
+				if j.Spread && n > (j.Tasks+1)/2 {
+					t.Fatalf("%s has %d of %d in %s", id, n, j.Tasks, z)
+				}
+			}
+		}
+	})
+}
+
+// TestHeldRoomAndBackfill: a short gang's room stays closed to smaller jobs
+// for three cycles, and then they may backfill it.
+func TestHeldRoomAndBackfill(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.machine("m1", "a", false)
+	b.job(spec("j-1", protocol.Gang, "urgent", 2, 8)) // needs two machines
+	small := spec("j-2", protocol.Array, "urgent", 1, 1)
+	small.Class = "d"
+	for cycle := 1; cycle <= shortCycles+1; cycle++ {
+		if cycle == 1 {
+			b.now++
+			b.job(small)
+		}
+		b.machine("m1", "a", false)
+		b.cycle()
+		if got, want := b.started("j-2"), cycle > shortCycles; (got == 1) != want {
+			t.Fatalf("cycle %d: backfilled %v", cycle, got)
+		}
+	}
+	if b.started("j-1") != 0 {
+		t.Error("part of the gang was started")
+	}
+}
+
+// TestGangRestartsWhole: when one of its tasks is gone, the others are stopped
+// and the gang starts again with one new attempt number, but only once all of
+// the old attempt is proven gone.
+func TestGangRestartsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 5).Draw(t, "tasks")
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		for i := range n + 1 {
+			b.machine(fmt.Sprintf("m%d", i), "a", false)
+		}
+		b.job(spec("j-1", protocol.Gang, "urgent", n, 8))
+		b.cycle()
+		first := map[protocol.TaskID]string{}
+		for id, m := range b.on {
+			first[id] = m
+			b.machine(m, "a", false, running(id, 1))
+		}
+		if len(first) != n {
+			t.Fatalf("%d of %d started", len(first), n)
+		}
+		lost := protocol.TaskID{Job: "j-1", Task: rapid.IntRange(0, n-1).Draw(t, "lost")}
+		clear(b.runs)
+		cause := rapid.SampledFrom([]protocol.Cause{protocol.CauseError, protocol.CausePeers, protocol.CauseIncomplete}).Draw(t, "cause")
+		b.machine(first[lost], "a", false, protocol.TaskReport{Name: lost.String(), Attempt: 1, State: protocol.Exited, Cause: cause})
+		b.cycle()
+		if len(b.stops) != n-1 || len(b.runs) != 0 {
+			t.Fatalf("stopped %v, started %v", b.stops, b.runs)
+		}
+		for id, m := range first {
+			if id != lost {
+				if len(b.runs) != 0 {
+					t.Fatalf("restarted while %v is not gone", id)
+				}
+				b.machine(m, "a", false, protocol.TaskReport{Name: id.String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseStopped})
+			}
+		}
+		// The entries are forgotten once the workers have seen a new epoch.
+		for range 40 {
+			for i := range n + 1 {
+				b.machine(fmt.Sprintf("m%d", i), "a", false)
+			}
+			b.cycle()
+		}
+		if len(b.runs) != n {
+			t.Fatalf("%d of %d restarted", len(b.runs), n)
+		}
+		for id, c := range b.runs {
+			if c.Attempt != 2 {
+				t.Fatalf("%v restarted as attempt %d", id, c.Attempt)
+			}
+		}
+	})
+}
+
+// TestPreemption: work of lower priority gives way, and saves if it can; work
+// of the same priority never does.
+func TestPreemption(t *testing.T) {
+	for _, x := range []struct {
+		prio  protocol.Priority
+		grace float64
+		stops int
+	}{{"critical", 6, 1}, {"normal", 0, 0}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.machine("m1", "a", false)
+		low := spec("j-1", protocol.Array, "normal", 1, 8)
+		low.CheckpointS, low.SaveS = 10, 2
+		b.job(low)
+		b.cycle()
+		id := protocol.TaskID{Job: "j-1"}
+		high := spec("j-2", protocol.Service, x.prio, 1, 4)
+		b.job(high)
+		for range 4 {
+			b.machine("m1", "a", false, running(id, 1))
+			b.cycle()
+		}
+		if len(b.stops) != x.stops || b.stops[id] != x.grace {
+			t.Errorf("%s: stopped %v", x.prio, b.stops)
+		}
+	}
+}
+
+// TestDoneIsRecordedOnce: the last task's exit ends the job in the same
+// transaction that drops its page, and nothing is written for it after.
+func TestDoneIsRecordedOnce(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.machine("m1", "a", false)
+	b.job(spec("j-1", protocol.Array, "normal", 3, 1))
+	b.cycle()
+	var tasks []protocol.TaskReport
+	for id, c := range b.runs {
+		tasks = append(tasks, protocol.TaskReport{Name: id.String(), Attempt: c.Attempt, State: protocol.Exited, Cause: protocol.CauseDone})
+	}
+	b.machine("m1", "a", false, tasks[:2]...)
+	b.cycle()
+	b.machine("m1", "a", false, tasks...)
+	b.cycle()
+	end := b.last[len(b.last)-1]
+	if end.Then[0].Delete != storage.LiveKey("j-1") || end.Then[1].Put != storage.EndedKey("j-1") || end.Then[2].Delete != storage.PageKey("j-1", 0) {
+		t.Errorf("end %+v", end)
+	}
+	if end.If[0].Key != storage.TermKey || end.If[1].Key != storage.LiveKey("j-1") {
+		t.Errorf("the end is not fenced: %+v", end.If)
+	}
+	n := len(b.last)
+	b.cycle()
+	if len(b.last) != n || len(b.c.jobs) != 0 {
+		t.Errorf("%d writes after the end, %d jobs kept", len(b.last)-n, len(b.c.jobs))
+	}
+}
+
+// TestFaultyJobIsBackedOff: a job that fails everywhere must not get machines
+// set aside, nor take all the starts.
+func TestFaultyJobIsBackedOff(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	for i := range 6 {
+		b.machine(fmt.Sprintf("m%d", i), "a", false)
+	}
+	b.job(spec("j-1", protocol.Array, "normal", 1, 1))
+	id := protocol.TaskID{Job: "j-1"}
+	starts := 0
+	for range 120 {
+		b.cycle()
+		for i := range 6 {
+			m := fmt.Sprintf("m%d", i)
+			if c, ok := b.runs[id]; ok && b.on[id] == m {
+				starts++
+				delete(b.runs, id)
+				b.machine(m, "a", false, protocol.TaskReport{Name: id.String(), Attempt: c.Attempt, State: protocol.Exited, Cause: protocol.CauseError})
+				continue
+			}
+			b.machine(m, "a", false)
+		}
+	}
+	if starts < 3 || starts > 20 {
+		t.Errorf("%d starts in two minutes", starts)
+	}
+	for i := range 6 {
+		if m := b.c.part.Machine(fmt.Sprintf("m%d", i)); m == nil || m.Sick {
+			t.Errorf("machine %d was set aside for a faulty job", i)
+		}
+	}
+}
+
+// TestTeamsAreServedInTurn: when more is asked than can be done, the queue of
+// one team does not shut out another's.
+func TestTeamsAreServedInTurn(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}, {Name: "blue"}}, "a")
+	for i := range 20 {
+		b.job(spec(fmt.Sprintf("j-%d", i), protocol.Service, "normal", 1, 1))
+	}
+	b.now++
+	for i := range 20 {
+		j := spec(fmt.Sprintf("j-%d", 100+i), protocol.Service, "normal", 1, 1)
+		j.Team = "blue"
+		b.job(j)
+	}
+	b.machine("m1", "a", false)
+	b.cycle()
+	if red, blue := b.c.part.Usage("red").GPUs, b.c.part.Usage("blue").GPUs; red != 4 || blue != 4 {
+		t.Errorf("red has %v, blue %v of 8", red, blue)
+	}
+}
+
+// TestLargestJob: a job of 100,000 tasks is taken, paged and placed without
+// its size showing in what each cycle costs.
+func TestLargestJob(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	for i := range 10 {
+		b.machine(fmt.Sprintf("m%d", i), "a", false)
+	}
+	b.job(spec("j-1", protocol.Array, "normal", protocol.MaxTasks, 1))
+	done := 0
+	for range 30 {
+		b.cycle()
+		by := map[string][]protocol.TaskReport{}
+		for id, c := range b.runs {
+			by[b.on[id]] = append(by[b.on[id]], protocol.TaskReport{Name: id.String(), Attempt: c.Attempt, State: protocol.Exited, Cause: protocol.CauseDone})
+			done++
+		}
+		clear(b.runs)
+		for i := range 10 {
+			m := fmt.Sprintf("m%d", i)
+			b.machine(m, "a", false, by[m]...)
+		}
+	}
+	if s, ok := b.c.Status("j-1"); !ok || s.Done != done || done < 30*80/2 {
+		t.Errorf("%+v, %d done", s, done)
+	}
+}
--- /dev/null
+++ b/internal/storage/storage_test.go
@@ -0,0 +1,163 @@
+package storage_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+	"pinebay/internal/standin"
+	"pinebay/internal/storage"
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) {
+	testkit.Seed()
+	os.Exit(m.Run())
+}
+
+func client(t *testing.T, h http.Handler) *storage.Client {
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	d := &config.Deployment{Nodes: 1, State: config.State{RPS: 1e6, WriteRPS: 1e6, TxnOps: 16},
+		Workers: config.Workers{LeaseS: 10}, Quota: config.Quota{MaxSockets: 500}}
+	return storage.NewClient(d, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
+}
+
+func encode(t *testing.T, v any) []byte {
+	raw, err := protocol.Encode(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func TestTransactionsAndLists(t *testing.T) {
+	c, ctx := client(t, standin.NewState()), context.Background()
+	for i := range 1203 {
+		txn := protocol.Txn{
+			If:   []protocol.Cond{{Key: fmt.Sprintf("live/j-%04d", i)}},
+			Then: []protocol.Op{{Put: fmt.Sprintf("live/j-%04d", i), Value: encode(t, map[string]int{"n": i})}},
+		}
+		if _, ok, err := c.Txn(ctx, storage.Accept, txn); err != nil || !ok {
+			t.Fatal(ok, err)
+		}
+		if i == 0 {
+			_, ok, failed, err := c.TxnFailed(ctx, storage.Accept, txn)
+			if err != nil || ok || !reflect.DeepEqual(failed, []string{"live/j-0000"}) {
+				t.Fatalf("again: %v %v %v", ok, failed, err)
+			}
+		}
+	}
+	all, rev, err := c.List(ctx, "live/")
+	if err != nil || len(all) != 1203 || rev != 1203 {
+		t.Fatalf("%d keys at %d: %v", len(all), rev, err)
+	}
+	p, err := c.Get(ctx, storage.Consult, "live/j-0007")
+	if err != nil || p.Version != 8 {
+		t.Fatalf("%+v %v", p, err)
+	}
+	if p, err = c.Get(ctx, storage.Consult, "live/none"); err != nil || p.Version != 0 {
+		t.Fatalf("%+v %v", p, err)
+	}
+	ev, err := c.Watch(ctx, "live/", 1200, 0)
+	if err != nil || len(ev.Events) != 3 || ev.Events[0].Put != "live/j-1200" {
+		t.Fatalf("%+v %v", ev, err)
+	}
+}
+
+// TestErrorsTellWhatMayHaveHappened: only a request without an answer may have
+// been executed; the leader's writes depend on the difference.
+func TestErrorsTellWhatMayHaveHappened(t *testing.T) {
+	for _, x := range []struct {
+		status int
+		want   error
+	}{
+		{http.StatusServiceUnavailable, storage.ErrUnavailable}, {http.StatusTooManyRequests, storage.ErrBusy}, {0, storage.ErrUncertain},
+	} {
+		c := client(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if x.status == 0 {
+				panic(http.ErrAbortHandler) // executed or not, no answer comes
+			}
+			w.WriteHeader(x.status)
+		}))
+		if _, _, err := c.Txn(context.Background(), storage.Accept, protocol.Txn{}); !errors.Is(err, x.want) {
+			t.Errorf("status %d: %v", x.status, err)
+		}
+	}
+	c := client(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("\xc1 nonsense"))
+	}))
+	if _, err := c.Get(context.Background(), storage.Consult, "x"); !errors.Is(err, protocol.ErrMalformed) {
+		t.Errorf("nonsense: %v", err)
+	}
+}
+
+// TestFullPagesFitAValue guards the paging: whatever a page's tasks are, its
+// record stays within the limit, as counted in JSON.
+func TestFullPagesFitAValue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kb := rapid.SampledFrom([]float64{1, 2, 8, 64}).Draw(t, "kb")
+		n := storage.PageTasks(kb)
+		base := protocol.MaxTasks - n
+		rec := storage.PageRecord{Write: "1234567.1234567", Attempts: 1 << 40, Team: strings.Repeat("t", 40), CPUs: 1.0 / 3, GPUs: 1.0 / 3, MemoryGB: 1.0 / 3}
+		for i := range n {
+			if rapid.IntRange(0, 3).Draw(t, "done") == 0 {
+				rec.AddDone(base + i)
+				continue
+			}
+			rec.Places = append(rec.Places, storage.Place{Task: base + i, Machine: "host-12345678", Session: 1 << 20, Attempt: 1 << 20,
+				Zone: rec.ZoneIndex(rapid.SampledFrom([]string{"kaolackinland", "dublinbay"}).Draw(t, "zone"))})
+		}
+		raw, err := protocol.Encode(rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var v any
+		if err := protocol.DecodeAny(raw, &v); err != nil {
+			t.Fatal(err)
+		}
+		out, err := json.Marshal(v)
+		if err != nil || len(out) > int(kb*1024) {
+			t.Fatalf("%d tasks take %d bytes of %v KiB: %v", n, len(out), kb, err)
+		}
+		id, page, got, err := storage.DecodePage(protocol.Pair{Key: storage.PageKey("j-000001", 17), Value: raw})
+		if err != nil || id != "j-000001" || page != 17 || !reflect.DeepEqual(*got, rec) {
+			t.Fatalf("%s %d %v\n%+v\n%+v", id, page, err, *got, rec)
+		}
+	})
+}
+
+func TestBadPagesAreRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rec := storage.PageRecord{Zones: []string{"a"}, Places: []storage.Place{{Task: 1, Machine: "m", Zone: 0}}, Done: [][2]int{{2, 3}}}
+		switch rapid.IntRange(0, 3).Draw(t, "how") {
+		case 0:
+			rec.Places[0].Zone = rapid.IntRange(1, 9).Draw(t, "zone")
+		case 1:
+			rec.Places[0].Task = -1
+		case 2:
+			rec.Done[0] = [2]int{5, rapid.IntRange(-5, 4).Draw(t, "to")}
+		case 3:
+			rec.Done[0][1] = protocol.MaxTasks + rapid.IntRange(0, 1<<30).Draw(t, "to")
+		}
+		raw, err := protocol.Encode(rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := storage.DecodePage(protocol.Pair{Key: storage.PageKey("j-1", 0), Value: raw}); err == nil {
+			t.Fatalf("%+v was taken", rec)
+		}
+	})
+}
