Clear warm room for critical tasks instead of fetching past their wait aim

Cause: half of the cluesmith tasks that came after the start were sent to free machines without the image, whose fetch lasts 43 s against an aim of 12 s, while warm machines ran arrays.

--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -20,6 +20,8 @@
 	m    *part.Machine
 	kind *protocol.MachineType
 	free part.Need // less what was granted or is held in this cycle
+	// taken says that the room reserved on it is spoken for in this cycle.
+	taken bool
 }
 
 // schedule is the cycle: jobs by priority, then age, teams in turn.
@@ -36,7 +38,7 @@
 	var cands []*candidate
 	c.part.Each(func(m *part.Machine) {
 		if t := c.part.Type(m.Type); t != nil && c.part.Open(now, m) {
-			cands = append(cands, &candidate{m, t, c.part.Free(m)})
+			cands = append(cands, &candidate{m: m, kind: t, free: c.part.Free(m)})
 		}
 	})
 	for len(waiting) > 0 {
@@ -238,6 +240,9 @@
 			}
 			break
 		}
+		if j.spec.Shape != protocol.Gang && c.displace(now, j, x, cands, l) {
+			continue
+		}
 		x.free = x.free.Minus(j.need)
 		l.perZone[x.m.Zone]++
 		if j.spec.SameZone {
@@ -353,6 +358,37 @@
 	}
 }
 
+// waitAim is the shortest wait that the objectives ask for a class, in seconds.
+func (c *Core) waitAim(class string) float64 {
+	within := math.Inf(1)
+	for _, o := range c.cfg.Objectives {
+		if o.Kind == "wait" && o.Class == class {
+			within = min(within, o.WithinS)
+		}
+	}
+	return within
+}
+
+// displace says whether a task should rather wait a moment for room on a
+// machine that has its image, because the fetch on the machine at hand would
+// last longer than the class's aim on waiting. It clears such room of work
+// that is at least two steps lower in priority. Free room is no reason to make
+// a critical replica wait for a fetch of most of a minute.
+func (c *Core) displace(now time.Duration, j *job, x *candidate, cands []*candidate, l *limits) bool {
+	left := config.Seconds(c.waitAim(j.spec.Class)) - (now - j.known)
+	if left <= 0 || c.part.Warm(now, x.m, &j.spec) <= left {
+		return false
+	}
+	for _, y := range cands {
+		if y.m.Reserved == j.spec.ID && now < y.m.ReservedUntil && !y.taken && l.allow(y.m.Zone) {
+			y.taken = true // cleared for one task of the job already
+			l.perZone[y.m.Zone]++
+			return true
+		}
+	}
+	return c.clear(now, j, cands, l, left, j.rank+2)
+}
+
 // preempt stops work of lower priority to make room for up to n tasks, on the
 // machines where least is lost, and reserves the room.
 func (c *Core) preempt(now time.Duration, j *job, cands []*candidate, l *limits, n int) {
@@ -364,39 +400,52 @@
 			n-- // cleared already, and not yet free
 		}
 	}
-	for ; n > 0; n-- {
-		var best *candidate
-		var bestVictims []*part.Placement
-		bestCost := math.Inf(1)
-		for _, x := range cands {
-			if !fits(now, j, x, l) || x.m.Reserved == j.spec.ID || !j.need.Fits(part.CapacityOf(x.kind)) {
-				continue
-			}
-			victims, cost, ok := c.victims(now, j, x)
-			cost += c.part.Warm(now, x.m, &j.spec).Seconds()
-			if ok && cost < bestCost {
-				best, bestVictims, bestCost = x, victims, cost
-			}
+	for ; n > 0 && c.clear(now, j, cands, l, math.MaxInt64, j.rank+1); n-- {
+	}
+}
+
+// clear makes room for one task on the machine where that costs least, among
+// those where the task could run within the given time, and reserves it. Only
+// work of at least the given rank leaves.
+func (c *Core) clear(now time.Duration, j *job, cands []*candidate, l *limits, within time.Duration, rank int) bool {
+	var best *candidate
+	var bestVictims []*part.Placement
+	bestCost := math.Inf(1)
+	for _, x := range cands {
+		if !fits(now, j, x, l) || x.m.Reserved == j.spec.ID && now < x.m.ReservedUntil || !j.need.Fits(part.CapacityOf(x.kind)) {
+			continue
 		}
-		if best == nil {
-			return
+		warm := c.part.Warm(now, x.m, &j.spec)
+		if warm > within {
+			continue
 		}
-		wait := 0.0
-		for _, v := range bestVictims {
-			if !v.Stopping {
-				c.log.Info("preempted", "task", v.Task, "for", j.spec.ID, "machine", v.Machine)
-				c.stopOrderly(now, v)
-			}
-			wait = max(wait, v.GraceS)
+		victims, cost, ok := c.victims(now, j, x, rank)
+		cost += warm.Seconds()
+		if ok && cost < bestCost {
+			best, bestVictims, bestCost = x, victims, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	wait := 0.0
+	for _, v := range bestVictims {
+		if !v.Stopping {
+			c.log.Info("preempted", "task", v.Task, "for", j.spec.ID, "machine", v.Machine)
+			c.stopOrderly(now, v, within-c.part.Warm(now, best.m, &j.spec))
 		}
-		best.m.Reserved = j.spec.ID
-		best.m.ReservedUntil = now + config.Seconds(wait+3*c.cfg.Workers.ReportS) + Cycle
+		wait = max(wait, v.GraceS)
 	}
+	best.taken = true
+	l.perZone[best.m.Zone]++
+	best.m.Reserved = j.spec.ID
+	best.m.ReservedUntil = now + config.Seconds(wait+3*c.cfg.Workers.ReportS) + Cycle
+	return true
 }
 
 // victims chooses the work that would have to leave a machine. Its cost is in
 // seconds of work lost or moved.
-func (c *Core) victims(now time.Duration, j *job, x *candidate) (out []*part.Placement, cost float64, ok bool) {
+func (c *Core) victims(now time.Duration, j *job, x *candidate, rank int) (out []*part.Placement, cost float64, ok bool) {
 	room := x.free // less what this cycle has given away already
 	var lower []*part.Placement
 	x.m.Placements(func(pl *part.Placement) {
@@ -404,7 +453,7 @@
 		case pl.Stopping:
 			room = room.Plus(pl.Need)
 			out = append(out, pl)
-		case pl.Rank > j.rank && pl.Team == j.spec.Team, c.borrows(pl) && pl.Team != j.spec.Team && c.owed(j):
+		case pl.Rank >= rank && pl.Team == j.spec.Team, c.borrows(pl) && pl.Team != j.spec.Team && c.owed(j):
 			lower = append(lower, pl)
 		}
 	})
@@ -428,6 +477,10 @@
 			lost = pl.Job.SaveS
 		}
 		cost += 1 + lost*pl.Need.Share(part.CapacityOf(x.kind))
+		if pl.Job != nil && pl.Job.Shape == protocol.Gang {
+			// All of it has to find room, and often its image, again.
+			cost += float64(pl.Job.Tasks) * x.kind.BootS
+		}
 	}
 	return out, cost, len(out) > 0 && j.need.Fits(room)
 }
@@ -567,12 +620,7 @@
 	sort.Strings(classes)
 	for _, class := range classes {
 		spec := c.sample[class]
-		within := math.Inf(1)
-		for _, o := range c.cfg.Objectives {
-			if o.Kind == "wait" && o.Class == class {
-				within = min(within, o.WithinS)
-			}
-		}
+		within := c.waitAim(class)
 		boot, ready := 0.0, math.Inf(1)
 		for _, t := range c.part.Types() {
 			if t.Allows(spec) && t.Fits(spec) > 0 && t.FetchGBPerS > 0 {
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"sort"
 	"time"
 
@@ -342,6 +343,8 @@
 		if !pl.Gone {
 			if pl.State == protocol.TaskRunning && pl.Since == now {
 				j.failures = max(0, j.failures-1)
+				c.log.Debug("running", "task", pl.Task, "class", j.spec.Class, "attempt", pl.Attempt, "machine", pl.Machine,
+					"waited", now-j.known, "placed", now-pl.Granted, "image", j.spec.Image)
 			}
 			continue
 		}
@@ -780,21 +783,21 @@
 		}
 		m.Placements(func(pl *part.Placement) {
 			if !pl.Stopping {
-				c.stopOrderly(now, pl)
+				c.stopOrderly(now, pl, math.MaxInt64)
 			}
 		})
 	})
 }
 
-// stopOrderly stops a placement so that its progress is saved, with all of its
-// gang if it has one.
-func (c *Core) stopOrderly(now time.Duration, pl *part.Placement) {
+// stopOrderly stops a placement, with all of its gang if it has one, so that
+// its progress is saved if there is time for that.
+func (c *Core) stopOrderly(now time.Duration, pl *part.Placement, within time.Duration) {
 	j := c.jobs[pl.Task.Job]
 	if j == nil {
 		return
 	}
 	grace := 0.0
-	if j.spec.CheckpointS > 0 {
+	if j.spec.CheckpointS > 0 && config.Seconds(j.spec.SaveS+c.cfg.Workers.ReportS) < within {
 		grace = j.spec.SaveS + c.cfg.Workers.GangPeerS
 	}
 	if j.spec.Shape != protocol.Gang {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -427,3 +427,42 @@
 		t.Errorf("%+v, %d done", s, done)
 	}
 }
+
+// TestWarmRoomIsCleared guards the aim on short waits: a critical task with
+// cold free room and a warm machine full of lower work waits for the latter
+// to be cleared, and is not sent to fetch for longer than its aim.
+func TestWarmRoomIsCleared(t *testing.T) {
+	for _, x := range []struct {
+		prio protocol.Priority
+		want string
+	}{{"critical", "m1"}, {"urgent", "m2"}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
+		b.machine("m1", "a", false)
+		first := spec("j-1", protocol.Service, "critical", 1, 4)
+		first.Class, first.Image, first.ImageGB = "quick", "big", 60
+		b.job(first)
+		b.cycle()
+		one := protocol.TaskID{Job: "j-1"}
+		b.machine("m1", "a", false, running(one, 1))
+		low := spec("j-2", protocol.Array, "normal", 1, 4)
+		low.CheckpointS, low.SaveS = 10, 2
+		b.job(low)
+		b.cycle()
+		two := protocol.TaskID{Job: "j-2"}
+		b.machine("m1", "a", false, running(two, 1))
+		b.machine("m2", "a", false) // empty, without the image
+
+		next := first
+		next.ID, next.Priority = "j-3", x.prio
+		b.job(next)
+		b.cycle()
+		if _, stopped := b.stops[two]; stopped {
+			b.machine("m1", "a", false, protocol.TaskReport{Name: two.String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseStopped})
+		}
+		b.cycle()
+		if got := b.on[protocol.TaskID{Job: "j-3"}]; got != x.want {
+			t.Errorf("%s went to %q, want %s", x.prio, got, x.want)
+		}
+	}
+}
