--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -220,7 +220,23 @@
 	name string
 	pool pool
 	free part.Need
-	new  bool
+	// soft is what arrays of each rank take: room that a job of higher
+	// priority could have at once, and so as good as free for one to come.
+	soft [ranks]part.Need
+}
+
+// ranks is the number of priorities.
+const ranks = 4
+
+// open is the room for a unit.
+func (r *room) open(u *Unit) part.Need {
+	n := r.free
+	if u.Spare {
+		for i := max(0, u.Job.Priority.Rank()) + 1; i < ranks; i++ {
+			n = n.Plus(r.soft[i])
+		}
+	}
+	return n
 }
 
 func (f *Fleet) rent(now time.Duration, p *part.Part, units []Unit) (effects []any, used map[string]bool) {
@@ -236,7 +252,13 @@
 		if m.Up && now-m.Heard > p.Silent() {
 			return
 		}
-		rooms = append(rooms, &room{name: m.Name, pool: pool{m.Type, m.Zone, m.Spot}, free: p.Free(m)})
+		r := &room{name: m.Name, pool: pool{m.Type, m.Zone, m.Spot}, free: p.Free(m)}
+		m.Placements(func(pl *part.Placement) {
+			if pl.Job != nil && pl.Job.Shape == protocol.Array && pl.Job.CheckpointS > 0 {
+				r.soft[pl.Rank] = r.soft[pl.Rank].Plus(pl.Need)
+			}
+		})
+		rooms = append(rooms, r)
 	})
 	for req, pl := range f.pending {
 		if t := p.Type(pl.kind); t != nil {
@@ -254,12 +276,12 @@
 		fits := func(r *room) bool {
 			t := p.Type(r.pool.kind)
 			return t != nil && t.Allows(u.Job) && (u.Zone == "" || u.Zone == r.pool.zone) &&
-				(u.Job.Zone == "" || u.Job.Zone == r.pool.zone) && (!r.pool.spot || u.Job.Spot) && need.Fits(r.free)
+				(u.Job.Zone == "" || u.Job.Zone == r.pool.zone) && (!r.pool.spot || u.Job.Spot) && need.Fits(r.open(&u))
 		}
 		for left > 0 {
 			var best *room
 			for _, r := range rooms {
-				if fits(r) && (best == nil || tighter(r.free, best.free)) {
+				if fits(r) && (best == nil || tighter(r.open(&u), best.open(&u))) {
 					best = r
 				}
 			}
@@ -268,7 +290,7 @@
 				if !ok || total >= protocol.MaxRental {
 					break
 				}
-				best = &room{pool: pl, free: part.CapacityOf(p.Type(pl.kind)), new: true}
+				best = &room{pool: pl, free: part.CapacityOf(p.Type(pl.kind))}
 				if !need.Fits(best.free) {
 					break
 				}
@@ -278,7 +300,7 @@
 				total++
 			}
 			used[best.name] = true
-			for left > 0 && need.Fits(best.free) {
+			for left > 0 && need.Fits(best.open(&u)) {
 				best.free = best.free.Minus(need)
 				left--
 				if need == (part.Need{}) {
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -22,6 +22,46 @@
 	free part.Need // less what was granted or is held in this cycle
 	// taken says that the room reserved on it is spoken for in this cycle.
 	taken bool
+	// kept is room for jobs to come, against work of the same rank that has no
+	// aim on waiting and could not be preempted for them.
+	kept map[int]part.Need
+}
+
+// room is what a job may use of a candidate.
+func (c *Core) room(x *candidate, j *job) part.Need {
+	if k, ok := x.kept[j.rank]; ok && math.IsInf(c.waitAim(j.spec.Class), 1) {
+		return x.free.Minus(k)
+	}
+	return x.free
+}
+
+// keep sets aside the room that classes with an aim on waiting are likely to
+// want soon. Against lower work it needs no keeping, for that can be preempted.
+func (c *Core) keep(now time.Duration, cands []*candidate) {
+	none := &limits{}
+	for _, u := range c.spareNow {
+		j := &job{spec: *u.Job, need: part.NeedOf(u.Job), rank: u.Job.Priority.Rank()}
+		for range u.Count {
+			var best *candidate
+			bestScore := 0.0
+			for _, x := range cands {
+				if u.Zone != "" && u.Zone != x.m.Zone || !j.need.Fits(x.free.Minus(x.kept[j.rank])) ||
+					x.m.Spot && !j.spec.Spot || !x.kind.Allows(&j.spec) {
+					continue
+				}
+				if s := c.score(now, j, x, none); best == nil || s < bestScore {
+					best, bestScore = x, s
+				}
+			}
+			if best == nil {
+				break
+			}
+			if best.kept == nil {
+				best.kept = map[int]part.Need{}
+			}
+			best.kept[j.rank] = best.kept[j.rank].Plus(j.need)
+		}
+	}
 }
 
 // schedule is the cycle: jobs by priority, then age, teams in turn.
@@ -41,6 +81,7 @@
 			cands = append(cands, &candidate{m: m, kind: t, free: c.part.Free(m)})
 		}
 	})
+	c.keep(now, cands)
 	for len(waiting) > 0 {
 		i := c.next(waiting)
 		j := waiting[i]
@@ -159,7 +200,7 @@
 func (c *Core) score(now time.Duration, j *job, x *candidate, l *limits) float64 {
 	s := c.part.Warm(now, x.m, &j.spec).Seconds()
 	s += x.free.Minus(j.need).Share(part.CapacityOf(x.kind))
-	if j.spec.Spread {
+	if j.spec.Spread && l.perZone != nil {
 		s += float64(l.perZone[x.m.Zone]) / float64(j.spec.Tasks)
 	}
 	if x.m.Spot {
@@ -180,7 +221,7 @@
 func (c *Core) pick(now time.Duration, j *job, task int, cands []*candidate, l *limits) (best *candidate, haunted bool) {
 	bestScore := 0.0
 	for _, x := range cands {
-		if !j.need.Fits(x.free) || !fits(now, j, x, l) {
+		if !j.need.Fits(c.room(x, j)) || !fits(now, j, x, l) {
 			continue
 		}
 		if x.m.Haunted(protocol.TaskID{Job: j.spec.ID, Task: task}) {
@@ -532,7 +573,8 @@
 		}
 		units = append(units, c.spreadUnits(&j.spec, l, n)...)
 	}
-	return append(units, c.spare(now)...)
+	c.spareNow = c.spare(now)
+	return append(units, c.spareNow...)
 }
 
 // likelyZone picks the zone in which room for a job that must be in one is
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -125,6 +125,7 @@
 	arrivals  map[string][]time.Duration // by class, newest last
 	sample    map[string]*protocol.Job   // the newest job of each class
 	sizes     map[string]float64         // mean tasks of a job
+	spareNow  []fleet.Unit               // room wanted for jobs to come
 }
 
 // New returns the core of a term that has read the records.
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -466,3 +466,29 @@
 		}
 	}
 }
+
+// TestRoomIsKeptForWaitAims: arrays of the same rank, which could not be
+// preempted for it, leave the room that a class with a wait aim is likely to
+// want; the class itself may use it.
+func TestRoomIsKeptForWaitAims(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
+	b.machine("m1", "a", false)
+	quick := spec("j-1", protocol.Service, "normal", 1, 4)
+	quick.Class = "quick"
+	b.job(quick)
+	b.cycle()
+	b.machine("m1", "a", false, running(protocol.TaskID{Job: "j-1"}, 1))
+	b.cycle()
+	b.job(spec("j-2", protocol.Array, "normal", 8, 1))
+	b.cycle()
+	if n := b.started("j-2"); n != 0 {
+		t.Errorf("%d array tasks took the room kept for others", n)
+	}
+	quick.ID = "j-3"
+	b.job(quick)
+	b.cycle()
+	if b.started("j-3") != 1 {
+		t.Error("the room was kept from those it was kept for")
+	}
+}
