--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -480,12 +480,14 @@
 	b.cycle()
 	b.machine("m1", "a", false, running(protocol.TaskID{Job: "j-1"}, 1))
 	b.cycle()
+	b.machine("m1", "a", false)
 	b.job(spec("j-2", protocol.Array, "normal", 8, 1))
 	b.cycle()
 	if n := b.started("j-2"); n != 0 {
 		t.Errorf("%d array tasks took the room kept for others", n)
 	}
 	quick.ID = "j-3"
+	b.machine("m1", "a", false)
 	b.job(quick)
 	b.cycle()
 	if b.started("j-3") != 1 {
