--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -72,15 +72,16 @@
 			waiting = append(waiting, j)
 		}
 	}
-	if len(waiting) == 0 {
-		return
-	}
 	var cands []*candidate
 	c.part.Each(func(m *part.Machine) {
 		if t := c.part.Type(m.Type); t != nil && c.part.Open(now, m) {
 			cands = append(cands, &candidate{m: m, kind: t, free: c.part.Free(m)})
 		}
 	})
+	if len(waiting) == 0 {
+		c.consolidate(now, cands)
+		return
+	}
 	c.keep(now, cands)
 	for len(waiting) > 0 {
 		i := c.next(waiting)
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math"
@@ -119,7 +120,7 @@
 	seq       uint64
 	due       bool // something relevant has arrived since the last cycle
 	lastCycle time.Duration
-	lastDone  time.Duration
+	lastMove  time.Duration
 	cycles    uint64
 	began     time.Duration
 	arrivals  map[string][]time.Duration // by class, newest last
@@ -755,12 +756,52 @@
 			}
 		}
 		if full {
-			c.emit(c.fleet.Plan(now, c.part, c.demand(now, jobs))...)
+			units := c.demand(now, jobs)
+			c.emit(c.fleet.Plan(now, c.part, units)...)
+			c.logFleet(now, units)
 		}
 	}
 	c.send(now)
 }
 
+// logFleet tells how the machines are used.
+func (c *Core) logFleet(now time.Duration, units []fleet.Unit) {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	var up, empty, booting, silent int
+	var free, soft float64 // in machines
+	c.part.Each(func(m *part.Machine) {
+		t := c.part.Type(m.Type)
+		switch {
+		case t == nil || !m.Up:
+			booting++
+			return
+		case m.Count() == 0:
+			empty++
+		case now-m.Heard > c.part.Silent():
+			silent++
+		}
+		up++
+		cap := part.CapacityOf(t)
+		free += 1 - cap.Minus(c.part.Free(m)).Share(cap)
+		m.Placements(func(pl *part.Placement) {
+			if pl.Job.Shape == protocol.Array {
+				soft += pl.Need.Share(cap)
+			}
+		})
+	})
+	want := map[string]int{}
+	for _, u := range units {
+		if u.Spare {
+			want["spare "+u.Job.Class] += u.Count
+		} else {
+			want[u.Job.Class] += u.Count
+		}
+	}
+	c.log.Debug("fleet", "up", up, "empty", empty, "booting", booting, "silent", silent, "free", free, "arrays", soft, "wanted", want)
+}
+
 // writeDue says whether a job's pages should be written now: at once when
 // starts wait for it, and otherwise gathered for a cycle.
 func (c *Core) writeDue(now time.Duration, j *job) bool {
