--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -398,7 +398,7 @@
 		case m.Sick && m.Count() == 0, m.Notice && m.Count() == 0, m.Condemned:
 		case !m.Up && now-m.Rented > 4*boot && now-m.Heard > boot:
 			// It never came up, and is charged until it is deleted.
-		case m.Up && m.Count() == 0 && !used[m.Name] && f.Known() && now-m.IdleSince > boot/2 && now-m.Rented > time.Minute:
+		case m.Up && m.Count() == 0 && !used[m.Name] && f.Known() && now-m.IdleSince > boot/8 && now-m.Rented > time.Minute:
 			// Idle beyond what is forecast; a machine is paid for a minute anyway.
 		default:
 			return
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -675,17 +675,10 @@
 		if within >= ready || math.IsInf(ready, 1) {
 			continue
 		}
-		// Arrivals of the last few boot times tell the rate; room for those of
-		// one boot time to come, and some for chance.
-		window := config.Seconds(3 * boot)
-		n := 0
-		as := c.arrivals[class]
-		for len(as) > 0 && as[0] < now-window {
-			as = as[1:]
-		}
-		c.arrivals[class] = as
-		n = len(as)
-		mean := float64(n) / 3 * 1.2
+		mean := c.expected(now, class, config.Seconds(boot))
+		if mean < 0.1 {
+			continue
+		}
 		jobs := mean + math.Sqrt(mean)
 		tasks := int(math.Ceil(jobs * c.sizes[class]))
 		if tasks == 0 {
@@ -703,3 +696,35 @@
 	}
 	return units
 }
+
+// expected is how many jobs of a class are likely to come in one boot time,
+// with something added for a swing. Arrivals count for less as they age.
+func (c *Core) expected(now time.Duration, class string, boot time.Duration) float64 {
+	memory := memoryBoots * boot
+	as := c.arrivals[class]
+	for len(as) > 0 && as[0] < now-4*memory {
+		as = as[1:]
+	}
+	c.arrivals[class] = as
+	if len(as) == 0 {
+		return 0
+	}
+	// A crowd that comes at once, as when a fleet is opened, tells little of
+	// the rate: no short while counts for more than two.
+	sum, crowd, first := 0.0, 0, time.Duration(math.MinInt64/2)
+	for _, a := range as {
+		if a-first > boot/8 {
+			first, crowd = a, 0
+		}
+		if crowd++; crowd <= 2 {
+			sum += math.Exp(-(now - a).Seconds() / memory.Seconds())
+		}
+	}
+	// What came in so short a time that it could not yet have aged counts as if
+	// it had come in a boot time or two.
+	seen := 1 - math.Exp(-max(now-as[0], 2*boot).Seconds()/memory.Seconds())
+	return 1.2 * sum * boot.Seconds() / memory.Seconds() / seen
+}
+
+// memoryBoots is the memory of the arrival rate, in boot times.
+const memoryBoots = 3
