--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -534,6 +534,7 @@
 				delete(j.pages, n)
 			}
 		}
+		c.log.Debug("job done", "job", j.spec.ID, "class", j.spec.Class, "tasks", len(j.tasks), "took", now-j.known)
 		c.end(now, j)
 	}
 	c.emit(Write{ID: id, Txn: t, Verify: storage.EndedKey(j.spec.ID), Name: name})
