--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -679,8 +679,8 @@
 		if mean < 0.1 {
 			continue
 		}
-		jobs := mean + math.Sqrt(mean)
-		tasks := int(math.Ceil(jobs * c.sizes[class]))
+		jobs := mean + c.margin(class)*math.Sqrt(mean)
+		tasks := int(math.Round(jobs * c.sizes[class]))
 		if tasks == 0 {
 			continue
 		}
@@ -697,6 +697,18 @@
 	return units
 }
 
+// margin is how many deviations above the expected arrivals are met by the
+// share of starts in time that a class's aims ask for.
+func (c *Core) margin(class string) float64 {
+	share := 0.5
+	for _, o := range c.cfg.Objectives {
+		if o.Kind == "wait" && o.Class == class {
+			share = max(share, min(o.Share, 0.999))
+		}
+	}
+	return math.Sqrt2 * math.Erfinv(2*share-1)
+}
+
 // expected is how many jobs of a class are likely to come in one boot time,
 // with something added for a swing. Arrivals count for less as they age.
 func (c *Core) expected(now time.Duration, class string, boot time.Duration) float64 {
