--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -80,7 +80,6 @@
 	})
 	if len(waiting) == 0 {
 		c.consolidate(now, cands)
-		return
 	}
 	c.keep(now, cands)
 	for len(waiting) > 0 {
@@ -89,6 +88,9 @@
 		waiting = append(waiting[:i], waiting[i+1:]...)
 		c.place(now, j, cands)
 	}
+	for _, j := range jobs {
+		c.rewarm(now, j, cands)
+	}
 }
 
 // waits says whether a job has tasks that may be placed now.
--- a/internal/coordination/scheduler/move.go
+++ b/internal/coordination/scheduler/move.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"math"
 	"sort"
 	"time"
 
+	"pinebay/internal/config"
 	"pinebay/internal/coordination/part"
 	"pinebay/internal/protocol"
 )
@@ -95,3 +97,57 @@
 	}
 	return true
 }
+
+// rewarm moves tasks that still fetch their image to a machine that has it and
+// has come free meanwhile. Fetches take up to a third longer than the type
+// says, and for large images that is longer than some aims on waiting; a task
+// that has not started loses nothing by the move.
+func (c *Core) rewarm(now time.Duration, j *job, cands []*candidate) {
+	if j.over || j.writing || j.finishing || j.counts[pending] > 0 || len(j.places) == 0 || math.IsInf(c.waitAim(j.spec.Class), 1) {
+		return
+	}
+	if j.spec.Shape == protocol.Gang && j.spec.Tasks > 1 {
+		return // its tasks wait for the slowest, and would have to move together
+	}
+	for _, pl := range placements(j) {
+		m := c.part.Machine(pl.Machine)
+		if m == nil || !pl.Seen || pl.Stopping || pl.State != protocol.Fetching ||
+			c.fetchLeft(now, m, pl) < config.Seconds(3*c.cfg.Workers.ReportS) {
+			continue
+		}
+		l := c.limits(j)
+		l.perZone[pl.Zone]--
+		if len(j.places) == 1 {
+			l.zone = j.spec.Zone
+		}
+		var best *candidate
+		for _, x := range cands {
+			if x.m != m && fits(now, j, x, l) && c.part.Warm(now, x.m, &j.spec) == 0 && j.need.Fits(c.room(x, j)) &&
+				!x.m.Haunted(pl.Task) && len(x.m.Errors) == 0 && (best == nil || c.score(now, j, x, l) < c.score(now, j, best, l)) {
+				best = x
+			}
+		}
+		if best == nil {
+			continue
+		}
+		c.log.Info("moving to a machine with the image", "task", pl.Task, "from", pl.Machine, "to", best.m.Name)
+		best.free = best.free.Minus(j.need)
+		best.m.Reserved, best.m.ReservedUntil = j.spec.ID, now+config.Seconds(2*c.cfg.Workers.ReportS)
+		c.stop(now, j, pl, 0, false)
+		return
+	}
+}
+
+// fetchLeft estimates how long a fetch under way will last: fetches take the
+// type's time give or take a third.
+func (c *Core) fetchLeft(now time.Duration, m *part.Machine, pl *part.Placement) time.Duration {
+	t := c.part.Type(m.Type)
+	if t == nil || t.FetchGBPerS <= 0 {
+		return 0
+	}
+	whole := config.Seconds(pl.Job.ImageGB / t.FetchGBPerS)
+	if e := now - pl.Granted; e > whole*2/3 {
+		return max(0, (whole*4/3-e)/2)
+	}
+	return c.part.Warm(now, m, pl.Job)
+}
