--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -505,6 +505,9 @@
 		if lower[a].Rank != lower[b].Rank {
 			return lower[a].Rank > lower[b].Rank
 		}
+		if ja, jb := c.age(now, lower[a]), c.age(now, lower[b]); ja != jb {
+			return ja < jb
+		}
 		if lower[a].Since != lower[b].Since {
 			return lower[a].Since > lower[b].Since
 		}
@@ -520,7 +523,9 @@
 		if pl.Job != nil && pl.Job.CheckpointS > 0 {
 			lost = pl.Job.SaveS
 		}
-		cost += 1 + lost*pl.Need.Share(part.CapacityOf(x.kind))
+		// An old job has been passed over or stopped before, and is the more
+		// likely to be late for it.
+		cost += 1 + lost*pl.Need.Share(part.CapacityOf(x.kind)) + c.age(now, pl).Seconds()/10
 		if pl.Job != nil && pl.Job.Shape == protocol.Gang {
 			// All of it has to find room, and often its image, again.
 			cost += float64(pl.Job.Tasks) * x.kind.BootS
@@ -529,6 +534,14 @@
 	return out, cost, len(out) > 0 && j.need.Fits(room)
 }
 
+// age is how long the job of a placement has been known.
+func (c *Core) age(now time.Duration, pl *part.Placement) time.Duration {
+	if j := c.jobs[pl.Task.Job]; j != nil {
+		return now - j.known
+	}
+	return 0
+}
+
 // borrows says whether a placement's team uses more than its guarantee.
 func (c *Core) borrows(pl *part.Placement) bool {
 	t := c.cfg.Team(pl.Team)
