Stay ready through an outage that all share; ask the state service when idle

Now a controller is unready only if a peer had an answer well after its own last, or no peer is in contact; and it asks for something small when nothing else has.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,11 +44,12 @@
 	mesh    *transport.Mesh
 	intake  *intake.Intake
 
-	box     *actor.Mailbox[any]
-	elect   *election.Machine
-	view    atomic.Pointer[election.View]
-	leading atomic.Pointer[leader.Leader]
-	peersOK atomic.Int64 // steady time when a peer last had the state service
+	box       *actor.Mailbox[any]
+	elect     *election.Machine
+	view      atomic.Pointer[election.View]
+	leading   atomic.Pointer[leader.Leader]
+	peersOK   atomic.Int64 // steady time when a peer last had the state service
+	peerHeard atomic.Int64 // steady time when a peer was last heard
 }
 
 // Times derives the election's times from the settings.
@@ -123,6 +124,7 @@
 	g.Go(func() error { c.runElection(ctx); return nil })
 	g.Go(func() error { c.watchLeader(ctx); return nil })
 	g.Go(func() error { c.learnTypes(ctx); return nil })
+	g.Go(func() error { c.probe(ctx); return nil })
 	for _, p := range c.mesh.Peers() {
 		g.Go(func() error { c.beat(ctx, p); return nil })
 	}
@@ -142,21 +144,36 @@
 // that alone cannot reach the state service should not be asked.
 func (c *Controller) ready(w http.ResponseWriter, _ *http.Request) {
 	status := http.StatusOK
-	if !c.intake.Ready() {
+	if !c.intake.Ready() || c.alone() {
 		status = http.StatusServiceUnavailable
-	} else if silent := c.store.SilentFor(); silent > c.times.Silent {
-		peers := c.now() - time.Duration(c.peersOK.Load())
-		if peers < silent/2 || !c.meshAlive() {
-			status = http.StatusServiceUnavailable
-		}
 	}
 	w.WriteHeader(status)
 }
 
-// meshAlive says whether a majority of the controllers is in contact.
-func (c *Controller) meshAlive() bool {
-	v := c.view.Load()
-	return v.Leading || v.Leader != "" || len(c.cfg.Seeds) == 0
+// alone says whether the state service is out of reach here and, as far as can
+// be told, not for all: a peer has had an answer from it well after our last,
+// or no peer is in contact at all.
+func (c *Controller) alone() bool {
+	silent := c.store.SilentFor()
+	if silent <= c.times.Silent {
+		return false
+	}
+	last := c.now() - silent
+	return time.Duration(c.peersOK.Load()) > last+c.times.Silent ||
+		c.now()-time.Duration(c.peerHeard.Load()) > c.times.Silent
+}
+
+// probe asks the state service for something small when nothing else has for a
+// while, so that silence means that it does not answer.
+func (c *Controller) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c.store.SilentFor() > c.times.Silent/4 {
+			if _, err := c.store.Get(ctx, storage.Urgent, storage.LeaderKey); err != nil {
+				c.log.Debug("state service does not answer", "err", err)
+			}
+		}
+		storage.Pause(ctx, c.times.Silent/8)
+	}
 }
 
 func (c *Controller) report(w http.ResponseWriter, r *http.Request) {
@@ -243,6 +260,7 @@
 func (c *Controller) stateOK() bool { return c.store.SilentFor() < c.times.Silent/2 }
 
 func (c *Controller) heardPeer(m *protocol.MeshMessage) {
+	c.peerHeard.Store(int64(c.now()))
 	if m.StateOK {
 		c.peersOK.Store(int64(c.now()))
 	}
