Keep workers' leases alive while nobody can lead

Now a controller renews leases with the worker's own token, without commands, while every controller says that it reaches neither the state service nor a leader; then nobody can have told a user of a cancellation.

--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -215,3 +215,36 @@
 		}
 	})
 }
+
+// TestCaretakerOnlyWhenNobodyCanLead: a single controller that reaches the
+// state service, knows a leader or is not heard forbids it, for it might let
+// users know of cancellations.
+func TestCaretakerOnlyWhenNobodyCanLead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Minute
+		peers := []string{"a", "b"}
+		heard := map[string]Peer{}
+		want := true
+		for _, p := range peers {
+			x := Peer{
+				At:      now - time.Duration(rapid.IntRange(0, 1000).Draw(t, "age"))*ms,
+				StateOK: rapid.IntRange(0, 4).Draw(t, "ok") == 0,
+				Leader:  rapid.SampledFrom([]string{"", "", "", "", "c"}).Draw(t, "leader"),
+			}
+			if rapid.IntRange(0, 6).Draw(t, "unheard") != 0 {
+				heard[p] = x
+			}
+			_, ok := heard[p]
+			want = want && ok && !x.StateOK && x.Leader == "" && now-x.At <= times.Silent/2
+		}
+		v := View{Term: 3, Leader: rapid.SampledFrom([]string{"", "", "a"}).Draw(t, "mine")}
+		stateOK := rapid.IntRange(0, 3).Draw(t, "state") == 0
+		want = want && v.Leader == "" && !stateOK
+		if got := Caretake(now, times, v, stateOK, peers, heard); got != want {
+			t.Fatalf("%v for %+v, %+v, state %v", got, v, heard, stateOK)
+		}
+	})
+	if Caretake(0, times, View{}, false, nil, nil) {
+		t.Error("one controller alone may not")
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,8 +49,10 @@
 	elect     *election.Machine
 	view      atomic.Pointer[election.View]
 	leading   atomic.Pointer[leader.Leader]
-	peersOK   atomic.Int64 // steady time when a peer last had the state service
-	peerHeard atomic.Int64 // steady time when a peer was last heard
+	peersMu   sync.Mutex
+	peers     map[string]election.Peer // what each last said of itself
+	peersOK   atomic.Int64             // steady time when a peer last had the state service
+	peerHeard atomic.Int64             // steady time when a peer was last heard
 }
 
 // Times derives the election's times from the settings.
@@ -65,7 +68,8 @@
 // New returns a controller that is not running yet.
 func New(cfg *config.Settings, log *slog.Logger) *Controller {
 	d := &cfg.Deploy
-	c := &Controller{cfg: cfg, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[any]()}
+	c := &Controller{cfg: cfg, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[any](),
+		peers: map[string]election.Peer{}}
 	c.store = storage.NewClient(d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
 	c.cloud = leader.NewCloud(cfg.Outside.Cloud, d.Cloud)
 	c.workers = transport.NewClient(1, int(float64(d.Quota.MaxSockets)*socketsWorkers), config.Seconds(d.Workers.LeaseS))
@@ -178,7 +182,7 @@
 
 func (c *Controller) report(w http.ResponseWriter, r *http.Request) {
 	l := c.leading.Load()
-	if l == nil {
+	if l == nil && !c.caretaker() {
 		c.redirect(w)
 		return
 	}
@@ -193,6 +197,12 @@
 		transport.Answer(w, http.StatusBadRequest, protocol.Problem{Error: err.Error()})
 		return
 	}
+	if l == nil {
+		// Nobody can lead: keep the tasks alive, with the token that the worker
+		// has, and command nothing.
+		transport.Answer(w, http.StatusOK, protocol.ReportAnswer{Token: rep.Token, Commands: []protocol.Command{}})
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), reportPatience)
 	defer cancel()
 	a, ok := l.Report(ctx, rep)
@@ -204,6 +214,12 @@
 	transport.Answer(w, http.StatusOK, a)
 }
 
+func (c *Controller) caretaker() bool {
+	c.peersMu.Lock()
+	defer c.peersMu.Unlock()
+	return election.Caretake(c.now(), c.times, *c.view.Load(), c.stateOK(), c.mesh.Peers(), c.peers)
+}
+
 // reportPatience stays inside the 4 s that a worker waits.
 const reportPatience = 3 * time.Second
 
@@ -260,6 +276,9 @@
 func (c *Controller) stateOK() bool { return c.store.SilentFor() < c.times.Silent/2 }
 
 func (c *Controller) heardPeer(m *protocol.MeshMessage) {
+	c.peersMu.Lock()
+	c.peers[m.From] = election.Peer{At: c.now(), StateOK: m.StateOK, Leader: m.Leader}
+	c.peersMu.Unlock()
 	c.peerHeard.Store(int64(c.now()))
 	if m.StateOK {
 		c.peersOK.Store(int64(c.now()))
