--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -186,7 +186,7 @@
 		if now-m.Heard > lease/2 {
 			quiet++
 		}
-		if now-m.Heard > lease {
+		if now-m.Heard > lease*3/4 {
 			dead = append(dead, m)
 		}
 	})
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -96,6 +96,7 @@
 type loaded struct {
 	types       []protocol.MachineType
 	live, pages []protocol.Pair
+	warm        []protocol.Pair
 	rev         uint64
 }
 
@@ -129,7 +130,7 @@
 			e.Tag.(chan protocol.ReportAnswer) <- protocol.ReportAnswer{Token: protocol.Token(l.term, 0), Commands: []protocol.Command{}}
 			early[e.Report.Machine] = e.Report
 		case loaded:
-			core = scheduler.New(now, l.Cfg, l.Log, l.term, l.stamp, e.types, e.live, e.pages, time.Now().UnixMilli())
+			core = scheduler.New(now, l.Cfg, l.Log, l.term, l.stamp, e.types, e.live, e.pages, e.warm, time.Now().UnixMilli())
 			l.Log.Info("records read", "jobs", len(e.live), "pages", len(e.pages), "took", now.String())
 			for _, r := range early {
 				l.do(core.Step(now, scheduler.Reported{Report: r}))
@@ -153,7 +154,9 @@
 		var err error
 		if got.live, got.rev, err = l.Store.List(l.ctx, storage.LivePrefix); err == nil {
 			if got.pages, _, err = l.Store.List(l.ctx, storage.PlacePrefix); err == nil {
-				got.types, err = l.Cloud.Types(l.ctx, l.Store)
+				if got.warm, _, err = l.Store.List(l.ctx, storage.WarmPrefix); err == nil {
+					got.types, err = l.Cloud.Types(l.ctx, l.Store)
+				}
 			}
 		}
 		if err == nil {
--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -145,6 +145,7 @@
 	machines map[string]*Machine
 	names    []string // sorted, for the same decisions every time
 	usage    map[string]Need
+	hints    map[string][]Copy // images that machines had in an earlier term
 }
 
 // New returns an empty part of the given term.
@@ -152,6 +153,7 @@
 	return &Part{
 		term: term, workers: w,
 		types: map[string]*protocol.MachineType{}, machines: map[string]*Machine{}, usage: map[string]Need{},
+		hints: map[string][]Copy{},
 	}
 }
 
@@ -194,6 +196,10 @@
 		Errors: map[string]bool{}, placements: map[protocol.TaskID]*Placement{},
 		exits: map[protocol.TaskID]*exit{}, stray: map[protocol.TaskID]uint64{}, images: map[string]*image{},
 	}
+	for _, c := range p.hints[name] {
+		m.images[c.Image] = &image{sizeGB: c.SizeGB, ready: now, used: now}
+	}
+	delete(p.hints, name)
 	p.machines[name] = m
 	i := sort.SearchStrings(p.names, name)
 	p.names = append(p.names, "")
@@ -563,6 +569,30 @@
 	m.RetryAt = now + config.Seconds(p.workers.ReportS/4)
 }
 
+// Copy is a machine's copy of an image.
+type Copy struct {
+	Image  string
+	SizeGB float64
+}
+
+// Copies returns the images that machines have, as far as can be told.
+func (p *Part) Copies(now time.Duration) map[string][]Copy {
+	out := map[string][]Copy{}
+	for _, n := range p.names {
+		for name, im := range p.machines[n].images {
+			if im.ready <= now {
+				out[n] = append(out[n], Copy{name, im.sizeGB})
+			}
+		}
+		sort.Slice(out[n], func(i, j int) bool { return out[n][i].Image < out[n][j].Image })
+	}
+	return out
+}
+
+// Hint tells which images a machine had when an earlier leader last wrote them
+// down. It is no more than a hint: a wrong one costs a fetch.
+func (p *Part) Hint(name string, copies []Copy) { p.hints[name] = copies }
+
 // Warm estimates how long a machine needs until it has the job's image.
 func (p *Part) Warm(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
 	if im := m.images[j.Image]; im != nil {
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -419,7 +419,14 @@
 // that is at least two steps lower in priority. Free room is no reason to make
 // a critical replica wait for a fetch of most of a minute.
 func (c *Core) displace(now time.Duration, j *job, x *candidate, cands []*candidate, l *limits) bool {
-	left := config.Seconds(c.waitAim(j.spec.Class)) - (now - j.known)
+	within := c.waitAim(j.spec.Class)
+	if math.IsInf(within, 1) {
+		return false
+	}
+	left := config.Seconds(within) - (now - j.known)
+	if left <= 0 && j.spec.Shape == protocol.Service {
+		left = config.Seconds(within) // a replica that was lost should be back as soon
+	}
 	if left <= 0 || c.part.Warm(now, x.m, &j.spec) <= left {
 		return false
 	}
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -127,18 +127,23 @@
 	sample    map[string]*protocol.Job   // the newest job of each class
 	sizes     map[string]float64         // mean tasks of a job
 	spareNow  []fleet.Unit               // room wanted for jobs to come
+	warm      map[string]string          // images records as written
+	warming   bool
+	lastWarm  time.Duration
 }
 
 // New returns the core of a term that has read the records.
 func New(now time.Duration, cfg *config.Deployment, log *slog.Logger, term, termStamp uint64, types []protocol.MachineType,
-	live, pages []protocol.Pair, wallMS int64) *Core {
+	live, pages, warm []protocol.Pair, wallMS int64) *Core {
 	c := &Core{
 		cfg: cfg, log: log, term: term, termStamp: termStamp, perPage: storage.PageTasks(cfg.State.ValueKB),
 		part: part.New(term, cfg.Workers), fleet: fleet.New(term, cfg.Cloud, cfg.Workers), jobs: map[string]*job{},
 		writes: map[uint64]func(time.Duration, Written){}, due: true, began: now, lastCycle: now - Cycle,
 		arrivals: map[string][]time.Duration{}, sample: map[string]*protocol.Job{}, sizes: map[string]float64{},
+		warm: map[string]string{}, lastWarm: now,
 	}
 	c.part.SetTypes(types)
+	c.recoverWarm(warm)
 	for _, p := range live {
 		var rec storage.LiveRecord
 		if err := protocol.Decode(p.Value, &rec); err != nil {
@@ -163,6 +168,100 @@
 	return c
 }
 
+// recoverWarm takes over what earlier leaders knew of the machines' images.
+func (c *Core) recoverWarm(pairs []protocol.Pair) {
+	for _, p := range pairs {
+		var rec storage.WarmRecord
+		if err := protocol.Decode(p.Value, &rec); err != nil || len(rec.Images) != len(rec.SizesGB) {
+			c.log.Error("images record out of form", "key", p.Key, "err", err)
+			continue
+		}
+		for _, m := range rec.Machines {
+			var copies []part.Copy
+			for _, i := range m.Images {
+				if i >= 0 && i < len(rec.Images) {
+					copies = append(copies, part.Copy{Image: rec.Images[i], SizeGB: rec.SizesGB[i]})
+				}
+			}
+			c.part.Hint(m.Name, copies)
+		}
+		c.warm[p.Key] = "" // to be written anew, or else dropped
+	}
+}
+
+// writeWarm writes down the machines' images, a page at a time and not often:
+// it is a help for the next leader, and must not stand in anybody's way.
+func (c *Core) writeWarm(now time.Duration) {
+	if c.warming || now-c.lastWarm < warmPause {
+		return
+	}
+	c.lastWarm = now
+	copies := c.part.Copies(now)
+	names := make([]string, 0, len(copies))
+	for n := range copies {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	per := storage.WarmMachines(c.cfg.State.ValueKB)
+	pages := map[string][]byte{}
+	for page := 0; page*per < len(names); page++ {
+		var rec storage.WarmRecord
+		index := map[string]int{}
+		for _, n := range names[page*per : min((page+1)*per, len(names))] {
+			m := storage.WarmMachine{Name: n}
+			for _, cp := range copies[n] {
+				i, ok := index[cp.Image]
+				if !ok {
+					i = len(rec.Images)
+					index[cp.Image] = i
+					rec.Images = append(rec.Images, cp.Image)
+					rec.SizesGB = append(rec.SizesGB, cp.SizeGB)
+				}
+				m.Images = append(m.Images, i)
+			}
+			rec.Machines = append(rec.Machines, m)
+		}
+		raw, err := protocol.Encode(rec)
+		if err != nil || float64(len(raw)) > c.cfg.State.ValueKB*1024/2 {
+			continue // too many names for a hint
+		}
+		pages[storage.WarmKey(page)] = raw
+	}
+	t := protocol.Txn{If: []protocol.Cond{{Key: storage.TermKey, Version: c.termStamp}}}
+	var changed []string
+	for key := range c.warm {
+		if pages[key] == nil {
+			t.Then = append(t.Then, protocol.Op{Delete: key})
+			changed = append(changed, key)
+		}
+	}
+	for key, raw := range pages {
+		if c.warm[key] != string(raw) && len(t.Then) < c.cfg.State.TxnOps/2 {
+			t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
+			changed = append(changed, key)
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	c.warming = true
+	id, _ := c.name()
+	c.writes[id] = func(_ time.Duration, w Written) {
+		c.warming = false
+		for _, key := range changed {
+			if pages[key] == nil {
+				delete(c.warm, key)
+			} else {
+				c.warm[key] = string(pages[key])
+			}
+		}
+	}
+	c.emit(Write{ID: id, Txn: t, Bulk: true, Verify: storage.TermKey, Name: "-"})
+}
+
+// warmPause is the time between two writes of the images.
+const warmPause = 10 * Cycle
+
 // recoverPage takes over what a page records.
 func (c *Core) recoverPage(now time.Duration, p protocol.Pair) {
 	id, n, rec, err := storage.DecodePage(p)
@@ -760,6 +859,7 @@
 			units := c.demand(now, jobs)
 			c.emit(c.fleet.Plan(now, c.part, units)...)
 			c.logFleet(now, units)
+			c.writeWarm(now)
 		}
 	}
 	c.send(now)
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -45,7 +45,7 @@
 	}
 	types := []protocol.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, CacheGB: 100, FetchGBPerS: 1, Price: 4, SpotPrice: 1, BootS: 30, Zones: zones}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	return &bench{c: New(0, cfg, log, 5, 1, types, nil, nil, 0), rev: 10, seq: map[string]uint64{},
+	return &bench{c: New(0, cfg, log, 5, 1, types, nil, nil, nil, 0), rev: 10, seq: map[string]uint64{},
 		runs: map[protocol.TaskID]protocol.Command{}, on: map[protocol.TaskID]string{}, stops: map[protocol.TaskID]float64{},
 		tasks: map[string]map[protocol.TaskID]protocol.TaskReport{}, token: map[string]uint64{}, zone: map[string]string{}, spot: map[string]bool{}}
 }
@@ -494,3 +494,41 @@
 		t.Error("the room was kept from those it was kept for")
 	}
 }
+
+// TestNewLeaderKnowsTheImages: what one leader wrote down of the machines'
+// images leads the next one's tasks to the machine that has theirs.
+func TestNewLeaderKnowsTheImages(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.machine("m2", "a", false)
+	j := spec("j-1", protocol.Array, "normal", 1, 1)
+	j.Image, j.ImageGB = "big", 50
+	b.job(j)
+	b.cycle()
+	id := protocol.TaskID{Job: "j-1"}
+	for range 15 {
+		b.machine("m2", "a", false, running(id, 1))
+		b.cycle()
+	}
+	var warm []protocol.Pair
+	for _, txn := range b.last {
+		for _, op := range txn.Then {
+			if op.Put == storage.WarmKey(0) {
+				warm = []protocol.Pair{{Key: op.Put, Value: op.Value, Version: 1}}
+			}
+		}
+	}
+	if warm == nil {
+		t.Fatal("nothing was written down")
+	}
+	next := newBench([]config.Team{{Name: "red"}}, "a")
+	next.c = New(0, next.c.cfg, next.c.log, 6, 2, []protocol.MachineType{*b.c.part.Type("g8")}, nil, nil, warm, 0)
+	for _, m := range []string{"m1", "m2", "m3"} {
+		next.machine(m, "a", false)
+	}
+	j.ID = "j-2"
+	next.job(j)
+	next.cycle()
+	if got := next.on[protocol.TaskID{Job: "j-2"}]; got != "m2" {
+		t.Errorf("the task went to %q", got)
+	}
+}
--- a/internal/standin/system_test.go
+++ b/internal/standin/system_test.go
@@ -123,9 +123,10 @@
 	}
 	live, liveRev := s.state.List(storage.LivePrefix)
 	pages, _ := s.state.List(storage.PlacePrefix)
+	warm, _ := s.state.List(storage.WarmPrefix)
 	l := &leading{rev: liveRev}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	l.core = scheduler.New(s.now, s.cfg, log, s.term, rev, s.types, live, pages, s.now.Milliseconds())
+	l.core = scheduler.New(s.now, s.cfg, log, s.term, rev, s.types, live, pages, warm, s.now.Milliseconds())
 	s.leaders = append(s.leaders, l)
 	s.tickLeader(l)
 }
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -16,6 +16,7 @@
 	LivePrefix  = "live/"
 	EndedPrefix = "ended/"
 	PlacePrefix = "place/"
+	WarmPrefix  = "warm/"
 )
 
 // LiveKey is where an accepted job lives until it ends.
@@ -136,3 +137,25 @@
 	}
 	return id, page, rec, nil
 }
+
+// WarmRecord tells which images machines have, so that a new leader does not
+// send tasks to fetch what lies ready elsewhere. It is a hint, not a fact.
+type WarmRecord struct {
+	Images   []string      `msgpack:"i"`
+	SizesGB  []float64     `msgpack:"s"`
+	Machines []WarmMachine `msgpack:"m"`
+}
+
+// WarmMachine is a machine with its images, as indices.
+type WarmMachine struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Name     string
+	Images   []int
+}
+
+// WarmMachines is how many machines one such record covers; a machine takes
+// little more room in it than a placement in a page.
+func WarmMachines(valueKB float64) int { return max(1, PageTasks(valueKB)/2) }
+
+// WarmKey is where a page of the images lies.
+func WarmKey(page int) string { return fmt.Sprintf("%s%04d", WarmPrefix, page) }
