--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -64,8 +64,12 @@
 	}
 	// Higher says that a higher term exists somewhere.
 	Higher struct{ Term uint64 }
-	// Resign ends our leadership, if the term is still ours.
-	Resign struct{ Term uint64 }
+	// Resign ends our leadership, if the term is still ours. Away says that
+	// another controller should lead.
+	Resign struct {
+		Term uint64
+		Away bool
+	}
 )
 
 // Effects.
@@ -95,6 +99,7 @@
 	keyGone bool
 	keySeen bool
 	claimAt time.Duration // 0: none intended
+	shy     time.Duration // until then others should lead
 
 	lease   uint64
 	renewed time.Duration // when the last confirmed renewal was sent
@@ -150,7 +155,11 @@
 		if m.role == Leading && e.Term == m.term {
 			m.yield(now)
 			m.leader = ""
-			m.intend(now + m.times.Beat)
+			if e.Away {
+				m.shy = now + 2*m.times.TTL
+			} else {
+				m.intend(now + m.times.Beat)
+			}
 		}
 	}
 	return m.out
@@ -177,7 +186,7 @@
 		if m.claimAt == 0 && (now-m.heard > m.times.Silent || m.keyGone) {
 			m.intend(now)
 		}
-		if m.claimAt != 0 && now >= m.claimAt {
+		if m.claimAt != 0 && now >= max(m.claimAt, m.shy) {
 			m.claimAt = 0
 			m.role = Claiming
 			m.out = append(m.out, Claim{Over: m.term})
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -248,3 +248,22 @@
 		t.Error("one controller alone may not")
 	}
 }
+
+// TestLeaderThatIsOutOfReachLetsOthersLead: one that resigns because machines
+// reach others only does not take the leadership back at once.
+func TestLeaderThatIsOutOfReachLetsOthersLead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(t, 3)
+		for range rapid.IntRange(60, 200).Draw(t, "ticks") {
+			g.tick()
+		}
+		old := g.leaders()[0]
+		g.step(old, Resign{Term: g.nodes[old].term, Away: true})
+		for range 70 {
+			g.tick()
+		}
+		if l := g.leaders(); len(l) != 1 || l[0] == old {
+			t.Fatalf("leaders %v after %s gave way", l, old)
+		}
+	})
+}
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -29,8 +29,8 @@
 	Cloud   *Cloud
 	Workers *transport.Client
 	Now     func() time.Duration
-	// Deposed is told why the term is over, and of a later one if it was seen.
-	Deposed func(term, later uint64, reason string)
+	// Deposed is told that the term is over, and why.
+	Deposed func(term uint64, d scheduler.Depose)
 	// Types is told of machine types that were read.
 	Types func([]protocol.MachineType)
 }
@@ -66,10 +66,10 @@
 func (l *Leader) Term() uint64 { return l.term }
 
 // Report hands a worker's report to the leader and returns the answer, or
-// false if none came in time.
-func (l *Leader) Report(ctx context.Context, r *protocol.Report) (protocol.ReportAnswer, bool) {
+// false if none came in time. relayed says that another controller passed it on.
+func (l *Leader) Report(ctx context.Context, r *protocol.Report, relayed bool) (protocol.ReportAnswer, bool) {
 	reply := make(chan protocol.ReportAnswer, 1)
-	l.box.Send(scheduler.Reported{Tag: reply, Report: r})
+	l.box.Send(scheduler.Reported{Tag: reply, Report: r, Relayed: relayed})
 	select {
 	case a := <-reply:
 		return a, true
@@ -105,7 +105,7 @@
 	l.Log.Info("leading")
 	go l.recover()
 	var core *scheduler.Core
-	early := map[string]*protocol.Report{}
+	early := map[string]scheduler.Reported{}
 	step := func(e any) {
 		now := l.Now()
 		if core != nil {
@@ -124,16 +124,17 @@
 			e.reply <- protocol.JobStatus{}
 		case scheduler.Reported:
 			if t := protocol.TermOf(e.Report.Token); t > l.term {
-				l.Deposed(l.term, t, "a worker has seen a later term")
+				l.Deposed(l.term, scheduler.Depose{Term: t, Reason: "a worker has seen a later term"})
 				return
 			}
 			e.Tag.(chan protocol.ReportAnswer) <- protocol.ReportAnswer{Token: protocol.Token(l.term, 0), Commands: []protocol.Command{}}
-			early[e.Report.Machine] = e.Report
+			e.Tag = nil // it has its answer
+			early[e.Report.Machine] = e
 		case loaded:
 			core = scheduler.New(now, l.Cfg, l.Log, l.term, l.stamp, e.types, e.live, e.pages, e.warm, time.Now().UnixMilli())
 			l.Log.Info("records read", "jobs", len(e.live), "pages", len(e.pages), "took", now.String())
 			for _, r := range early {
-				l.do(core.Step(now, scheduler.Reported{Report: r}))
+				l.do(core.Step(now, r))
 			}
 			go l.watch(e.rev)
 			go l.refreshTypes()
@@ -175,7 +176,7 @@
 	for l.ctx.Err() == nil {
 		ev, err := l.Store.Watch(l.ctx, storage.LivePrefix, rev, wait)
 		if errors.Is(err, storage.ErrCompacted) {
-			l.Deposed(l.term, 0, "fell behind the changes")
+			l.Deposed(l.term, scheduler.Depose{Reason: "fell behind the changes"})
 			return
 		}
 		if err != nil {
@@ -223,7 +224,7 @@
 			}
 		case scheduler.Depose:
 			l.Log.Info("deposed", "reason", e.Reason, "later", e.Term)
-			l.Deposed(l.term, e.Term, e.Reason)
+			l.Deposed(l.term, e)
 		case scheduler.Write:
 			go l.write(e)
 		case scheduler.Order:
--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -110,6 +110,7 @@
 	Sick                   bool          // it fails tasks, or cannot be commanded
 	MutedUntil             time.Duration // it does not take commands
 	IdleSince              time.Duration
+	Relayed                bool // its reports come by another controller: it may be out of our reach
 	Busy                   bool // a direct command is on its way
 	RetryAt                time.Duration
 
@@ -544,7 +545,7 @@
 	var out []*Machine
 	for _, n := range p.names {
 		m := p.machines[n]
-		if !m.Up || m.Busy || m.Addr == "" || now < m.RetryAt {
+		if !m.Up || m.Busy || m.Relayed || m.Addr == "" || now < m.RetryAt {
 			continue
 		}
 		for _, pl := range m.placements {
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -19,10 +19,12 @@
 type (
 	// Tick lets time pass.
 	Tick struct{}
-	// Reported is a worker's report; Tag comes back with the answer.
+	// Reported is a worker's report; Tag comes back with the answer. Relayed
+	// says that another controller passed it on.
 	Reported struct {
-		Tag    any
-		Report *protocol.Report
+		Tag     any
+		Report  *protocol.Report
+		Relayed bool
 	}
 	// JobSet is an accepted job.
 	JobSet struct {
@@ -93,6 +95,7 @@
 	Depose struct {
 		Term   uint64
 		Reason string
+		Away   bool // another controller should lead
 	}
 )
 
@@ -395,6 +398,7 @@
 	c.facts(now, facts)
 	c.judgeMachine(m)
 	if newer {
+		m.Relayed = e.Relayed
 		if cmds := c.part.Orders(now, m); cmds != nil {
 			answer.Commands = cmds
 		}
@@ -859,12 +863,36 @@
 			units := c.demand(now, jobs)
 			c.emit(c.fleet.Plan(now, c.part, units)...)
 			c.logFleet(now, units)
+			c.checkReach(now)
 			c.writeWarm(now)
 		}
 	}
 	c.send(now)
 }
 
+// checkReach gives the leadership away when most machines can reach other
+// controllers only. Their reports are passed on here, but whoever they reach
+// would serve them better, and can command them directly.
+func (c *Core) checkReach(now time.Duration) {
+	half := config.Seconds(c.cfg.Workers.LeaseS / 2)
+	if now-c.began < half {
+		return
+	}
+	direct, relayed := 0, 0
+	c.part.Each(func(m *part.Machine) {
+		switch {
+		case !m.Up || now-m.Heard > half:
+		case m.Relayed:
+			relayed++
+		default:
+			direct++
+		}
+	})
+	if relayed > 2*direct && relayed > 2 {
+		c.emit(Depose{Reason: fmt.Sprintf("%d machines reach other controllers only", relayed), Away: true})
+	}
+}
+
 // logFleet tells how the machines are used.
 func (c *Core) logFleet(now time.Duration, units []fleet.Unit) {
 	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -532,3 +532,49 @@
 		t.Errorf("the task went to %q", got)
 	}
 }
+
+// TestLeaderOutOfReachGivesWay: a leader that most machines cannot reach lets
+// another lead; and a machine that only others reach gets its commands with
+// the answers that are passed on, not directly.
+func TestLeaderOutOfReachGivesWay(t *testing.T) {
+	for _, x := range []struct {
+		relayed int
+		away    bool
+	}{{1, false}, {5, true}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.job(spec("j-1", protocol.Array, "normal", 40, 1))
+		away, direct := false, 0
+		for range 10 {
+			for i := range 6 {
+				name := fmt.Sprintf("m%d", i)
+				b.machine(name, "a", false)
+				r := b.report(name)
+				for _, e := range b.c.Step(b.now, Reported{Tag: name, Report: r, Relayed: i < x.relayed}) {
+					if a, ok := e.(Answer); ok {
+						b.take(name, a.Body.Token, a.Body.Commands)
+					}
+				}
+			}
+			b.now += Cycle
+			for _, e := range b.c.Step(b.now, Tick{}) {
+				switch e := e.(type) {
+				case Depose:
+					away = away || e.Away
+				case Order:
+					if e.Machine == "m0" {
+						direct++
+					}
+				case Write:
+					b.rev++
+					b.do(Written{Write: e.ID, OK: true, Rev: b.rev})
+				}
+			}
+		}
+		if away != x.away {
+			t.Errorf("%d of 6 relayed: away %v", x.relayed, away)
+		}
+		if direct != 0 || b.started("j-1") == 0 {
+			t.Errorf("%d direct commands out of reach, %d started", direct, b.started("j-1"))
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"pinebay/internal/coordination/election"
 	"pinebay/internal/coordination/intake"
 	"pinebay/internal/coordination/leader"
+	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 	"pinebay/internal/transport"
@@ -51,8 +52,9 @@
 	leading   atomic.Pointer[leader.Leader]
 	peersMu   sync.Mutex
 	peers     map[string]election.Peer // what each last said of itself
-	peersOK   atomic.Int64             // steady time when a peer last had the state service
-	peerHeard atomic.Int64             // steady time when a peer was last heard
+	turned    *Turned
+	peersOK   atomic.Int64 // steady time when a peer last had the state service
+	peerHeard atomic.Int64 // steady time when a peer was last heard
 }
 
 // Times derives the election's times from the settings.
@@ -69,7 +71,7 @@
 func New(cfg *config.Settings, log *slog.Logger) *Controller {
 	d := &cfg.Deploy
 	c := &Controller{cfg: cfg, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[any](),
-		peers: map[string]election.Peer{}}
+		peers: map[string]election.Peer{}, turned: NewTurned(config.Seconds(d.Workers.LeaseS))}
 	c.store = storage.NewClient(d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
 	c.cloud = leader.NewCloud(cfg.Outside.Cloud, d.Cloud)
 	c.workers = transport.NewClient(1, int(float64(d.Quota.MaxSockets)*socketsWorkers), config.Seconds(d.Workers.LeaseS))
@@ -180,10 +182,14 @@
 	}
 }
 
+// report takes a worker's report. The leader answers it; others send the worker
+// there, or pass its report on if it has been sent there and has come back.
 func (c *Controller) report(w http.ResponseWriter, r *http.Request) {
 	l := c.leading.Load()
-	if l == nil && !c.caretaker() {
-		c.redirect(w)
+	leader := c.view.Load().Leader
+	care := l == nil && c.caretaker()
+	if l == nil && !care && (leader == "" || leader == c.cfg.Node) {
+		c.redirect(w, "")
 		return
 	}
 	raw, err := transport.ReadBody(w, r)
@@ -197,7 +203,7 @@
 		transport.Answer(w, http.StatusBadRequest, protocol.Problem{Error: err.Error()})
 		return
 	}
-	if l == nil {
+	if care {
 		// Nobody can lead: keep the tasks alive, with the token that the worker
 		// has, and command nothing.
 		transport.Answer(w, http.StatusOK, protocol.ReportAnswer{Token: rep.Token, Commands: []protocol.Command{}})
@@ -205,15 +211,61 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), reportPatience)
 	defer cancel()
-	a, ok := l.Report(ctx, rep)
+	if l == nil {
+		if c.turned.Back(rep.Machine, leader, c.now()) {
+			c.relay(ctx, w, leader, raw)
+		} else {
+			c.redirect(w, leader)
+		}
+		return
+	}
+	a, ok := l.Report(ctx, rep, false)
 	if !ok || c.leading.Load() != l {
 		// A 200 with a token that the worker has to drop would hold it here.
-		c.redirect(w)
+		c.redirect(w, "")
 		return
 	}
 	transport.Answer(w, http.StatusOK, a)
 }
 
+// relay passes a report to the leader and its answer to the worker, so the 200
+// carries the leader's word.
+func (c *Controller) relay(ctx context.Context, w http.ResponseWriter, leader string, raw []byte) {
+	reply, err := c.mesh.Call(ctx, leader, protocol.MeshMessage{Kind: protocol.MeshReport, Body: raw})
+	if err != nil || len(reply.Body) == 0 {
+		c.redirect(w, "")
+		return
+	}
+	w.Header().Set("Content-Type", protocol.ContentType)
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(reply.Body) // a worker that is gone reports again
+}
+
+// answerReport answers a report that another controller passed on.
+func (c *Controller) answerReport(m *protocol.MeshMessage) []byte {
+	l := c.leading.Load()
+	if l == nil {
+		return nil
+	}
+	rep, err := protocol.DecodeReport(m.Body)
+	if err != nil {
+		c.log.Info("report refused", "from", m.From, "err", err)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportPatience)
+	defer cancel()
+	a, ok := l.Report(ctx, rep, true)
+	if !ok || c.leading.Load() != l {
+		return nil
+	}
+	raw, err := protocol.Encode(a)
+	if err != nil {
+		c.log.Error("report answer", "err", err)
+		return nil
+	}
+	return raw
+}
+
 func (c *Controller) caretaker() bool {
 	c.peersMu.Lock()
 	defer c.peersMu.Unlock()
@@ -223,13 +275,13 @@
 // reportPatience stays inside the 4 s that a worker waits.
 const reportPatience = 3 * time.Second
 
-func (c *Controller) redirect(w http.ResponseWriter) {
-	v := c.view.Load()
-	if v.Leader == "" || v.Leader == c.cfg.Node {
+// redirect sends a worker to the leader, or away if none is known.
+func (c *Controller) redirect(w http.ResponseWriter, leader string) {
+	if leader == "" {
 		transport.Answer(w, http.StatusServiceUnavailable, protocol.Problem{Error: "no leader is known here"})
 		return
 	}
-	transport.Answer(w, http.StatusMisdirectedRequest, protocol.Redirect{Leader: v.Leader})
+	transport.Answer(w, http.StatusMisdirectedRequest, protocol.Redirect{Leader: leader})
 }
 
 // status asks the leader about a job, over the mesh if it is not here.
@@ -269,6 +321,8 @@
 				reply.Status = &s
 			}
 		}
+	case protocol.MeshReport:
+		reply.Body = c.answerReport(m)
 	}
 	return reply
 }
@@ -333,11 +387,11 @@
 		l := leader.Start(ctx, leader.Deps{
 			Cfg: &c.cfg.Deploy, Log: c.log, Store: c.store, Cloud: c.cloud, Workers: c.workers, Now: c.now,
 			Types: c.intake.SetTypes,
-			Deposed: func(term, later uint64, _ string) {
-				if later > term {
-					c.box.Send(election.Higher{Term: later})
+			Deposed: func(term uint64, d scheduler.Depose) {
+				if d.Term > term {
+					c.box.Send(election.Higher{Term: d.Term})
 				}
-				c.box.Send(election.Resign{Term: term})
+				c.box.Send(election.Resign{Term: term, Away: d.Away})
 			},
 		}, e.Term, e.Stamp)
 		if old := c.leading.Swap(l); old != nil {
--- a/internal/protocol/mesh.go
+++ b/internal/protocol/mesh.go
@@ -10,6 +10,7 @@
 	MeshBeat   = 1 // who leads, and whether the state service answers
 	MeshStatus = 2 // what the leader knows of a job
 	MeshReply  = 3
+	MeshReport = 4 // a worker's report, from a controller that it can reach
 )
 
 // MeshMessage is a frame between controllers. Numbers name its fields, so that
@@ -24,6 +25,8 @@
 	StateOK bool       `cbor:"7,keyasint,omitempty"`
 	Job     string     `cbor:"8,keyasint,omitempty"`
 	Status  *JobStatus `cbor:"9,keyasint,omitempty"`
+	// Body is a report, or the answer to one, as the worker's interface has it.
+	Body []byte `cbor:"10,keyasint,omitempty"`
 }
 
 // EncodeMesh returns the message as CBOR.
@@ -45,7 +48,7 @@
 	if m.Version != MeshVersion {
 		return nil, fmt.Errorf("%w: mesh version %d", ErrMalformed, m.Version)
 	}
-	if m.Kind < MeshBeat || m.Kind > MeshReply || m.From == "" {
+	if m.Kind < MeshBeat || m.Kind > MeshReport || m.From == "" {
 		return nil, fmt.Errorf("%w: mesh kind %d from %q", ErrMalformed, m.Kind, m.From)
 	}
 	return &m, nil
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -14,8 +14,9 @@
 	"pinebay/internal/protocol"
 )
 
-// maxFrame bounds a frame of the mesh.
-const maxFrame = 64 << 10
+// maxFrame bounds a frame of the mesh: a body of the other interfaces with
+// what goes around it.
+const maxFrame = protocol.MaxBody + 4<<10
 
 // ErrNoPeer says that a peer cannot be reached.
 var ErrNoPeer = errors.New("peer not reachable")
@@ -96,6 +97,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	from := ""
+	var wmu sync.Mutex
 	for {
 		raw, err := ReadFrame(c)
 		if err != nil {
@@ -110,19 +112,31 @@
 			return
 		}
 		from = msg.From
-		reply := m.handle(msg)
-		reply.ID, reply.From = msg.ID, m.self
-		out, err := protocol.EncodeMesh(reply)
-		if err != nil {
-			m.log.Error("mesh reply", "err", err)
-			return
-		}
-		if err := c.SetWriteDeadline(time.Now().Add(m.timeout)); err != nil {
-			return
-		}
-		if err := WriteFrame(c, out); err != nil {
-			return
+		if msg.Kind != protocol.MeshBeat {
+			// What may wait for the leader must not hold up the beats behind it.
+			go m.answer(c, &wmu, msg)
+			continue
 		}
+		m.answer(c, &wmu, msg)
+	}
+}
+
+func (m *Mesh) answer(c net.Conn, wmu *sync.Mutex, msg *protocol.MeshMessage) {
+	reply := m.handle(msg)
+	reply.ID, reply.From = msg.ID, m.self
+	out, err := protocol.EncodeMesh(reply)
+	if err != nil {
+		m.log.Error("mesh reply", "err", err)
+		return
+	}
+	wmu.Lock()
+	defer wmu.Unlock()
+	err = c.SetWriteDeadline(time.Now().Add(m.timeout))
+	if err == nil {
+		err = WriteFrame(c, out)
+	}
+	if err != nil {
+		c.Close() // its reader ends, and the peer connects again
 	}
 }
 
