--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -612,6 +612,23 @@
 	return config.Seconds(j.ImageGB / t.FetchGBPerS * float64(fetches))
 }
 
+// Slows estimates by how much, in all, a fetch of the job's image would delay
+// other fetches on the machine, which share its rate.
+func (p *Part) Slows(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
+	t := p.types[m.Type]
+	if m.images[j.Image] != nil || t == nil || t.FetchGBPerS <= 0 {
+		return 0
+	}
+	whole := config.Seconds(j.ImageGB / t.FetchGBPerS)
+	sum := time.Duration(0)
+	for _, im := range m.images {
+		if im.ready > now {
+			sum += min(whole, im.ready-now)
+		}
+	}
+	return sum
+}
+
 // useImage notes that a machine will have an image, and which ones give way.
 func (p *Part) useImage(now time.Duration, m *Machine, j *protocol.Job) {
 	ready := now + p.Warm(now, m, j)
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -201,7 +201,7 @@
 // score orders machines that fit, lower is better, in seconds: the wait for
 // the image, then what packs tightly.
 func (c *Core) score(now time.Duration, j *job, x *candidate, l *limits) float64 {
-	s := c.part.Warm(now, x.m, &j.spec).Seconds()
+	s := c.part.Warm(now, x.m, &j.spec).Seconds() + c.part.Slows(now, x.m, &j.spec).Seconds()
 	s += x.free.Minus(j.need).Share(part.CapacityOf(x.kind))
 	if j.spec.Spread && l.perZone != nil {
 		s += float64(l.perZone[x.m.Zone]) / float64(j.spec.Tasks)
