Bound what crowds of waiting jobs cost, and the memory of returned machines

Jobs of a kind that has found no room are not tried further in the same cycle, eager cycles come less often as jobs grow, and returned machines are forgotten after twenty times the cancel time. BenchmarkCrowd: 5,000 waiting jobs on 130 machines.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -30,6 +30,11 @@
 // List asks the cloud for its list.
 type List struct{}
 
+// memoryCancels is how long a returned machine is remembered, in times that a
+// cancellation may take. Messages come minutes late; one that came later still
+// would bring up a machine that is silent, and so returned once more.
+const memoryCancels = 20
+
 type pool struct {
 	kind, zone string
 	spot       bool
@@ -51,6 +56,7 @@
 	listedAt  time.Duration
 	complete  time.Duration // when a whole list first came
 	firstSeen map[string]time.Duration
+	returned  map[string]time.Duration
 	failed    map[string]bool
 }
 
@@ -59,7 +65,7 @@
 	return &Fleet{
 		cloud: cloud, workers: workers, term: term, listedAt: math.MinInt64 / 2,
 		blocked: map[pool]time.Duration{}, refusals: map[pool]int{}, pending: map[string]pool{}, counts: map[string]int{},
-		releasing: map[string]bool{}, firstSeen: map[string]time.Duration{}, failed: map[string]bool{},
+		releasing: map[string]bool{}, firstSeen: map[string]time.Duration{}, returned: map[string]time.Duration{}, failed: map[string]bool{},
 	}
 }
 
@@ -79,6 +85,9 @@
 	for i := range list {
 		l := &list[i]
 		seen[l.Name] = true
+		if f.Gone(l.Name) {
+			continue // an old list
+		}
 		if _, ok := f.firstSeen[l.Name]; !ok {
 			f.firstSeen[l.Name] = now
 		}
@@ -87,9 +96,6 @@
 		}
 		m := p.Machine(l.Name)
 		if m == nil {
-			if f.goneNames(l.Name) {
-				continue // an old list: it is gone already
-			}
 			m = p.Ensure(now, l.Name)
 			m.Rented = now - config.Seconds(l.AgeS)
 		}
@@ -122,14 +128,12 @@
 	return gone
 }
 
-// returned remembers names that were released, so that old lists and late
-// reports do not bring them back.
-const returnedMark = time.Duration(math.MaxInt64 / 2)
-
-func (f *Fleet) goneNames(name string) bool { return f.firstSeen[name] == returnedMark }
-
-// Gone says whether the machine was released.
-func (f *Fleet) Gone(name string) bool { return f.goneNames(name) }
+// Gone says whether the machine was returned not long ago: old lists and late
+// reports must not bring it back.
+func (f *Fleet) Gone(name string) bool {
+	_, ok := f.returned[name]
+	return ok
+}
 
 // ListFailed notes that a list did not come.
 func (f *Fleet) ListFailed() { f.listing = false }
@@ -161,11 +165,17 @@
 
 // Released takes in the outcome of a release, and returns whether the machines
 // are proven gone.
-func (f *Fleet) Released(names []string, ok bool) {
+func (f *Fleet) Released(now time.Duration, names []string, ok bool) {
+	for n, at := range f.returned {
+		if now-at > config.Seconds(memoryCancels*f.workers.CancelS) {
+			delete(f.returned, n)
+		}
+	}
 	for _, n := range names {
 		delete(f.releasing, n)
 		if ok {
-			f.firstSeen[n] = returnedMark
+			f.returned[n] = now
+			delete(f.firstSeen, n)
 			delete(f.failed, n)
 		}
 	}
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -132,7 +133,7 @@
 	if got := released(f.Plan(2*s, p, nil)); len(got) != 1 || got[0] != "bad" {
 		t.Errorf("failed machine: %v", got)
 	}
-	f.Released([]string{"bad"}, true)
+	f.Released(2*s, []string{"bad"}, true)
 	p.Lost(2*s, "bad")
 	f.Listed(3*s, 2*s, p, []protocol.ListedMachine{{Name: "bad", Type: "g8", Zone: "a", State: protocol.MachineRunning}})
 	if p.Machine("bad") != nil {
@@ -161,3 +162,14 @@
 		}
 	}
 }
+
+// TestReturnedMachinesAreForgotten: the memory of returned machines is bounded.
+func TestReturnedMachinesAreForgotten(t *testing.T) {
+	f, _ := setup()
+	for i := range 1000 {
+		f.Released(time.Duration(i)*10*s, []string{fmt.Sprintf("m%d", i)}, true)
+	}
+	if n := len(f.returned); n > 100 || !f.Gone("m999") {
+		t.Errorf("%d returned machines remembered", n)
+	}
+}
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"strings"
 	"time"
 
 	"pinebay/internal/config"
@@ -27,6 +28,26 @@
 	kept map[int]part.Need
 }
 
+// manyAlike is after how many jobs of a kind that found no room the others of
+// the kind are not tried in the same cycle: thousands of jobs that wait must
+// not cost thousands of searches.
+const manyAlike = 16
+
+// kind is what the search for room depends on.
+type kind struct {
+	team, image, zone, types string
+	need                     part.Need
+	rank, placed             int
+	same, spread, spot       bool
+}
+
+func (j *job) kind() kind {
+	return kind{
+		team: j.spec.Team, image: j.spec.Image, zone: j.spec.Zone, types: strings.Join(j.spec.Types, " "), need: j.need,
+		rank: j.rank, placed: len(j.places), same: j.spec.SameZone, spread: j.spec.Spread, spot: j.spec.Spot,
+	}
+}
+
 // room is what a job may use of a candidate.
 func (c *Core) room(x *candidate, j *job) part.Need {
 	if k, ok := x.kept[j.rank]; ok && math.IsInf(c.waitAim(j.spec.Class), 1) {
@@ -82,11 +103,21 @@
 		c.consolidate(now, cands)
 	}
 	c.keep(now, cands)
+	failed := map[kind]int{}
 	for len(waiting) > 0 {
 		i := c.next(waiting)
 		j := waiting[i]
 		waiting = append(waiting[:i], waiting[i+1:]...)
+		k := j.kind()
+		if failed[k] >= manyAlike {
+			j.short++
+			continue
+		}
+		before := j.counts[pending]
 		c.place(now, j, cands)
+		if j.spec.Shape != protocol.Gang && j.counts[pending] == before {
+			failed[k]++
+		}
 	}
 	for _, j := range jobs {
 		c.rewarm(now, j, cands)
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -106,6 +106,10 @@
 	Eager = Cycle / 20
 )
 
+// crowd is how many jobs make the pause between eager cycles longer by once
+// itself, for a cycle's cost grows with them.
+const crowd = 500
+
 // Core is the leader's state.
 type Core struct {
 	cfg       *config.Deployment
@@ -362,7 +366,7 @@
 		c.log.Info("rented", "request", e.Request, "machines", len(e.Names), "refused", e.Refused)
 		c.fleet.Rented(now, e.Asked, c.part, e.Request, e.Names, e.Refused)
 	case Released:
-		c.fleet.Released(e.Names, e.OK)
+		c.fleet.Released(now, e.Names, e.OK)
 		if e.OK {
 			for _, n := range e.Names {
 				c.facts(now, c.part.Lost(now, n))
@@ -848,7 +852,7 @@
 // tick runs a cycle when it is time for one, and what goes with it.
 func (c *Core) tick(now time.Duration) {
 	full := now-c.lastCycle >= Cycle
-	if full || c.due && now-c.lastCycle >= Eager {
+	if full || c.due && now-c.lastCycle >= Eager*time.Duration(1+len(c.jobs)/crowd) {
 		c.lastCycle, c.due = now, false
 		c.cycles++
 		jobs := c.sorted()
--- /dev/null
+++ b/internal/coordination/scheduler/crowd_test.go
@@ -0,0 +1,32 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+)
+
+// BenchmarkCrowd shows what a cycle costs with thousands of jobs waiting for
+// full machines.
+func BenchmarkCrowd(b *testing.B) {
+	f := newBench([]config.Team{{Name: "red"}}, "a", "b")
+	for i := range 130 {
+		f.machine(fmt.Sprintf("m%03d", i), []string{"a", "b"}[i%2], false)
+	}
+	for i := range 5000 {
+		j := spec(fmt.Sprintf("j-%d", i), protocol.Array, "normal", 3, 1)
+		j.Image = fmt.Sprintf("i%d", i%10)
+		f.job(j)
+	}
+	for range 5 {
+		f.cycle()
+	}
+	for b.Loop() {
+		for i := range 130 {
+			f.machine(fmt.Sprintf("m%03d", i), []string{"a", "b"}[i%2], false)
+		}
+		f.cycle()
+	}
+}
