Prove withdrawn starts gone by the token instead of running and stopping them

Cause, found by reading: a new leader could send run and stop for a cancelled job's unconfirmed start, and on a machine that has the image that is a start, perhaps long after the cancel time.

--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -72,10 +72,8 @@
 	Saved    bool
 	Gone     bool // proven gone
 
-	Stopping  bool
-	GraceS    float64
-	StopAt    time.Duration
-	Cancelled bool
+	Stopping bool
+	GraceS   float64
 
 	sent     bool   // a run has left for the machine
 	runToken uint64 // with this token, the last time
@@ -261,6 +259,7 @@
 		m.Zone = pl.Zone
 	}
 	pl.Written, pl.sent, pl.Granted = true, true, now
+	pl.runToken = protocol.Token(p.term, 0) - 1 // whatever an earlier leader sent
 	p.add(m, pl)
 }
 
@@ -298,15 +297,14 @@
 
 // Stop asks that a placement ends. A run that has never left for the machine
 // needs no proof: the placement is gone at once, and Stop returns true.
-func (p *Part) Stop(now time.Duration, pl *Placement, graceS float64, cancelled bool) bool {
+func (p *Part) Stop(now time.Duration, pl *Placement, graceS float64) bool {
 	if pl.Gone {
 		return false
 	}
 	if !pl.Stopping {
-		pl.Stopping, pl.StopAt, pl.GraceS = true, now, graceS
+		pl.Stopping, pl.GraceS = true, graceS
 	}
 	pl.GraceS = min(pl.GraceS, graceS)
-	pl.Cancelled = pl.Cancelled || cancelled
 	if m := p.machines[pl.Machine]; m != nil {
 		m.RetryAt = 0
 	}
@@ -364,19 +362,41 @@
 		m.Notice = m.Notice || r.NoticeS != nil
 		clear(m.stray)
 	}
+	listed := make(map[protocol.TaskID]uint64, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		id, err := protocol.ParseTaskID(t.Name)
 		if err != nil {
 			continue // a stranger's task is nothing that we can command
 		}
+		listed[id] = t.Attempt
 		if f, ok := p.task(now, m, id, t, newer); ok {
 			facts = append(facts, f)
 		}
 	}
+	if newer {
+		facts = append(facts, p.absent(now, m, r.Token, listed)...)
+	}
 	return m, facts, newer
 }
 
+// absent finds the placements that are to end and are proven not to be there.
+// A worker refuses runs whose token is below the highest that it has seen. So
+// when it reports a token above all those that a run of the attempt was sent
+// with, none can be executed any more, and an attempt that it does not list is
+// not there and will not be. Without the token, absence proves nothing.
+func (p *Part) absent(now time.Duration, m *Machine, token uint64, listed map[protocol.TaskID]uint64) (facts []Fact) {
+	for _, pl := range sorted(m.placements) {
+		if !pl.Stopping || pl.Seen || pl.Session != m.Session || token <= pl.runToken || listed[pl.Task] == pl.Attempt {
+			continue
+		}
+		p.remove(now, m, pl)
+		p.dropFetch(now, m, pl)
+		facts = append(facts, Fact{pl, true})
+	}
+	return facts
+}
+
 // task takes in one task of a report.
 func (p *Part) task(now time.Duration, m *Machine, id protocol.TaskID, t *protocol.TaskReport, newer bool) (Fact, bool) {
 	pl := m.placements[id]
@@ -483,12 +503,9 @@
 					stop(pl.Task, pl.Attempt, pl.GraceS)
 				}
 			case pl.Stopping:
-				// A run may still be under way. Running and stopping it leaves an
-				// exited entry that makes the late copy harmless; but long after a
-				// cancel not even that moment is allowed.
-				if !pl.Cancelled || now-pl.StopAt < config.Seconds(p.workers.CancelS/2) {
-					run(pl)
-				}
+				// A run may still be under way. It is not repeated, for long after
+				// a cancel not even a moment on the machine is allowed; the raised
+				// epoch makes it invalid, and the next report tells (see absent).
 				stop(pl.Task, pl.Attempt, 0)
 			}
 		}
@@ -518,25 +535,37 @@
 func (p *Part) Token(m *Machine) uint64 { return protocol.Token(p.term, m.epoch) }
 
 // turn raises the machine's epoch when exited entries wait for it, so that
-// late copies of their runs are refused and the entries can be forgotten. It
-// waits for starts under way, which the change would only delay.
+// late copies of their runs are refused and the entries can be forgotten, or
+// when a start without an answer is to be withdrawn. It waits for commands and
+// starts under way, which the change would only delay.
 func (p *Part) turn(now time.Duration, m *Machine) {
 	pause := config.Seconds(p.workers.LeaseS / 2)
-	if m.Busy || now-m.turned < pause || m.epoch >= protocol.MaxEpoch {
+	if m.Busy || m.epoch >= protocol.MaxEpoch {
 		return
 	}
+	starting, withdraw := false, false
 	for _, pl := range m.placements {
-		if pl.Written && !pl.Seen {
-			return
+		switch {
+		case !pl.Written || pl.Seen || pl.Session != m.Session:
+		case !pl.Stopping:
+			starting = true
+		case pl.runToken >= p.Token(m):
+			withdraw = true
 		}
 	}
-	for _, e := range m.exits {
-		if e.settled && e.runToken >= p.Token(m) && now-e.at > pause {
-			m.epoch++
-			m.turned = now
-			return
+	settled := false
+	if !starting && now-m.turned >= pause {
+		for _, e := range m.exits {
+			if e.settled && e.runToken >= p.Token(m) && now-e.at > pause {
+				settled = true
+				break
+			}
 		}
 	}
+	if settled || withdraw {
+		m.epoch++
+		m.turned = now
+	}
 }
 
 // Urgent returns the machines that should be sent commands directly, since
--- a/internal/coordination/part/part_test.go
+++ b/internal/coordination/part/part_test.go
@@ -179,10 +179,10 @@
 	}
 }
 
-// TestWithdrawnStartsLeaveAnEntry: a run without an answer is withdrawn by run
-// and stop, which makes late copies harmless; long after a cancel not even
-// that moment is allowed, and the machine's next session is the proof.
-func TestWithdrawnStartsLeaveAnEntry(t *testing.T) {
+// TestWithdrawnStarts: a run without an answer is never repeated to withdraw
+// it. Absence proves it gone only in a report whose token is above the run's,
+// since the worker refuses the run from then on.
+func TestWithdrawnStarts(t *testing.T) {
 	p := newPart(2)
 	p.Report(0, report(1, 1, 0))
 	m := p.Machine("m1")
@@ -190,18 +190,34 @@
 	p.Grant(0, []*Placement{pl})
 	p.Start(pl)
 	p.Orders(0, m)
-	if p.Stop(1, pl, 0, true) {
+	sent := p.Token(m)
+	if p.Stop(1, pl, 0) {
 		t.Fatal("a run that may be under way was called gone")
 	}
-	if got := verbs(p.Orders(2, m)); got != "run stop " {
-		t.Errorf("soon after: %q", got)
+	if got := verbs(p.Orders(2, m)); got != "stop " || p.Token(m) <= sent {
+		t.Errorf("%q with token %d after %d", got, p.Token(m), sent)
 	}
-	if got := verbs(p.Orders(30*time.Second, m)); got != "stop " {
-		t.Errorf("long after: %q", got)
+	if _, f, _ := p.Report(3, report(1, 2, sent)); len(f) != 0 || pl.Gone {
+		t.Error("absence with the run's own token proved something")
 	}
+	if _, f, _ := p.Report(4, report(1, 3, p.Token(m))); len(f) != 1 || !f[0].Lost || !pl.Gone {
+		t.Errorf("absence with a higher token: %v", f)
+	}
+
+	adopted := placement(3, 1)
+	adopted.Session = 1
+	p.Adopt(5, adopted)
+	p.Stop(5, adopted, 0)
+	if _, f, _ := p.Report(6, report(1, 4, protocol.Token(1, 9))); len(f) != 0 {
+		t.Error("absence with an earlier leader's token proved something")
+	}
+	if _, f, _ := p.Report(7, report(1, 5, p.Token(m))); len(f) != 1 {
+		t.Errorf("absence with our token: %v", f)
+	}
+
 	never := placement(2, 1)
-	p.Grant(3, []*Placement{never})
-	if !p.Stop(3, never, 0, true) || !never.Gone {
+	p.Grant(8, []*Placement{never})
+	if !p.Stop(8, never, 0) || !never.Gone {
 		t.Error("a run that never left needs no proof")
 	}
 }
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -550,7 +550,7 @@
 func (c *Core) stopGang(now time.Duration, j *job) {
 	for _, pl := range placements(j) {
 		if !pl.Stopping || pl.GraceS > 0 {
-			c.stop(now, j, pl, 0, false)
+			c.stop(now, j, pl, 0)
 		}
 	}
 	j.stopping = len(j.places) > 0
@@ -566,8 +566,8 @@
 }
 
 // stop asks a placement to end, and takes in when that needs no proof.
-func (c *Core) stop(now time.Duration, j *job, pl *part.Placement, graceS float64, cancelled bool) {
-	if c.part.Stop(now, pl, graceS, cancelled) && !pl.Written && j.writing {
+func (c *Core) stop(now time.Duration, j *job, pl *part.Placement, graceS float64) {
+	if c.part.Stop(now, pl, graceS) && !pl.Written && j.writing {
 		// Its record may be written at this moment; it names a placement that
 		// was never started, which a later write replaces.
 		c.log.Debug("placement withdrawn before its record", "task", pl.Task)
@@ -580,7 +580,7 @@
 // stopJob stops everything of a job that is over.
 func (c *Core) stopJob(now time.Duration, j *job) {
 	for _, pl := range placements(j) {
-		c.stop(now, j, pl, 0, true)
+		c.stop(now, j, pl, 0)
 	}
 	c.sweep(now, j)
 }
@@ -814,7 +814,7 @@
 	j.granted = nil
 	for _, pl := range granted {
 		if !pl.Written {
-			c.stop(now, j, pl, 0, true)
+			c.stop(now, j, pl, 0)
 		}
 	}
 }
@@ -976,13 +976,13 @@
 		grace = j.spec.SaveS + c.cfg.Workers.GangPeerS
 	}
 	if j.spec.Shape != protocol.Gang {
-		c.stop(now, j, pl, grace, false)
+		c.stop(now, j, pl, grace)
 		return
 	}
 	j.stopping = true
 	for _, o := range placements(j) {
 		if !o.Stopping {
-			c.stop(now, j, o, grace, false)
+			c.stop(now, j, o, grace)
 		}
 	}
 }
--- a/internal/coordination/scheduler/move.go
+++ b/internal/coordination/scheduler/move.go
@@ -45,7 +45,7 @@
 			c.log.Info("moving", "task", pl.Task, "from", pl.Machine)
 		})
 		for _, pl := range c.placementsOn(x.m) {
-			c.stop(now, c.jobs[pl.Task.Job], pl, 0, false)
+			c.stop(now, c.jobs[pl.Task.Job], pl, 0)
 		}
 		return
 	}
@@ -133,7 +133,7 @@
 		c.log.Info("moving to a machine with the image", "task", pl.Task, "from", pl.Machine, "to", best.m.Name)
 		best.free = best.free.Minus(j.need)
 		best.m.Reserved, best.m.ReservedUntil = j.spec.ID, now+config.Seconds(2*c.cfg.Workers.ReportS)
-		c.stop(now, j, pl, 0, false)
+		c.stop(now, j, pl, 0)
 		return
 	}
 }
