Hand the memory of arrivals to the next leader; pause after a refused write

Cause: after a take-over spare room was reckoned from live jobs only, so classes of short jobs lost theirs. A write that the state service refuses for its form is now logged and paused for, not repeated ten times a second.

--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -275,6 +275,11 @@
 			return
 		case errors.Is(err, storage.ErrUncertain):
 			uncertain = true
+		case !errors.Is(err, storage.ErrUnavailable):
+			// Refused for its form: trying again at once would not help, and
+			// giving up would leave the books open.
+			l.Log.Error("write refused", "key", w.Verify, "err", err)
+			storage.Pause(l.ctx, 10*scheduler.Cycle)
 		}
 		storage.Pause(l.ctx, scheduler.Cycle/10)
 	}
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -771,7 +771,8 @@
 		as = as[1:]
 	}
 	c.arrivals[class] = as
-	if len(as) == 0 {
+	prior := c.prior[class] * math.Exp(-(now-c.began).Seconds()/memory.Seconds())
+	if len(as) == 0 && prior == 0 {
 		return 0
 	}
 	// A crowd that comes at once, as when a fleet is opened, tells little of
@@ -787,6 +788,10 @@
 	}
 	// What came in so short a time that it could not yet have aged counts as if
 	// it had come in a boot time or two.
+	c.counted[class] = sum + prior
+	if prior > 0 {
+		return 1.2 * (sum + prior) * boot.Seconds() / memory.Seconds()
+	}
 	seen := 1 - math.Exp(-max(now-as[0], 2*boot).Seconds()/memory.Seconds())
 	return 1.2 * sum * boot.Seconds() / memory.Seconds() / seen
 }
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -134,6 +134,8 @@
 	sample    map[string]*protocol.Job   // the newest job of each class
 	sizes     map[string]float64         // mean tasks of a job
 	spareNow  []fleet.Unit               // room wanted for jobs to come
+	counted   map[string]float64         // jobs in the memory of arrivals, by class
+	prior     map[string]float64         // what the last leader counted
 	warm      map[string]string          // images records as written
 	warming   bool
 	lastWarm  time.Duration
@@ -147,7 +149,7 @@
 		part: part.New(term, cfg.Workers), fleet: fleet.New(term, cfg.Cloud, cfg.Workers), jobs: map[string]*job{},
 		writes: map[uint64]func(time.Duration, Written){}, due: true, began: now, lastCycle: now - Cycle,
 		arrivals: map[string][]time.Duration{}, sample: map[string]*protocol.Job{}, sizes: map[string]float64{},
-		warm: map[string]string{}, lastWarm: now,
+		counted: map[string]float64{}, prior: map[string]float64{}, warm: map[string]string{}, lastWarm: now,
 	}
 	c.part.SetTypes(types)
 	c.recoverWarm(warm)
@@ -160,6 +162,10 @@
 		age := time.Duration(max(0, wallMS-rec.AtMS)) * time.Millisecond
 		c.accept(now, now-age, rec, p.Version)
 	}
+	for class := range c.prior {
+		// The last leader has counted those jobs that live.
+		delete(c.arrivals, class)
+	}
 	for _, p := range pages {
 		c.recoverPage(now, p)
 	}
@@ -192,6 +198,9 @@
 			}
 			c.part.Hint(m.Name, copies)
 		}
+		for _, a := range rec.Arrivals {
+			c.prior[a.Class], c.sizes[a.Class] = a.Jobs, a.Tasks
+		}
 		c.warm[p.Key] = "" // to be written anew, or else dropped
 	}
 }
@@ -228,6 +237,13 @@
 			}
 			rec.Machines = append(rec.Machines, m)
 		}
+		if page == 0 {
+			for class, jobs := range c.counted {
+				// Two digits are enough, and a quiet fleet writes nothing.
+				rec.Arrivals = append(rec.Arrivals, storage.ClassArrivals{Class: class, Jobs: math.Round(jobs*4) / 4, Tasks: c.sizes[class]})
+			}
+			sort.Slice(rec.Arrivals, func(a, b int) bool { return rec.Arrivals[a].Class < rec.Arrivals[b].Class })
+		}
 		raw, err := protocol.Encode(rec)
 		if err != nil || float64(len(raw)) > c.cfg.State.ValueKB*1024/2 {
 			continue // too many names for a hint
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -578,3 +578,42 @@
 		}
 	}
 }
+
+// TestNewLeaderKnowsTheArrivals: spare room does not vanish with a take-over,
+// and jobs that live are not counted twice.
+func TestNewLeaderKnowsTheArrivals(t *testing.T) {
+	cfg := []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Objectives = cfg
+	j := spec("j-1", protocol.Service, "normal", 2, 4)
+	j.Class = "quick"
+	var live []protocol.Pair
+	for i := range 40 {
+		if i%8 == 0 {
+			j.ID = fmt.Sprintf("j-%d", i)
+			b.job(j)
+			raw, err := protocol.Encode(storage.LiveRecord{Job: j, AtMS: b.now.Milliseconds()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			live = append(live, protocol.Pair{Key: storage.LiveKey(j.ID), Value: raw, Version: b.rev})
+		}
+		b.machine("m1", "a", false)
+		b.cycle()
+	}
+	var warm []protocol.Pair
+	for _, txn := range b.last {
+		for _, op := range txn.Then {
+			if op.Put == storage.WarmKey(0) {
+				warm = []protocol.Pair{{Key: op.Put, Value: op.Value, Version: 1}}
+			}
+		}
+	}
+	boot := 30 * time.Second
+	want := b.c.expected(b.now, "quick", boot)
+	next := New(0, b.c.cfg, b.c.log, 6, 2, []protocol.MachineType{*b.c.part.Type("g8")}, live, nil, warm, b.now.Milliseconds())
+	got := next.expected(0, "quick", boot)
+	if want == 0 || got < want/3 || got > want*1.2 {
+		t.Errorf("expects %v jobs after the take-over, %v before", got, want)
+	}
+}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -144,6 +144,17 @@
 	Images   []string      `msgpack:"i"`
 	SizesGB  []float64     `msgpack:"s"`
 	Machines []WarmMachine `msgpack:"m"`
+	// Arrivals holds, by class, how many jobs the fading memory counts. Only
+	// the first page has them.
+	Arrivals []ClassArrivals `msgpack:"a,omitempty"`
+}
+
+// ClassArrivals is what a leader remembers of a class's arrivals.
+type ClassArrivals struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Class    string
+	Jobs     float64
+	Tasks    float64 // of a job, in the mean
 }
 
 // WarmMachine is a machine with its images, as indices.
