Clear room past the aim only for replicas that have run

Cause: the rule for lost replicas also held for those that never ran, and made them wait and stop arrays instead of fetching.

--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -315,7 +315,7 @@
 			}
 			break
 		}
-		if j.spec.Shape != protocol.Gang && c.displace(now, j, x, cands, l) {
+		if j.spec.Shape != protocol.Gang && c.displace(now, j, t, x, cands, l) {
 			continue
 		}
 		x.free = x.free.Minus(j.need)
@@ -449,13 +449,13 @@
 // last longer than the class's aim on waiting. It clears such room of work
 // that is at least two steps lower in priority. Free room is no reason to make
 // a critical replica wait for a fetch of most of a minute.
-func (c *Core) displace(now time.Duration, j *job, x *candidate, cands []*candidate, l *limits) bool {
+func (c *Core) displace(now time.Duration, j *job, task int, x *candidate, cands []*candidate, l *limits) bool {
 	within := c.waitAim(j.spec.Class)
 	if math.IsInf(within, 1) {
 		return false
 	}
 	left := config.Seconds(within) - (now - j.known)
-	if left <= 0 && j.spec.Shape == protocol.Service {
+	if left <= 0 && j.ran[task] {
 		left = config.Seconds(within) // a replica that was lost should be back as soon
 	}
 	if left <= 0 || c.part.Warm(now, x.m, &j.spec) <= left {
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -467,6 +467,9 @@
 		}
 		if !pl.Gone {
 			if pl.State == protocol.TaskRunning && pl.Since == now {
+				if j.spec.Shape == protocol.Service {
+					j.ran[pl.Task.Task] = true
+				}
 				j.failures = max(0, j.failures-1)
 				c.log.Debug("running", "task", pl.Task, "class", j.spec.Class, "attempt", pl.Attempt, "machine", pl.Machine,
 					"waited", now-j.known, "placed", now-pl.Granted, "image", j.spec.Image)
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -35,6 +35,7 @@
 	counts  [3]int
 	low     int // no task below it is pending
 	places  map[int]*part.Placement
+	ran     map[int]bool // replicas that have run, and should be back soon if lost
 	pages   map[int]*page
 	perPage int
 
@@ -62,7 +63,7 @@
 	return &job{
 		spec: spec, need: part.NeedOf(&spec), rank: spec.Priority.Rank(), stamp: stamp, atMS: atMS, known: now,
 		tasks: make([]taskState, spec.Tasks), counts: [3]int{spec.Tasks, 0, 0},
-		places: map[int]*part.Placement{}, pages: map[int]*page{}, perPage: perPage, failedOn: map[string]bool{},
+		places: map[int]*part.Placement{}, ran: map[int]bool{}, pages: map[int]*page{}, perPage: perPage, failedOn: map[string]bool{},
 	}
 }
 
