--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -95,9 +95,7 @@
 	leader  string // of that term, as far as known
 	heard   time.Duration
 	keyTerm uint64
-	keyNode string
 	keyGone bool
-	keySeen bool
 	claimAt time.Duration // 0: none intended
 	shy     time.Duration // until then others should lead
 
@@ -222,9 +220,8 @@
 }
 
 func (m *Machine) key(now time.Duration, e Key) {
-	m.keySeen = true
 	if e.Present && e.Term >= m.keyTerm {
-		m.keyTerm, m.keyNode, m.keyGone = e.Term, e.Node, false
+		m.keyTerm, m.keyGone = e.Term, false
 		if e.Term > m.term || e.Term == m.term && m.leader == "" && m.role != Leading {
 			m.higher(now, e.Term, e.Node)
 		}
@@ -290,7 +287,7 @@
 	}
 	m.role, m.term, m.leader = Leading, e.Term, m.self
 	m.lease, m.renewed, m.asked, m.asking = e.Lease, e.Sent, now, false
-	m.keyGone, m.keyTerm, m.keyNode = false, e.Term, m.self
+	m.keyGone, m.keyTerm = false, e.Term
 	m.claimAt = 0
 	clear(m.acks)
 	m.out = append(m.out, Lead{e.Term, e.Stamp})
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -57,7 +57,6 @@
 	complete  time.Duration // when a whole list first came
 	firstSeen map[string]time.Duration
 	returned  map[string]time.Duration
-	failed    map[string]bool
 }
 
 // New returns the fleet of a term.
@@ -65,7 +64,7 @@
 	return &Fleet{
 		cloud: cloud, workers: workers, term: term, listedAt: math.MinInt64 / 2,
 		blocked: map[pool]time.Duration{}, refusals: map[pool]int{}, pending: map[string]pool{}, counts: map[string]int{},
-		releasing: map[string]bool{}, firstSeen: map[string]time.Duration{}, returned: map[string]time.Duration{}, failed: map[string]bool{},
+		releasing: map[string]bool{}, firstSeen: map[string]time.Duration{}, returned: map[string]time.Duration{},
 	}
 }
 
@@ -99,12 +98,10 @@
 			m = p.Ensure(now, l.Name)
 			m.Rented = now - config.Seconds(l.AgeS)
 		}
-		m.Listed = true
 		if !m.Up {
 			m.Addr, m.Type, m.Zone, m.Spot = l.Addr, l.Type, l.Zone, l.Spot
 		}
 		if l.State == protocol.MachineFailed {
-			f.failed[l.Name] = true
 			m.Condemned = true
 		}
 	}
@@ -119,7 +116,6 @@
 			gone = append(gone, name)
 		}
 		delete(f.firstSeen, name)
-		delete(f.failed, name)
 	}
 	sort.Strings(gone)
 	if f.complete == 0 {
@@ -176,7 +172,6 @@
 		if ok {
 			f.returned[n] = now
 			delete(f.firstSeen, n)
-			delete(f.failed, n)
 		}
 	}
 }
--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -99,8 +99,7 @@
 	Name, Addr, Type, Zone string
 	Spot                   bool
 	Session, Seq, Token    uint64
-	Up                     bool // its worker has been heard
-	Listed                 bool
+	Up                     bool          // its worker has been heard
 	Rented                 time.Duration // when the request was sent, as far as known
 	Heard                  time.Duration // last message, or when we began to listen
 	Notice                 bool          // the cloud takes it away
@@ -179,9 +178,6 @@
 	}
 }
 
-// Len returns the number of machines.
-func (p *Part) Len() int { return len(p.names) }
-
 // Usage returns what a team's tasks may be using.
 func (p *Part) Usage(team string) Need { return p.usage[team] }
 
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -128,7 +128,6 @@
 	due       bool // something relevant has arrived since the last cycle
 	lastCycle time.Duration
 	lastMove  time.Duration
-	cycles    uint64
 	began     time.Duration
 	arrivals  map[string][]time.Duration // by class, newest last
 	sample    map[string]*protocol.Job   // the newest job of each class
@@ -873,7 +872,6 @@
 	full := now-c.lastCycle >= Cycle
 	if full || c.due && now-c.lastCycle >= Eager*time.Duration(1+len(c.jobs)/crowd) {
 		c.lastCycle, c.due = now, false
-		c.cycles++
 		jobs := c.sorted()
 		c.notices(now)
 		c.schedule(now, jobs)
