--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -135,6 +135,17 @@
 // Count returns how many tasks may be on the machine.
 func (m *Machine) Count() int { return len(m.placements) }
 
+// Arrays returns the room that arrays take.
+func (m *Machine) Arrays() Need {
+	var n Need
+	for _, p := range m.placements {
+		if p.Job != nil && p.Job.Shape == protocol.Array {
+			n = n.Plus(p.Need)
+		}
+	}
+	return n
+}
+
 // Part is the set of machines that a controller owns.
 type Part struct {
 	term     uint64
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -233,7 +233,15 @@
 // the image, then what packs tightly.
 func (c *Core) score(now time.Duration, j *job, x *candidate, l *limits) float64 {
 	s := c.part.Warm(now, x.m, &j.spec).Seconds() + c.part.Slows(now, x.m, &j.spec).Seconds()
-	s += x.free.Minus(j.need).Share(part.CapacityOf(x.kind))
+	cap := part.CapacityOf(x.kind)
+	if warm := c.part.Warm(now, x.m, &j.spec); warm > config.Seconds(max(c.waitAim(j.spec.Class), x.kind.BootS)) {
+		// The fetch outlasts the aim and a boot. The next of its kind will want
+		// to start here without one, so room beside it, free or held by arrays,
+		// is worth having: half the fetch at most, as a warm machine stays better.
+		s += 1 - warm.Seconds()/2*x.free.Minus(j.need).Plus(x.m.Arrays()).Share(cap)
+	} else {
+		s += x.free.Minus(j.need).Share(cap)
+	}
 	if j.spec.Spread && l.perZone != nil {
 		s += float64(l.perZone[x.m.Zone]) / float64(j.spec.Tasks)
 	}
