Say once what stood twice: guarantees, the fixed seed, sorted names, warm time

next() had its own copy of owed(); eight test packages their own TestMain body; four places collected and sorted a map's keys by hand; score() estimated the same fetch twice on the hot path. Behaviour is unchanged; all tests keep their checks.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"os"
 	"strings"
 	"testing"
 
@@ -10,10 +9,7 @@
 	"pinebay/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	testkit.Seed()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m) }
 
 const good = `
 node = "n-0"
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,10 +10,7 @@
 	"pinebay/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	testkit.Seed()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m) }
 
 const ms = time.Millisecond
 
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -348,12 +350,7 @@
 func (f *Fleet) choose(now time.Duration, p *part.Part, u Unit, perZone map[string]int) (pool, bool) {
 	var best pool
 	bestCost := math.Inf(1)
-	names := make([]string, 0, len(p.Types()))
-	for n := range p.Types() {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	for _, n := range names {
+	for _, n := range slices.Sorted(maps.Keys(p.Types())) {
 		t := p.Type(n)
 		k := t.Fits(u.Job)
 		if k == 0 || !t.Allows(u.Job) {
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -22,10 +21,7 @@
 	"pinebay/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	testkit.Seed()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m) }
 
 type site struct {
 	t     testing.TB
--- a/internal/coordination/part/part_test.go
+++ b/internal/coordination/part/part_test.go
@@ -1,7 +1,6 @@
 package part
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -12,10 +11,7 @@
 	"pinebay/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	testkit.Seed()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m) }
 
 var kind = protocol.MachineType{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, CacheGB: 10, FetchGBPerS: 1, BootS: 30, Zones: []string{"a"}}
 
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -137,14 +139,6 @@
 // queue the oldest. The list is sorted by priority and age.
 func (c *Core) next(waiting []*job) int {
 	best := 0
-	within := func(j *job) bool {
-		t := c.cfg.Team(j.spec.Team)
-		if t == nil || t.CPUs == 0 && t.GPUs == 0 {
-			return false
-		}
-		u := c.part.Usage(j.spec.Team).Plus(j.need)
-		return (t.CPUs == 0 || u.CPUs <= t.CPUs) && (t.GPUs == 0 || u.GPUs <= t.GPUs)
-	}
 	if len(c.cfg.Teams) < 2 {
 		return 0
 	}
@@ -153,7 +147,7 @@
 		if j.spec.Team == b.spec.Team {
 			continue // the older or higher one of a team stands first
 		}
-		switch jw, bw := within(j), within(b); {
+		switch jw, bw := c.owed(j), c.owed(b); {
 		case jw != bw:
 			if jw {
 				best = i + 1
@@ -232,9 +226,10 @@
 // score orders machines that fit, lower is better, in seconds: the wait for
 // the image, then what packs tightly.
 func (c *Core) score(now time.Duration, j *job, x *candidate, l *limits) float64 {
-	s := c.part.Warm(now, x.m, &j.spec).Seconds() + c.part.Slows(now, x.m, &j.spec).Seconds()
+	warm := c.part.Warm(now, x.m, &j.spec)
+	s := warm.Seconds() + c.part.Slows(now, x.m, &j.spec).Seconds()
 	cap := part.CapacityOf(x.kind)
-	if warm := c.part.Warm(now, x.m, &j.spec); warm > config.Seconds(max(c.waitAim(j.spec.Class), x.kind.BootS)) {
+	if warm > config.Seconds(max(c.waitAim(j.spec.Class), x.kind.BootS)) {
 		// The fetch outlasts the aim and a boot. The next of its kind will want
 		// to start here without one, so room beside it, free or held by arrays,
 		// is worth having: half the fetch at most, as a warm machine stays better.
@@ -680,12 +675,7 @@
 			}
 		}
 	}
-	names := make([]string, 0, len(zones))
-	for z := range zones {
-		names = append(names, z)
-	}
-	sort.Strings(names)
-	return names
+	return slices.Sorted(maps.Keys(zones))
 }
 
 // spreadUnits deals tasks to zones as the job's spread demands.
@@ -717,12 +707,7 @@
 // machine takes to come up with their image.
 func (c *Core) spare(now time.Duration) []fleet.Unit {
 	var units []fleet.Unit
-	classes := make([]string, 0, len(c.sample))
-	for class := range c.sample {
-		classes = append(classes, class)
-	}
-	sort.Strings(classes)
-	for _, class := range classes {
+	for _, class := range slices.Sorted(maps.Keys(c.sample)) {
 		spec := c.sample[class]
 		within := c.waitAim(class)
 		boot, ready := 0.0, math.Inf(1)
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -212,11 +214,7 @@
 	}
 	c.lastWarm = now
 	copies := c.part.Copies(now)
-	names := make([]string, 0, len(copies))
-	for n := range copies {
-		names = append(names, n)
-	}
-	sort.Strings(names)
+	names := slices.Sorted(maps.Keys(copies))
 	per := storage.WarmMachines(c.cfg.State.ValueKB)
 	pages := map[string][]byte{}
 	for page := 0; page*per < len(names); page++ {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 	"testing"
 	"time"
 
@@ -16,10 +15,7 @@
 	"pinebay/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	testkit.Seed()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m) }
 
 // bench drives a core whose writes succeed at once and whose machines are
 // just reports.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"math"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -13,10 +12,7 @@
 	"pinebay/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	testkit.Seed()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m) }
 
 func word() *rapid.Generator[string] { return rapid.StringMatching(`[a-z][a-z0-9-]{0,20}`) }
 
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"reflect"
 	"strings"
 	"sync"
@@ -23,10 +22,7 @@
 	"pinebay/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	testkit.Seed()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m) }
 
 func client(t *testing.T, h http.Handler) *storage.Client {
 	srv := httptest.NewServer(h)
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -5,13 +5,19 @@
 import (
 	"flag"
 	"os"
+	"testing"
 
 	// Its flags must exist before the seed is set.
 	_ "pgregory.net/rapid"
 )
 
-// Seed fixes the seed; a test package calls it from its TestMain.
-func Seed() {
+// Main runs a package's tests with the fixed seed, from its TestMain.
+func Main(m *testing.M) {
+	fixSeed()
+	os.Exit(m.Run())
+}
+
+func fixSeed() {
 	seed := os.Getenv("PINEBAY_SEED")
 	if seed == "" {
 		seed = "20261"
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
 	"testing"
 	"time"
 
@@ -17,10 +16,7 @@
 	"pinebay/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	testkit.Seed()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m) }
 
 func TestFramesSurvive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
