--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -919,6 +919,8 @@
 	}
 	var up, empty, booting, silent int
 	var free, soft float64 // in machines
+	var ordinary, ordinaryFree float64
+	kept := map[string]float64{} // ordinary machines by class
 	c.part.Each(func(m *part.Machine) {
 		t := c.part.Type(m.Type)
 		switch {
@@ -932,10 +934,19 @@
 		}
 		up++
 		cap := part.CapacityOf(t)
-		free += 1 - cap.Minus(c.part.Free(m)).Share(cap)
+		unused := 1 - cap.Minus(c.part.Free(m)).Share(cap)
+		free += unused
+		if !m.Spot {
+			ordinary++
+			ordinaryFree += unused
+		}
 		m.Placements(func(pl *part.Placement) {
+			share := pl.Need.Share(cap)
 			if pl.Job.Shape == protocol.Array {
-				soft += pl.Need.Share(cap)
+				soft += share
+			}
+			if !m.Spot {
+				kept[pl.Job.Class] += share
 			}
 		})
 	})
@@ -947,7 +958,8 @@
 			want[u.Job.Class] += u.Count
 		}
 	}
-	c.log.Debug("fleet", "up", up, "empty", empty, "booting", booting, "silent", silent, "free", free, "arrays", soft, "wanted", want)
+	c.log.Debug("fleet", "up", up, "empty", empty, "booting", booting, "silent", silent, "free", free, "arrays", soft,
+		"ordinary", ordinary, "unused", ordinaryFree, "used", kept, "wanted", want)
 }
 
 // writeDue says whether a job's pages should be written now: at once when
