Take an image for granted only once a task has been seen past its fetch

Tasks that still fetched one image on several machines were then moved to each other's machines "with the image"; each fetch, left by its last task, began anew. At 43 s six replicas swapped, at 72 s again, and they ran at 110 s to 123 s instead of about 55 s. Ruled out: lack of room (40 of 104 machines were empty).

Now an image is certain only by a report; until then its fetch is thought to last on, up to a third longer and more. Handed on to the next leader are certain images only. A test shows the swap.

--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -90,10 +90,28 @@
 // image is a machine's copy of an image, as far as can be told.
 type image struct {
 	sizeGB float64
-	ready  time.Duration
+	ready  time.Duration // when it should be there, as the type's rate says
+	latest time.Duration // when at the latest, as fetches take up to a third longer
+	sure   bool          // a task that needs it has got past its fetch
 	used   time.Duration
 }
 
+// left estimates how long the machine still needs to have the image. A fetch
+// that should be over may go on: until a task has been seen past it, the image
+// is not taken for granted, or tasks would be moved from one unfinished fetch
+// to the next, and each would start from nothing.
+func (im *image) left(now time.Duration) time.Duration {
+	third := im.latest - im.ready
+	switch {
+	case im.sure:
+		return 0
+	case now < im.ready-third:
+		return im.ready - now
+	default:
+		return max(im.latest-now, third/2) / 2
+	}
+}
+
 // Machine is a rented machine.
 type Machine struct {
 	Name, Addr, Type, Zone string
@@ -203,7 +221,7 @@
 		exits: map[protocol.TaskID]*exit{}, stray: map[protocol.TaskID]uint64{}, images: map[string]*image{},
 	}
 	for _, c := range p.hints[name] {
-		m.images[c.Image] = &image{sizeGB: c.SizeGB, ready: now, used: now}
+		m.images[c.Image] = &image{sizeGB: c.SizeGB, sure: true, used: now}
 	}
 	delete(p.hints, name)
 	p.machines[name] = m
@@ -295,7 +313,7 @@
 func (p *Part) Refuse(now time.Duration, pl *Placement) {
 	if m := p.machines[pl.Machine]; m != nil {
 		p.remove(now, m, pl)
-		p.dropFetch(now, m, pl)
+		p.dropFetch(m, pl)
 	}
 }
 
@@ -398,7 +416,7 @@
 			continue
 		}
 		p.remove(now, m, pl)
-		p.dropFetch(now, m, pl)
+		p.dropFetch(m, pl)
 		facts = append(facts, Fact{pl, true})
 	}
 	return facts
@@ -434,7 +452,7 @@
 			m.Errors[id.Job] = true
 		}
 		if t.Cause != protocol.CauseDone {
-			p.dropFetch(now, m, pl)
+			p.dropFetch(m, pl)
 		}
 		return Fact{Placement: pl}, true
 	}
@@ -443,9 +461,9 @@
 		changed = true
 		if t.State != protocol.Fetching && pl.Job != nil {
 			if im := m.images[pl.Job.Image]; im != nil {
-				im.ready = min(im.ready, now)
+				im.sure = true
 			} else {
-				m.images[pl.Job.Image] = &image{sizeGB: pl.Job.ImageGB, ready: now, used: now}
+				m.images[pl.Job.Image] = &image{sizeGB: pl.Job.ImageGB, sure: true, used: now}
 			}
 		}
 	}
@@ -613,11 +631,11 @@
 }
 
 // Copies returns the images that machines have, as far as can be told.
-func (p *Part) Copies(now time.Duration) map[string][]Copy {
+func (p *Part) Copies() map[string][]Copy {
 	out := map[string][]Copy{}
 	for _, n := range p.names {
 		for name, im := range p.machines[n].images {
-			if im.ready <= now {
+			if im.sure {
 				out[n] = append(out[n], Copy{name, im.sizeGB})
 			}
 		}
@@ -633,7 +651,7 @@
 // Warm estimates how long a machine needs until it has the job's image.
 func (p *Part) Warm(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
 	if im := m.images[j.Image]; im != nil {
-		return max(0, im.ready-now)
+		return im.left(now)
 	}
 	t := p.types[m.Type]
 	if t == nil || t.FetchGBPerS <= 0 {
@@ -641,7 +659,7 @@
 	}
 	fetches := 1
 	for _, im := range m.images {
-		if im.ready > now {
+		if !im.sure {
 			fetches++
 		}
 	}
@@ -658,19 +676,17 @@
 	whole := config.Seconds(j.ImageGB / t.FetchGBPerS)
 	sum := time.Duration(0)
 	for _, im := range m.images {
-		if im.ready > now {
-			sum += min(whole, im.ready-now)
-		}
+		sum += min(whole, im.left(now))
 	}
 	return sum
 }
 
 // useImage notes that a machine will have an image, and which ones give way.
 func (p *Part) useImage(now time.Duration, m *Machine, j *protocol.Job) {
-	ready := now + p.Warm(now, m, j)
 	im := m.images[j.Image]
 	if im == nil {
-		im = &image{sizeGB: j.ImageGB, ready: ready}
+		whole := p.Warm(now, m, j)
+		im = &image{sizeGB: j.ImageGB, ready: now + whole, latest: now + whole*4/3}
 		m.images[j.Image] = im
 	}
 	im.used = now
@@ -694,12 +710,12 @@
 }
 
 // dropFetch forgets an image whose fetch was given up with its last task.
-func (p *Part) dropFetch(now time.Duration, m *Machine, pl *Placement) {
+func (p *Part) dropFetch(m *Machine, pl *Placement) {
 	if pl.Job == nil {
 		return
 	}
 	im := m.images[pl.Job.Image]
-	if im == nil || im.ready <= now {
+	if im == nil || im.sure {
 		return
 	}
 	for _, o := range m.placements {
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -213,7 +213,7 @@
 		return
 	}
 	c.lastWarm = now
-	copies := c.part.Copies(now)
+	copies := c.part.Copies()
 	names := slices.Sorted(maps.Keys(copies))
 	per := storage.WarmMachines(c.cfg.State.ValueKB)
 	pages := map[string][]byte{}
--- a/internal/coordination/scheduler/move.go
+++ b/internal/coordination/scheduler/move.go
@@ -112,7 +112,7 @@
 	for _, pl := range placements(j) {
 		m := c.part.Machine(pl.Machine)
 		if m == nil || !pl.Seen || pl.Stopping || pl.State != protocol.Fetching ||
-			c.fetchLeft(now, m, pl) < config.Seconds(3*c.cfg.Workers.ReportS) {
+			c.part.Warm(now, m, &j.spec) < config.Seconds(3*c.cfg.Workers.ReportS) {
 			continue
 		}
 		l := c.limits(j)
@@ -137,17 +137,3 @@
 		return
 	}
 }
-
-// fetchLeft estimates how long a fetch under way will last: fetches take the
-// type's time give or take a third.
-func (c *Core) fetchLeft(now time.Duration, m *part.Machine, pl *part.Placement) time.Duration {
-	t := c.part.Type(m.Type)
-	if t == nil || t.FetchGBPerS <= 0 {
-		return 0
-	}
-	whole := config.Seconds(pl.Job.ImageGB / t.FetchGBPerS)
-	if e := now - pl.Granted; e > whole*2/3 {
-		return max(0, (whole*4/3-e)/2)
-	}
-	return c.part.Warm(now, m, pl.Job)
-}
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -463,6 +463,43 @@
 	}
 }
 
+// TestFetchesThatTakeLongerAreNotSwapped: two machines fetch the same image and
+// take longer than the type's rate says. Neither task may be moved to the
+// other's machine, where the fetch would begin anew once its own task has left;
+// only when one is seen past its fetch does the other join it.
+func TestFetchesThatTakeLongerAreNotSwapped(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 40, Share: 0.9}}
+	one, two := protocol.TaskID{Job: "j-1"}, protocol.TaskID{Job: "j-2"}
+	fetching := func(id protocol.TaskID) protocol.TaskReport {
+		return protocol.TaskReport{Name: id.String(), Attempt: 1, State: protocol.Fetching}
+	}
+	for _, id := range []protocol.TaskID{one, two} {
+		b.machine("m-"+id.Job, "a", false)
+		j := spec(id.Job, protocol.Service, "critical", 1, 4)
+		j.Class, j.Image, j.ImageGB = "quick", "big", 40
+		b.job(j)
+		b.cycle()
+		b.machine("m-"+id.Job, "a", false, fetching(id))
+		b.c.part.Machine("m-j-1").Sick = id == one // so that each has its own
+	}
+	b.c.part.Machine("m-j-1").Sick = false
+	b.stops = map[protocol.TaskID]float64{}
+	for range 55 {
+		b.machine(b.on[one], "a", false, fetching(one))
+		b.machine(b.on[two], "a", false, fetching(two))
+		b.cycle()
+	}
+	if b.on[one] == b.on[two] || len(b.stops) > 0 {
+		t.Fatalf("on %s and %s, stopped %v", b.on[one], b.on[two], b.stops)
+	}
+	b.machine(b.on[one], "a", false, running(one, 1))
+	b.cycle()
+	if _, ok := b.stops[two]; !ok {
+		t.Error("the other task does not join the image that is there")
+	}
+}
+
 // TestRoomIsKeptForWaitAims: arrays of the same rank, which could not be
 // preempted for it, leave the room that a class with a wait aim is likely to
 // want; the class itself may use it.
