Replace a silent leader that keeps its key only in the company of a majority

The leader served the workers and renewed its key all along. Ruled out: a slow state service.

Now silence counts only while a majority is heard without the leader (since its connection ended, for the quick way); else the key's lease decides. A test with three and five controllers shows it, and that a leader which alone is cut off is still replaced at once.

--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -94,10 +94,12 @@
 	term    uint64 // highest known
 	leader  string // of that term, as far as known
 	heard   time.Duration
+	missed  time.Duration // when the leader's connection last ended
 	keyTerm uint64
 	keyGone bool
-	claimAt time.Duration // 0: none intended
-	shy     time.Duration // until then others should lead
+	claimAt time.Duration            // 0: none intended
+	shy     time.Duration            // until then others should lead
+	peerAt  map[string]time.Duration // when each peer was last heard; not there once its connection has ended
 
 	lease   uint64
 	renewed time.Duration // when the last confirmed renewal was sent
@@ -109,7 +111,7 @@
 
 // New returns a follower that knows nothing.
 func New(now time.Duration, self string, peers []string, t Times) *Machine {
-	return &Machine{self: self, peers: peers, times: t, heard: now, acks: map[string]time.Duration{}}
+	return &Machine{self: self, peers: peers, times: t, heard: now, peerAt: map[string]time.Duration{}, acks: map[string]time.Duration{}}
 }
 
 // View is what others may know of the machine.
@@ -137,9 +139,12 @@
 	case Key:
 		m.key(now, e)
 	case Beat:
+		m.peerAt[e.From] = now
 		m.beat(now, e)
 	case Lost:
+		delete(m.peerAt, e.Peer)
 		if m.role == Following && e.Peer == m.leader {
+			m.missed = now
 			// A live leader connects again within a beat.
 			m.intend(now + 2*m.times.Beat)
 		}
@@ -184,7 +189,7 @@
 		if m.claimAt == 0 && (now-m.heard > m.times.Silent || m.keyGone) {
 			m.intend(now)
 		}
-		if m.claimAt != 0 && now >= max(m.claimAt, m.shy) {
+		if m.claimAt != 0 && now >= max(m.claimAt, m.shy) && m.mayReplace(now) {
 			m.claimAt = 0
 			m.role = Claiming
 			m.out = append(m.out, Claim{Over: m.term})
@@ -204,6 +209,26 @@
 	}
 }
 
+// mayReplace says whether the silence of a leader whose key is there may be
+// taken for its end: only in the company of a majority. A controller that hears
+// hardly anybody is more likely to be cut off from the others itself, or they
+// all are from each other, while the leader serves the workers and keeps its
+// key. Without this the leadership went round from one to the next for as long
+// as connections between controllers were refused. The key's lease still ends
+// the term of a leader that is gone.
+func (m *Machine) mayReplace(now time.Duration) bool {
+	if m.keyGone || m.leader == "" || m.leader == m.self {
+		return true
+	}
+	n := 1
+	for _, at := range m.peerAt {
+		if now-at <= 3*m.times.Beat && at > m.missed+m.times.Beat/2 {
+			n++
+		}
+	}
+	return 2*n > len(m.peers)+1
+}
+
 // valid says whether the state service or a majority of the controllers has
 // confirmed the leadership lately.
 func (m *Machine) valid(now time.Duration) bool {
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -123,7 +123,7 @@
 // two, and when the trouble is over there is one leader, who stays.
 func TestOneLeaderPerTerm(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		g := newGroup(t, 3)
+		g := newGroup(t, rapid.SampledFrom([]int{1, 2, 3, 5}).Draw(t, "controllers"))
 		for range rapid.IntRange(0, 12).Draw(t, "troubles") {
 			n := rapid.SampledFrom(g.names).Draw(t, "node")
 			switch rapid.IntRange(0, 4).Draw(t, "trouble") {
@@ -263,3 +263,44 @@
 		}
 	})
 }
+
+// TestRefusedPeersKeepTheLeader: while controllers refuse each other's
+// connections, each hears nobody. The leader that renews its key stays;
+// a leader that alone is cut off is replaced although it renews its key.
+func TestRefusedPeersKeepTheLeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(t, rapid.SampledFrom([]int{3, 5}).Draw(t, "controllers"))
+		for range rapid.IntRange(60, 200).Draw(t, "ticks") {
+			g.tick()
+		}
+		leader, term := g.leaders()[0], g.term
+		for _, n := range g.names {
+			g.cut[n] = true
+			for _, o := range g.names {
+				if o != n && rapid.Bool().Draw(t, "reset") {
+					g.step(n, Lost{Peer: o})
+				}
+			}
+		}
+		for range rapid.IntRange(1, 400).Draw(t, "refused") {
+			g.tick()
+			if l := g.leaders(); len(l) != 1 || l[0] != leader || g.term != term {
+				t.Fatalf("leaders %v in term %d, before %s in %d", l, g.term, leader, term)
+			}
+		}
+		clear(g.cut)
+		for range 20 {
+			g.tick()
+		}
+		if l := g.leaders(); len(l) != 1 || l[0] != leader {
+			t.Fatalf("leaders %v afterwards", l)
+		}
+		g.cut[leader] = true
+		for end := g.now + times.Silent + 10*times.Step; g.now < end; {
+			g.tick()
+		}
+		if g.term == term {
+			t.Fatalf("%s is cut off and still not replaced", leader)
+		}
+	})
+}
