Keep room free of arrays for classes without time to clear it

At 90 s the fleet had free room for 22 whole machines and not one empty machine: arrays lay on all of them, and counted as spare room for the gangs.

Now spare room of a class counts arrays only where its aim leaves time for a fetch, a third longer, and a save; otherwise the room is kept free of lower work without such an aim, and rented for if need be. A test shows both sides. TestWarmRoomIsCleared places its array first, as it would be kept off now.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -21,6 +21,7 @@
 	Zone  string // the only zone that will do, or ""
 	Count int
 	Spare bool // kept ready for jobs to come, not for one that waits
+	Quick bool // spare that must be free: there is no time to clear arrays off it
 }
 
 // Rent asks for machines.
@@ -238,7 +239,7 @@
 // open is the room for a unit.
 func (r *room) open(u *Unit) part.Need {
 	n := r.free
-	if u.Spare {
+	if u.Spare && !u.Quick {
 		for i := max(0, u.Job.Priority.Rank()) + 1; i < ranks; i++ {
 			n = n.Plus(r.soft[i])
 		}
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -14,6 +14,9 @@
 	"pinebay/internal/protocol"
 )
 
+// lowestRank is the rank of the lowest priority.
+const lowestRank = 3
+
 // shortCycles is how many cycles a gang's partial room stays closed before
 // smaller jobs may backfill it, for one cycle at a time.
 const shortCycles = 3
@@ -59,7 +62,8 @@
 }
 
 // keep sets aside the room that classes with an aim on waiting are likely to
-// want soon. Against lower work it needs no keeping, for that can be preempted.
+// want soon. Against lower work it needs no keeping where there is time to
+// preempt that.
 func (c *Core) keep(now time.Duration, cands []*candidate) {
 	none := &limits{}
 	for _, u := range c.spareNow {
@@ -82,7 +86,9 @@
 			if best.kept == nil {
 				best.kept = map[int]part.Need{}
 			}
-			best.kept[j.rank] = best.kept[j.rank].Plus(j.need)
+			for rank := j.rank; rank == j.rank || u.Quick && rank <= lowestRank; rank++ {
+				best.kept[rank] = best.kept[rank].Plus(j.need)
+			}
 		}
 	}
 }
@@ -707,6 +713,12 @@
 // machine takes to come up with their image.
 func (c *Core) spare(now time.Duration) []fleet.Unit {
 	var units []fleet.Unit
+	save := 0.0
+	for _, spec := range c.sample {
+		if spec.Shape == protocol.Array && spec.CheckpointS > 0 {
+			save = max(save, spec.SaveS+c.cfg.Workers.ReportS)
+		}
+	}
 	for _, class := range slices.Sorted(maps.Keys(c.sample)) {
 		spec := c.sample[class]
 		within := c.waitAim(class)
@@ -725,6 +737,8 @@
 		if mean < 0.1 {
 			continue
 		}
+		// A fetch may take a third longer. Is there time left to clear room?
+		quick := within < (ready-boot)*4/3+save
 		jobs := mean + c.margin(class)*math.Sqrt(mean)
 		tasks := int(math.Round(jobs * c.sizes[class]))
 		if tasks == 0 {
@@ -733,12 +747,12 @@
 		if spec.Spread {
 			l := &limits{perZone: map[string]int{}, most: (tasks + 1) / 2}
 			for _, u := range c.spreadUnits(spec, l, tasks) {
-				u.Spare = true
+				u.Spare, u.Quick = true, quick
 				units = append(units, u)
 			}
 			continue
 		}
-		units = append(units, fleet.Unit{Job: spec, Count: tasks, Spare: true})
+		units = append(units, fleet.Unit{Job: spec, Count: tasks, Spare: true, Quick: quick})
 	}
 	return units
 }
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -435,18 +435,18 @@
 		b := newBench([]config.Team{{Name: "red"}}, "a")
 		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
 		b.machine("m1", "a", false)
-		first := spec("j-1", protocol.Service, "critical", 1, 4)
-		first.Class, first.Image, first.ImageGB = "quick", "big", 60
-		b.job(first)
-		b.cycle()
-		one := protocol.TaskID{Job: "j-1"}
-		b.machine("m1", "a", false, running(one, 1))
 		low := spec("j-2", protocol.Array, "normal", 1, 4)
 		low.CheckpointS, low.SaveS = 10, 2
 		b.job(low)
 		b.cycle()
 		two := protocol.TaskID{Job: "j-2"}
 		b.machine("m1", "a", false, running(two, 1))
+		first := spec("j-1", protocol.Service, "critical", 1, 4)
+		first.Class, first.Image, first.ImageGB = "quick", "big", 60
+		b.job(first)
+		b.cycle()
+		one := protocol.TaskID{Job: "j-1"}
+		b.machine("m1", "a", false, running(one, 1))
 		b.machine("m2", "a", false) // empty, without the image
 
 		next := first
@@ -528,6 +528,41 @@
 	}
 }
 
+// TestQuickRoomIsKeptFromLowerWork: a class whose fetch leaves no time to clear
+// room of arrays has its room kept free of them, and rented for if need be. At
+// many machines, arrays had else left no whole one free anywhere.
+func TestQuickRoomIsKeptFromLowerWork(t *testing.T) {
+	for _, x := range []struct {
+		within float64
+		tasks  int // of the array that may start
+	}{{50, 0}, {65, 8}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "big", WithinS: x.within, Share: 0.9}}
+		b.machine("m1", "a", false)
+		gang := spec("j-1", protocol.Gang, "urgent", 1, 8)
+		gang.Class, gang.Image, gang.ImageGB = "big", "big", 40
+		b.job(gang)
+		b.cycle()
+		b.machine("m1", "a", false, running(protocol.TaskID{Job: "j-1"}, 1))
+		b.cycle()
+		b.machine("m2", "a", false)
+		low := spec("j-2", protocol.Array, "normal", 8, 1)
+		low.CheckpointS, low.SaveS = 10, 2
+		b.job(low)
+		b.cycle()
+		if n := b.started("j-2"); n != x.tasks {
+			t.Errorf("aim of %v s: %d array tasks on the last whole machine, want %d", x.within, n, x.tasks)
+		}
+		gang.ID = "j-3"
+		b.machine("m2", "a", false)
+		b.job(gang)
+		b.cycle()
+		if x.tasks == 0 && b.started("j-3") != 1 {
+			t.Error("the room was kept from those it was kept for")
+		}
+	}
+}
+
 // TestNewLeaderKnowsTheImages: what one leader wrote down of the machines'
 // images leads the next one's tasks to the machine that has theirs.
 func TestNewLeaderKnowsTheImages(t *testing.T) {
