--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -713,12 +713,6 @@
 // machine takes to come up with their image.
 func (c *Core) spare(now time.Duration) []fleet.Unit {
 	var units []fleet.Unit
-	save := 0.0
-	for _, spec := range c.sample {
-		if spec.Shape == protocol.Array && spec.CheckpointS > 0 {
-			save = max(save, spec.SaveS+c.cfg.Workers.ReportS)
-		}
-	}
 	for _, class := range slices.Sorted(maps.Keys(c.sample)) {
 		spec := c.sample[class]
 		within := c.waitAim(class)
@@ -737,8 +731,9 @@
 		if mean < 0.1 {
 			continue
 		}
-		// A fetch may take a third longer. Is there time left to clear room?
-		quick := within < (ready-boot)*4/3+save
+		// Where a fetch that takes a third longer outlasts the aim, no time is
+		// left to clear room first.
+		quick := within < (ready-boot)*4/3
 		jobs := mean + c.margin(class)*math.Sqrt(mean)
 		tasks := int(math.Round(jobs * c.sizes[class]))
 		if tasks == 0 {
