Take cleared room when it is free, don't save what is not worth it, keep images in use

Causes, from logs: (1) tracereader and vanquery whose room had been cleared waited on, until their aim on waiting was over, for the very machine that was theirs: 12 s in the queue, then 8 s of fetch. (2) cryptvet waited 5 s for arrays to save 5 s of work on average. (3) some moved replicas were away for 1.2 s instead of 0.1 s: their image had been dropped by the machine, as our books counted it by when tasks had come, not by when they left. Each has a test that fails without it.

--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -301,6 +301,9 @@
 		return
 	}
 	delete(m.placements, pl.Task)
+	if pl.Job != nil && m.images[pl.Job.Image] != nil {
+		m.images[pl.Job.Image].used = now // until now
+	}
 	m.used = m.used.Minus(pl.Need)
 	p.usage[pl.Team] = p.usage[pl.Team].Minus(pl.Need)
 	if len(m.placements) == 0 {
@@ -694,11 +697,18 @@
 	if t == nil {
 		return
 	}
+	// What a task on the machine needs is in use, however long ago it started.
+	needed := map[string]bool{j.Image: true}
+	for _, pl := range m.placements {
+		if pl.Job != nil {
+			needed[pl.Job.Image] = true
+		}
+	}
 	for {
 		total, oldest := 0.0, ""
 		for name, im := range m.images {
 			total += im.sizeGB
-			if name != j.Image && (oldest == "" || im.used < m.images[oldest].used) {
+			if !needed[name] && (oldest == "" || im.used < m.images[oldest].used) {
 				oldest = name
 			}
 		}
--- a/internal/coordination/part/part_test.go
+++ b/internal/coordination/part/part_test.go
@@ -217,3 +217,45 @@
 		t.Error("a run that never left needs no proof")
 	}
 }
+
+// TestImagesInUseStay: the machine drops images that were used least lately. One
+// that a task needs is in use however long ago the task came, and was last used
+// when the task ended; taking it for dropped, or a dropped one for there, sends
+// replicas to fetches that nobody expects.
+func TestImagesInUseStay(t *testing.T) {
+	p := newPart(1)
+	seq := uint64(0)
+	say := func(now time.Duration, tasks ...protocol.TaskReport) {
+		seq++
+		p.Report(now, report(1, seq, 0, tasks...))
+	}
+	use := func(now time.Duration, n int, image string, sizeGB float64) {
+		say(now)
+		pl := placement(n, 1)
+		pl.Job.Image, pl.Job.ImageGB = image, sizeGB
+		if !p.Grant(now, []*Placement{pl}) {
+			t.Fatalf("no room for %s", image)
+		}
+		p.Start(pl)
+		say(now+time.Second, protocol.TaskReport{Name: task(n).String(), Attempt: 1, State: protocol.TaskRunning})
+	}
+	end := func(now time.Duration, n int) {
+		say(now, protocol.TaskReport{Name: task(n).String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseDone})
+	}
+	warm := func(now time.Duration, image string) bool {
+		return p.Warm(now, p.Machine("m1"), &protocol.Job{Image: image, ImageGB: 1}) == 0
+	}
+	use(0, 1, "old", 4) // runs on
+	use(10*time.Second, 2, "short", 4)
+	end(20*time.Second, 2)
+	use(30*time.Second, 3, "new", 4) // takes the place of one
+	if now := 40 * time.Second; !warm(now, "old") || warm(now, "short") || !warm(now, "new") {
+		t.Errorf("old %v, short %v, new %v", warm(now, "old"), warm(now, "short"), warm(now, "new"))
+	}
+	end(50*time.Second, 3)
+	end(60*time.Second, 1)
+	use(70*time.Second, 4, "next", 4)
+	if now := 80 * time.Second; !warm(now, "old") || warm(now, "new") {
+		t.Errorf("old, used last, %v; new %v", warm(now, "old"), warm(now, "new"))
+	}
+}
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -471,8 +471,10 @@
 		return false
 	}
 	for _, y := range cands {
-		if y.m.Reserved == j.spec.ID && now < y.m.ReservedUntil && !y.taken && l.allow(y.m.Zone) {
-			y.taken = true // cleared for one task of the job already
+		// Room that is free by now is no longer waited for: had it been the
+		// better one, the task would have got it.
+		if y.m.Reserved == j.spec.ID && now < y.m.ReservedUntil && !y.taken && l.allow(y.m.Zone) && !j.need.Fits(y.free) {
+			y.taken = true // being cleared for one task of the job already
 			l.perZone[y.m.Zone]++
 			return true
 		}
@@ -523,7 +525,11 @@
 	for _, v := range bestVictims {
 		if !v.Stopping {
 			c.log.Info("preempted", "task", v.Task, "for", j.spec.ID, "machine", v.Machine)
-			c.stopOrderly(now, v, within-c.part.Warm(now, best.m, &j.spec))
+			left := within - c.part.Warm(now, best.m, &j.spec)
+			if v.Job != nil && v.Job.SaveS >= v.Job.CheckpointS/2 {
+				left = 0 // to save takes as long as what is lost without, and the room is wanted
+			}
+			c.stopOrderly(now, v, left)
 		}
 		wait = max(wait, v.GraceS)
 	}
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -292,14 +292,15 @@
 // of the same priority never does.
 func TestPreemption(t *testing.T) {
 	for _, x := range []struct {
-		prio  protocol.Priority
-		grace float64
-		stops int
-	}{{"critical", 6, 1}, {"normal", 0, 0}} {
+		prio       protocol.Priority
+		checkpoint float64
+		grace      float64
+		stops      int
+	}{{"critical", 10, 6, 1}, {"critical", 4, 0, 1}, {"normal", 10, 0, 0}} {
 		b := newBench([]config.Team{{Name: "red"}}, "a")
 		b.machine("m1", "a", false)
 		low := spec("j-1", protocol.Array, "normal", 1, 8)
-		low.CheckpointS, low.SaveS = 10, 2
+		low.CheckpointS, low.SaveS = x.checkpoint, 2
 		b.job(low)
 		b.cycle()
 		id := protocol.TaskID{Job: "j-1"}
@@ -315,6 +316,38 @@
 	}
 }
 
+// TestClearedRoomIsTaken: room that was cleared for a task for want of any is
+// taken when it is free, although its fetch now lasts longer than what is left
+// of the aim on waiting. Waiting on for room with the image, which nobody was
+// clearing, had used up the whole aim.
+func TestClearedRoomIsTaken(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
+	b.machine("m1", "a", false)
+	low := spec("j-1", protocol.Gang, "urgent", 1, 8)
+	low.CheckpointS, low.SaveS = 30, 3
+	b.job(low)
+	b.cycle()
+	id := protocol.TaskID{Job: "j-1"}
+	b.machine("m1", "a", false, running(id, 1))
+	quick := spec("j-2", protocol.Service, "critical", 1, 8)
+	quick.Class, quick.Image, quick.ImageGB = "quick", "big", 9
+	b.job(quick)
+	for range 3 {
+		b.cycle()
+		b.machine("m1", "a", false, running(id, 1))
+	}
+	if _, stopped := b.stops[id]; !stopped {
+		t.Fatal("no room was cleared")
+	}
+	b.cycle()
+	b.machine("m1", "a", false, protocol.TaskReport{Name: id.String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseStopped, Saved: true})
+	b.cycle()
+	if b.started("j-2") != 1 {
+		t.Error("the cleared room was not taken")
+	}
+}
+
 // TestDoneIsRecordedOnce: the last task's exit ends the job in the same
 // transaction that drops its page, and nothing is written for it after.
 func TestDoneIsRecordedOnce(t *testing.T) {
