Pack replicas on fewer machines also while jobs wait

Packing only ran when nothing waited at all. It now comes last in a cycle, with the room that is left.

--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -107,9 +107,6 @@
 			cands = append(cands, &candidate{m: m, kind: t, free: c.part.Free(m)})
 		}
 	})
-	if len(waiting) == 0 {
-		c.consolidate(now, cands)
-	}
 	c.keep(now, cands)
 	failed := map[kind]int{}
 	for len(waiting) > 0 {
@@ -130,6 +127,8 @@
 	for _, j := range jobs {
 		c.rewarm(now, j, cands)
 	}
+	// Last, with the room that is left: what waits still could not use it.
+	c.consolidate(now, cands)
 }
 
 // waits says whether a job has tasks that may be placed now.
