Serve first, within a class, the gangs that can still meet an aim

Within a class those that can still start in time now come first, then those that can still be done in time, then the others, each by age. One that has waited twice its longest aim comes first again. A start counts once it has lasted the 30 s of the protocol.

--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -464,6 +464,7 @@
 		}
 		if !pl.Gone {
 			if pl.State == protocol.TaskRunning && pl.Since == now {
+				j.runAt = now
 				if j.spec.Shape == protocol.Service {
 					j.ran[pl.Task.Task] = true
 				}
@@ -512,6 +513,8 @@
 		}
 		return
 	}
+	j.begun = j.begun || j.runAt > 0 && now-j.runAt >= settled
+	j.runAt = 0
 	j.set(task, pending)
 	j.touch(task, now) // or its exited entry could never be forgotten
 	if !lost {
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -44,6 +44,8 @@
 	writing   bool
 	granted   []*part.Placement // wait for their record
 	stopping  bool              // gang: being stopped as a whole
+	runAt     time.Duration     // when a task of it was last seen to start running
+	begun     bool              // it has run so long that its start counts
 	short     int               // cycles in a row without enough room
 	notBefore time.Duration
 	failures  int
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -348,6 +348,41 @@
 	}
 }
 
+// TestLateGangsMakeRoom: when more is asked than can be done, a gang that can
+// still start in time goes before an older one of its class that is late
+// whatever is done; and that one comes first again in the end.
+func TestLateGangsMakeRoom(t *testing.T) {
+	for _, x := range []struct {
+		waited int // seconds, by the older gang
+		want   string
+	}{{5, "j-2"}, {25, "j-3"}, {70, "j-2"}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.cfg.Objectives = []config.Objective{
+			{Kind: "wait", Class: "big", WithinS: 20, Share: 0.9}, {Kind: "finished", Class: "big", WithinS: 30, Share: 0.9},
+		}
+		gang := spec("j-1", protocol.Gang, "urgent", 1, 8)
+		gang.Class, gang.EstimateS = "big", 20
+		b.machine("m1", "a", false)
+		b.job(gang)
+		b.cycle()
+		id := protocol.TaskID{Job: "j-1"}
+		b.machine("m1", "a", false, running(id, 1))
+		gang.ID = "j-2"
+		b.job(gang)
+		for range x.waited {
+			b.machine("m1", "a", false, running(id, 1))
+			b.cycle()
+		}
+		gang.ID = "j-3"
+		b.job(gang)
+		b.machine("m1", "a", false, protocol.TaskReport{Name: id.String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseDone})
+		b.cycle()
+		if b.started(x.want) != 1 || b.started("j-2")+b.started("j-3") != 1 {
+			t.Errorf("after %d s j-2 started %d, j-3 %d, want %s", x.waited, b.started("j-2"), b.started("j-3"), x.want)
+		}
+	}
+}
+
 // TestDoneIsRecordedOnce: the last task's exit ends the job in the same
 // transaction that drops its page, and nothing is written for it after.
 func TestDoneIsRecordedOnce(t *testing.T) {
