Room cleared for a job is closed to later jobs only, and while it is wanted

Reservations lasted 26 s, also for jobs that had found room elsewhere. Ruled out: held room, zones, silence of machines.

Jobs are walked in order, so a reservation needs to hold only against those that come after its owner, and only while the owner has tasks to place. A test shows the cases.

--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -96,8 +96,10 @@
 // schedule is the cycle: jobs by priority, then age, teams in turn.
 func (c *Core) schedule(now time.Duration, jobs []*job) {
 	var waiting []*job
+	c.cycles++
 	for _, j := range jobs {
 		if c.waits(now, j) {
+			j.queued = c.cycles
 			waiting = append(waiting, j)
 		}
 	}
@@ -114,6 +116,7 @@
 		i := c.next(waiting)
 		j := waiting[i]
 		waiting = append(waiting[:i], waiting[i+1:]...)
+		j.served = c.cycles
 		k := j.kind()
 		if failed[k] >= manyAlike {
 			j.short++
@@ -275,11 +278,26 @@
 }
 
 // fits is the predicate: whether the job allows the machine at all.
-func fits(now time.Duration, j *job, x *candidate, l *limits) bool {
+func (c *Core) fits(now time.Duration, j *job, x *candidate, l *limits) bool {
 	if x.m.Spot && !j.spec.Spot || !x.kind.Allows(&j.spec) || !l.allow(x.m.Zone) {
 		return false
 	}
-	return x.m.Reserved == "" || x.m.Reserved == j.spec.ID || now >= x.m.ReservedUntil
+	return !c.reserved(now, x.m, j.spec.ID)
+}
+
+// reserved says whether a machine's room is being cleared for another job that
+// goes before. A job that comes first may take it: did every gang keep what was
+// cleared for it, each could sit on a part of what one of them needs. And a job
+// that has found its room elsewhere keeps none.
+func (c *Core) reserved(now time.Duration, m *part.Machine, id string) bool {
+	if m.Reserved == "" || m.Reserved == id || now >= m.ReservedUntil {
+		return false
+	}
+	o := c.jobs[m.Reserved]
+	if o == nil || o.over || o.counts[pending] == 0 && !o.leaving() {
+		return false
+	}
+	return o.queued != c.cycles || o.served == c.cycles
 }
 
 // score orders machines that fit, lower is better, in seconds: the wait for
@@ -317,7 +335,7 @@
 func (c *Core) pick(now time.Duration, j *job, task int, cands []*candidate, l *limits) (best *candidate, haunted bool) {
 	bestScore := 0.0
 	for _, x := range cands {
-		if !j.need.Fits(c.room(x, j)) || !fits(now, j, x, l) {
+		if !j.need.Fits(c.room(x, j)) || !c.fits(now, j, x, l) {
 			continue
 		}
 		if x.m.Haunted(protocol.TaskID{Job: j.spec.ID, Task: task}) {
@@ -441,7 +459,7 @@
 	for range missing {
 		var best *candidate
 		for _, x := range cands {
-			if taken[x] || !fits(now, j, x, l) || !j.need.Fits(part.CapacityOf(x.kind)) {
+			if taken[x] || !c.fits(now, j, x, l) || !j.need.Fits(part.CapacityOf(x.kind)) {
 				continue
 			}
 			if best == nil || x.free.Share(part.CapacityOf(x.kind)) > best.free.Share(part.CapacityOf(best.kind)) {
@@ -558,7 +576,7 @@
 	var bestVictims []*part.Placement
 	bestCost := math.Inf(1)
 	for _, x := range cands {
-		if !fits(now, j, x, l) || x.m.Reserved == j.spec.ID && now < x.m.ReservedUntil || !j.need.Fits(part.CapacityOf(x.kind)) {
+		if !c.fits(now, j, x, l) || x.m.Reserved == j.spec.ID && now < x.m.ReservedUntil || !j.need.Fits(part.CapacityOf(x.kind)) {
 			continue
 		}
 		warm := c.part.Warm(now, x.m, &j.spec)
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -128,6 +128,7 @@
 	writes    map[uint64]func(now time.Duration, w Written)
 	seq       uint64
 	due       bool // something relevant has arrived since the last cycle
+	cycles    uint64
 	lastCycle time.Duration
 	lastMove  time.Duration
 	began     time.Duration
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -47,6 +47,8 @@
 	runAt     time.Duration     // when a task of it was last seen to start running
 	begun     bool              // it has run so long that its start counts
 	short     int               // cycles in a row without enough room
+	queued    uint64            // the last cycle in which it waited
+	served    uint64            // the last cycle in which it had its turn
 	notBefore time.Duration
 	failures  int
 	failedOn  map[string]bool
@@ -156,6 +158,16 @@
 	return ns
 }
 
+// leaving says whether tasks are being stopped, and will have to be placed anew.
+func (j *job) leaving() bool {
+	for _, pl := range j.places {
+		if pl.Stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // suspect says whether a job's tasks have failed on so many machines that the
 // job itself is likely to be at fault.
 func (j *job) suspect() bool { return len(j.failedOn) > 2 }
--- a/internal/coordination/scheduler/move.go
+++ b/internal/coordination/scheduler/move.go
@@ -59,7 +59,7 @@
 
 // movable says whether a machine holds nothing but a few settled replicas.
 func (c *Core) movable(now time.Duration, x *candidate) bool {
-	if x.m.Count() == 0 || x.m.Reserved != "" && now < x.m.ReservedUntil {
+	if x.m.Count() == 0 || c.reserved(now, x.m, "") {
 		return false
 	}
 	ok := true
@@ -83,7 +83,7 @@
 		for _, y := range cands {
 			if y == x || y.m.Zone != x.m.Zone || y.m.Spot || !y.kind.Allows(pl.Job) || share(y) < share(x) || y.m.Count() == 0 ||
 				y.m.Haunted(pl.Task) || len(y.m.Errors) > 0 || c.part.Warm(now, y.m, pl.Job) > 0 ||
-				y.m.Reserved != "" && now < y.m.ReservedUntil || !pl.Need.Fits(y.free.Minus(taken[y])) {
+				c.reserved(now, y.m, "") || !pl.Need.Fits(y.free.Minus(taken[y])) {
 				continue
 			}
 			if best == nil || share(y) > share(best) {
@@ -122,7 +122,7 @@
 		}
 		var best *candidate
 		for _, x := range cands {
-			if x.m != m && fits(now, j, x, l) && c.part.Warm(now, x.m, &j.spec) == 0 && j.need.Fits(c.room(x, j)) &&
+			if x.m != m && c.fits(now, j, x, l) && c.part.Warm(now, x.m, &j.spec) == 0 && j.need.Fits(c.room(x, j)) &&
 				!x.m.Haunted(pl.Task) && len(x.m.Errors) == 0 && (best == nil || c.score(now, j, x, l) < c.score(now, j, best, l)) {
 				best = x
 			}
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -383,6 +383,46 @@
 	}
 }
 
+// TestClearedRoomYieldsToEarlierJobs: room that is being cleared for one gang is
+// closed to later jobs, not to those that come first, and is open again once its
+// gang has found room elsewhere. Else gangs each sit on a part of what one needs.
+func TestClearedRoomYieldsToEarlierJobs(t *testing.T) {
+	for _, x := range []struct {
+		owner string // for whom the first machine is being cleared
+		want  map[string]int
+	}{{"j-2", map[string]int{"j-1": 2, "j-3": 0}}, {"j-0", map[string]int{"j-1": 2, "j-3": 0}}, {"j-1", map[string]int{"j-1": 2, "j-3": 0}}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.machine("m0", "a", false)
+		b.job(spec("j-0", protocol.Gang, "urgent", 1, 8))
+		b.cycle()
+		b.machine("m0", "a", false, running(protocol.TaskID{Job: "j-0"}, 1))
+		for _, m := range []string{"m1", "m2"} {
+			b.machine(m, "a", false)
+		}
+		b.job(spec("j-1", protocol.Gang, "urgent", 2, 8))
+		b.job(spec("j-2", protocol.Gang, "urgent", 2, 8))
+		b.job(spec("j-3", protocol.Array, "normal", 1, 1))
+		m := b.c.part.Machine("m1")
+		m.Reserved, m.ReservedUntil = x.owner, b.now+time.Minute
+		b.cycle()
+		for id, n := range x.want {
+			if got := b.started(id); got != n {
+				t.Errorf("cleared for %s: %s started %d tasks, want %d", x.owner, id, got, n)
+			}
+		}
+	}
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.machine("m1", "a", false)
+	b.job(spec("j-1", protocol.Service, "critical", 1, 16)) // fits nowhere
+	b.job(spec("j-2", protocol.Array, "normal", 1, 1))
+	m := b.c.part.Machine("m1")
+	m.Reserved, m.ReservedUntil = "j-1", b.now+time.Minute
+	b.cycle()
+	if b.started("j-2") != 0 {
+		t.Error("a later job took room that is being cleared")
+	}
+}
+
 // TestDoneIsRecordedOnce: the last task's exit ends the job in the same
 // transaction that drops its page, and nothing is written for it after.
 func TestDoneIsRecordedOnce(t *testing.T) {
