Don't wait for a save that would cost the preempting job its aim

Preempted work is now stopped without saving where the wait would make the other job late, and saved as before where it is late anyhow. Burst gangs lose at most the 30 s since their checkpoint.

--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -593,10 +593,11 @@
 		return false
 	}
 	wait := 0.0
+	patience := c.patience(now, j, c.part.Warm(now, best.m, &j.spec))
 	for _, v := range bestVictims {
 		if !v.Stopping {
 			c.log.Info("preempted", "task", v.Task, "for", j.spec.ID, "machine", v.Machine)
-			left := within - c.part.Warm(now, best.m, &j.spec)
+			left := patience
 			if v.Job != nil && v.Job.SaveS >= v.Job.CheckpointS/2 {
 				left = 0 // to save takes as long as what is lost without, and the room is wanted
 			}
@@ -611,6 +612,17 @@
 	return true
 }
 
+// patience is how long a job can wait for work to be saved and still start in
+// the time that its class's aim asks for. One that will be late anyhow, or has
+// no such aim, waits as long as it takes.
+func (c *Core) patience(now time.Duration, j *job, warm time.Duration) time.Duration {
+	within := c.waitAim(j.spec.Class)
+	if left := config.Seconds(within) - (now - j.known) - warm; !math.IsInf(within, 1) && left > 0 {
+		return left
+	}
+	return math.MaxInt64
+}
+
 // victims chooses the work that would have to leave a machine. Its cost is in
 // seconds of work lost or moved.
 func (c *Core) victims(now time.Duration, j *job, x *candidate, rank int) (out []*part.Placement, cost float64, ok bool) {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -294,10 +294,12 @@
 	for _, x := range []struct {
 		prio       protocol.Priority
 		checkpoint float64
+		aim        float64 // on waiting
 		grace      float64
 		stops      int
-	}{{"critical", 10, 6, 1}, {"critical", 4, 0, 1}, {"normal", 10, 0, 0}} {
+	}{{"critical", 10, 60, 6, 1}, {"critical", 4, 60, 0, 1}, {"critical", 10, 4, 0, 1}, {"normal", 10, 60, 0, 0}} {
 		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: x.aim, Share: 0.9}}
 		b.machine("m1", "a", false)
 		low := spec("j-1", protocol.Array, "normal", 1, 8)
 		low.CheckpointS, low.SaveS = x.checkpoint, 2
@@ -305,6 +307,7 @@
 		b.cycle()
 		id := protocol.TaskID{Job: "j-1"}
 		high := spec("j-2", protocol.Service, x.prio, 1, 4)
+		high.Class = "quick"
 		b.job(high)
 		for range 4 {
 			b.machine("m1", "a", false, running(id, 1))
