--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -320,8 +320,14 @@
 	}
 }
 
-// Start lets a placement's run go out, now that a record names it.
-func (p *Part) Start(pl *Placement) { pl.Written = true }
+// Start lets a placement's run go out, now that a record names it. The pause
+// after an earlier command is for repeats, not for what is new.
+func (p *Part) Start(pl *Placement) {
+	pl.Written = true
+	if m := p.machines[pl.Machine]; m != nil {
+		m.RetryAt = 0
+	}
+}
 
 // Stop asks that a placement ends. A run that has never left for the machine
 // needs no proof: the placement is gone at once, and Stop returns true.
--- a/internal/coordination/part/part_test.go
+++ b/internal/coordination/part/part_test.go
@@ -259,3 +259,31 @@
 		t.Errorf("old, used last, %v; new %v", warm(now, "old"), warm(now, "new"))
 	}
 }
+
+// TestNewStartsDontWait: the pause after an answered command keeps a run from
+// being repeated before the next report can tell of it; a new start must not
+// wait for it. At a report each 5 s that pause was more than some aims allow.
+func TestNewStartsDontWait(t *testing.T) {
+	p := newPart(1)
+	p.Report(0, report(1, 1, 0))
+	m := p.Machine("m1")
+	first, second := placement(1, 1), placement(2, 1)
+	now := 100 * time.Millisecond
+	for _, pl := range []*Placement{first, second} {
+		if !p.Grant(now, []*Placement{pl}) {
+			t.Fatal("no room")
+		}
+	}
+	p.Start(first)
+	if len(p.Urgent(now)) != 1 || len(p.Orders(now, m)) != 1 {
+		t.Fatal("the first start is not sent")
+	}
+	p.Answered(now, m, true)
+	if now += 10 * time.Millisecond; len(p.Urgent(now)) != 0 {
+		t.Error("a run is repeated at once")
+	}
+	p.Start(second)
+	if len(p.Urgent(now)) != 1 {
+		t.Error("a new start waits for the pause after the last command")
+	}
+}
