--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -94,6 +94,7 @@
 	term    uint64 // highest known
 	leader  string // of that term, as far as known
 	heard   time.Duration
+	company time.Duration // since when a majority has been heard; 0: it is not
 	missed  time.Duration // when the leader's connection last ended
 	keyTerm uint64
 	keyGone bool
@@ -186,6 +187,13 @@
 func (m *Machine) tick(now time.Duration) {
 	switch m.role {
 	case Following:
+		// When connections come back, the leader's may be the last to.
+		switch {
+		case !m.heardMost(now, 0):
+			m.company = 0
+		case m.company == 0:
+			m.company = now
+		}
 		if m.claimAt == 0 && (now-m.heard > m.times.Silent || m.keyGone) {
 			m.intend(now)
 		}
@@ -220,9 +228,15 @@
 	if m.keyGone || m.leader == "" || m.leader == m.self {
 		return true
 	}
+	return m.company != 0 && now-m.company >= 3*m.times.Beat && m.heardMost(now, m.missed+m.times.Beat/2)
+}
+
+// heardMost says whether a majority, with this controller, was heard lately and
+// since the given time.
+func (m *Machine) heardMost(now, since time.Duration) bool {
 	n := 1
 	for _, at := range m.peerAt {
-		if now-at <= 3*m.times.Beat && at > m.missed+m.times.Beat/2 {
+		if now-at <= 3*m.times.Beat && at > since {
 			n++
 		}
 	}
