--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -311,6 +311,10 @@
 		// to start here without one, so room beside it, free or held by arrays,
 		// is worth having: half the fetch at most, as a warm machine stays better.
 		s += 1 - warm.Seconds()/2*x.free.Minus(j.need).Plus(x.m.Arrays()).Share(cap)
+	} else if warm > 0 && warm.Seconds()*4/3 > c.waitAim(j.spec.Class) && x.m.Count() > 0 {
+		// The same for smaller fetches, but an empty machine is left to jobs that
+		// want a whole one.
+		s -= x.free.Minus(j.need).Plus(x.m.Arrays()).Share(cap)
 	} else {
 		s += x.free.Minus(j.need).Share(cap)
 	}
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -426,6 +426,33 @@
 	}
 }
 
+// TestColdReplicaLeavesRoomForTheNext: a replica that must fetch, for longer than
+// its class's aim, goes beside others where most room is left, so that the next
+// of its kind starts there without a fetch; not to an empty machine, which jobs
+// that want a whole one need.
+func TestColdReplicaLeavesRoomForTheNext(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 1, Share: 0.9}}
+	for i, gpus := range []float64{6, 3} {
+		name := fmt.Sprintf("m%d", i+1)
+		b.machine(name, "a", false)
+		j := spec(fmt.Sprintf("j-%d", i+1), protocol.Service, "critical", 1, gpus)
+		b.job(j)
+		b.cycle()
+		b.machine(name, "a", false, running(protocol.TaskID{Job: j.ID}, 1))
+		b.c.part.Machine("m1").Sick = i == 0 // so that each has its own
+	}
+	b.c.part.Machine("m1").Sick = false
+	b.machine("m0", "a", false)
+	quick := spec("j-3", protocol.Service, "critical", 1, 1)
+	quick.Class, quick.Image, quick.ImageGB = "quick", "small", 1
+	b.job(quick)
+	b.cycle()
+	if got := b.on[protocol.TaskID{Job: "j-3"}]; got != "m2" {
+		t.Errorf("the replica went to %q, want m2", got)
+	}
+}
+
 // TestDoneIsRecordedOnce: the last task's exit ends the job in the same
 // transaction that drops its page, and nothing is written for it after.
 func TestDoneIsRecordedOnce(t *testing.T) {
