--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -437,6 +437,7 @@
 		name := fmt.Sprintf("m%d", i+1)
 		b.machine(name, "a", false)
 		j := spec(fmt.Sprintf("j-%d", i+1), protocol.Service, "critical", 1, gpus)
+		j.CPUs, j.MemoryGB = 8*gpus, 32*gpus
 		b.job(j)
 		b.cycle()
 		b.machine(name, "a", false, running(protocol.TaskID{Job: j.ID}, 1))
