--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -228,7 +228,7 @@
 	name string
 	pool pool
 	free part.Need
-	// soft is what arrays of each rank take: room that a job of higher
+	// soft is what work of each rank that can save takes: room that a job of higher
 	// priority could have at once, and so as good as free for one to come.
 	soft [ranks]part.Need
 }
@@ -262,7 +262,7 @@
 		}
 		r := &room{name: m.Name, pool: pool{m.Type, m.Zone, m.Spot}, free: p.Free(m)}
 		m.Placements(func(pl *part.Placement) {
-			if pl.Job != nil && pl.Job.Shape == protocol.Array && pl.Job.CheckpointS > 0 {
+			if pl.Job != nil && pl.Job.Shape != protocol.Service && pl.Job.CheckpointS > 0 {
 				r.soft[pl.Rank] = r.soft[pl.Rank].Plus(pl.Need)
 			}
 		})
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -173,3 +173,30 @@
 		t.Errorf("%d returned machines remembered", n)
 	}
 }
+
+// TestSpareCountsWorkThatYields: room kept for jobs to come need not be empty
+// where lower work that can save holds it, unless there is no time to clear it.
+func TestSpareCountsWorkThatYields(t *testing.T) {
+	for _, x := range []struct {
+		shape      protocol.Shape
+		checkpoint float64
+		quick      bool
+		want       int
+	}{
+		{protocol.Array, 10, false, 0}, {protocol.Gang, 10, false, 0}, {protocol.Gang, 0, false, 1},
+		{protocol.Service, 10, false, 1}, {protocol.Array, 10, true, 1}, {protocol.Gang, 10, true, 1},
+	} {
+		f, p := setup()
+		f.Listed(2*s, 1*s, p, nil)
+		p.Report(2*s, &protocol.Report{Machine: "m1", Addr: "a", Type: "g8", Zone: "a", Session: 1, Seq: 1})
+		low := &protocol.Job{ID: "j-1", Shape: x.shape, Priority: "normal", GPUs: 8, CheckpointS: x.checkpoint}
+		pl := &part.Placement{Task: protocol.TaskID{Job: "j-1"}, Attempt: 1, Machine: "m1", Need: part.NeedOf(low), Rank: low.Priority.Rank(), Job: low}
+		if !p.Grant(2*s, []*part.Placement{pl}) {
+			t.Fatal("no room")
+		}
+		high := &protocol.Job{ID: "j-2", Shape: protocol.Service, Priority: "critical", GPUs: 8}
+		if n := count(rentals(f.Plan(3*s, p, []Unit{{Job: high, Count: 1, Spare: true, Quick: x.quick}}))); n != x.want {
+			t.Errorf("%+v: rented %d", x, n)
+		}
+	}
+}
