--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -659,6 +659,11 @@
 
 // Warm estimates how long a machine needs until it has the job's image.
 func (p *Part) Warm(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
+	return p.WarmWithout(now, m, j, nil)
+}
+
+// WarmWithout is Warm if those tasks left that the function names.
+func (p *Part) WarmWithout(now time.Duration, m *Machine, j *protocol.Job, leave func(*Placement) bool) time.Duration {
 	if im := m.images[j.Image]; im != nil {
 		return im.left(now)
 	}
@@ -667,8 +672,8 @@
 		return 0
 	}
 	fetches := 1
-	for _, im := range m.images {
-		if !im.sure {
+	for name, im := range m.images {
+		if !im.sure && !m.fetchedFor(name, leave) {
 			fetches++
 		}
 	}
@@ -678,14 +683,35 @@
 // Slows estimates by how much, in all, a fetch of the job's image would delay
 // other fetches on the machine, which share its rate.
 func (p *Part) Slows(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
+	return p.SlowsWithout(now, m, j, nil)
+}
+
+// fetchedFor says whether an image is fetched for nothing but tasks that the
+// function names.
+func (m *Machine) fetchedFor(image string, which func(*Placement) bool) bool {
+	if which == nil {
+		return false
+	}
+	for _, pl := range m.placements {
+		if pl.Job != nil && pl.Job.Image == image && !which(pl) {
+			return false
+		}
+	}
+	return true
+}
+
+// SlowsWithout is Slows if those tasks left that the function names.
+func (p *Part) SlowsWithout(now time.Duration, m *Machine, j *protocol.Job, leave func(*Placement) bool) time.Duration {
 	t := p.types[m.Type]
 	if m.images[j.Image] != nil || t == nil || t.FetchGBPerS <= 0 {
 		return 0
 	}
 	whole := config.Seconds(j.ImageGB / t.FetchGBPerS)
 	sum := time.Duration(0)
-	for _, im := range m.images {
-		sum += min(whole, im.left(now))
+	for name, im := range m.images {
+		if !im.sure && !m.fetchedFor(name, leave) {
+			sum += min(whole, im.left(now))
+		}
 	}
 	return sum
 }
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -303,8 +303,9 @@
 // score orders machines that fit, lower is better, in seconds: the wait for
 // the image, then what packs tightly.
 func (c *Core) score(now time.Duration, j *job, x *candidate, l *limits) float64 {
-	warm := c.part.Warm(now, x.m, &j.spec)
-	s := warm.Seconds() + c.part.Slows(now, x.m, &j.spec).Seconds()
+	yields := c.fetchesYield(j)
+	warm := c.part.WarmWithout(now, x.m, &j.spec, yields)
+	s := warm.Seconds() + c.part.SlowsWithout(now, x.m, &j.spec, yields).Seconds()
 	cap := part.CapacityOf(x.kind)
 	if warm > config.Seconds(max(c.waitAim(j.spec.Class), x.kind.BootS)) {
 		// The fetch outlasts the aim and a boot. The next of its kind will want
@@ -402,6 +403,7 @@
 		if j.spec.Shape != protocol.Gang && c.displace(now, j, t, x, cands, l) {
 			continue
 		}
+		c.hurry(now, j, x)
 		x.free = x.free.Minus(j.need)
 		l.perZone[x.m.Zone]++
 		if j.spec.SameZone {
@@ -517,6 +519,35 @@
 	}
 }
 
+// fetchesYield names, for a job with an aim on waiting, tasks that it may drive
+// off a machine to have the whole rate for its fetch: those of arrays at least two
+// steps lower in priority that are fetching, and lose nothing but that. In a
+// crowd, as when a fleet is opened, arrays had come first, and replicas that shared
+// the rate with them took twice as long to be up.
+func (c *Core) fetchesYield(j *job) func(*part.Placement) bool {
+	if j.spec.Shape == protocol.Gang || math.IsInf(c.waitAim(j.spec.Class), 1) {
+		return nil
+	}
+	return func(pl *part.Placement) bool {
+		return pl.Rank >= j.rank+2 && pl.Job != nil && pl.Job.Shape == protocol.Array && pl.Job.Image != j.spec.Image &&
+			(pl.State == "" || pl.State == protocol.Fetching)
+	}
+}
+
+// hurry stops the fetches that yield to a task's.
+func (c *Core) hurry(now time.Duration, j *job, x *candidate) {
+	yields := c.fetchesYield(j)
+	if yields == nil || c.part.Warm(now, x.m, &j.spec) == c.part.WarmWithout(now, x.m, &j.spec, yields) {
+		return
+	}
+	for _, pl := range c.placementsOn(x.m) {
+		if o := c.jobs[pl.Task.Job]; o != nil && !pl.Stopping && yields(pl) {
+			c.log.Info("stopped fetching", "task", pl.Task, "for", j.spec.ID, "machine", pl.Machine)
+			c.stop(now, o, pl, 0)
+		}
+	}
+}
+
 // waitAim is the shortest wait that the objectives ask for a class, in seconds.
 func (c *Core) waitAim(class string) float64 {
 	within := math.Inf(1)
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -454,6 +454,35 @@
 	}
 }
 
+// TestFetchingArraysMakeWay: in a crowd, arrays that came first fetch on every
+// machine. A replica takes a machine as if they had left, and they leave: they
+// lose nothing but a fetch, while it would take twice as long beside them. Arrays
+// that run stay.
+func TestFetchingArraysMakeWay(t *testing.T) {
+	for _, x := range []struct {
+		state protocol.TaskState
+		prio  protocol.Priority
+		stops int
+	}{{protocol.Fetching, "critical", 1}, {protocol.TaskRunning, "critical", 0}, {protocol.Fetching, "urgent", 0}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 40, Share: 0.9}}
+		b.machine("m1", "a", false)
+		low := spec("j-1", protocol.Array, "normal", 1, 1)
+		low.Image, low.ImageGB = "low", 20
+		b.job(low)
+		b.cycle()
+		id := protocol.TaskID{Job: "j-1"}
+		b.machine("m1", "a", false, protocol.TaskReport{Name: id.String(), Attempt: 1, State: x.state})
+		high := spec("j-2", protocol.Service, x.prio, 1, 2)
+		high.Class, high.Image, high.ImageGB = "quick", "high", 30
+		b.job(high)
+		b.cycle()
+		if b.started("j-2") != 1 || len(b.stops) != x.stops {
+			t.Errorf("%s beside %s: started %d, stopped %v", x.prio, x.state, b.started("j-2"), b.stops)
+		}
+	}
+}
+
 // TestDoneIsRecordedOnce: the last task's exit ends the job in the same
 // transaction that drops its page, and nothing is written for it after.
 func TestDoneIsRecordedOnce(t *testing.T) {
