--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -573,7 +573,7 @@
 	if left <= 0 && j.ran[task] {
 		left = config.Seconds(within) // a replica that was lost should be back as soon
 	}
-	if left <= 0 || c.part.Warm(now, x.m, &j.spec) <= left {
+	if left <= 0 || c.part.WarmWithout(now, x.m, &j.spec, c.fetchesYield(j)) <= left {
 		return false
 	}
 	for _, y := range cands {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -477,6 +477,7 @@
 		high.Class, high.Image, high.ImageGB = "quick", "high", 30
 		b.job(high)
 		b.cycle()
+		b.do(Tick{}) // the run goes out once the stop is answered
 		if b.started("j-2") != 1 || len(b.stops) != x.stops {
 			t.Errorf("%s beside %s: started %d, stopped %v", x.prio, x.state, b.started("j-2"), b.stops)
 		}
