--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -128,6 +128,7 @@
 	Relayed                bool // its reports come by another controller: it may be out of our reach
 	Busy                   bool // a direct command is on its way
 	RetryAt                time.Duration
+	fresh                  bool // something new is due since the command on its way left
 
 	epoch  uint64        // of the commands to it, within our term
 	turned time.Duration // when the epoch was raised
@@ -325,7 +326,7 @@
 func (p *Part) Start(pl *Placement) {
 	pl.Written = true
 	if m := p.machines[pl.Machine]; m != nil {
-		m.RetryAt = 0
+		m.RetryAt, m.fresh = 0, true
 	}
 }
 
@@ -340,7 +341,7 @@
 	}
 	pl.GraceS = min(pl.GraceS, graceS)
 	if m := p.machines[pl.Machine]; m != nil {
-		m.RetryAt = 0
+		m.RetryAt, m.fresh = 0, true
 	}
 	if !pl.sent {
 		p.Refuse(now, pl)
@@ -515,6 +516,7 @@
 func (p *Part) Orders(now time.Duration, m *Machine) []protocol.Command {
 	const maxOrders = 400
 	p.turn(now, m)
+	m.fresh = false
 	var out []protocol.Command
 	run := func(pl *Placement) {
 		pl.sent = true
@@ -630,7 +632,9 @@
 		m.RetryAt = now + config.Seconds(p.workers.ReportS)
 		return
 	}
-	m.RetryAt = now + config.Seconds(p.workers.ReportS/4)
+	if !m.fresh {
+		m.RetryAt = now + config.Seconds(p.workers.ReportS/4)
+	}
 }
 
 // Copy is a machine's copy of an image.
--- a/internal/coordination/part/part_test.go
+++ b/internal/coordination/part/part_test.go
@@ -283,7 +283,18 @@
 		t.Error("a run is repeated at once")
 	}
 	p.Start(second)
-	if len(p.Urgent(now)) != 1 {
+	if len(p.Urgent(now)) != 1 || len(p.Orders(now, m)) == 0 {
 		t.Error("a new start waits for the pause after the last command")
 	}
+	// The same for what comes up while a command is on its way.
+	m.Busy = true
+	third := placement(3, 1)
+	if !p.Grant(now, []*Placement{third}) {
+		t.Fatal("no room")
+	}
+	p.Start(third)
+	p.Answered(now, m, true)
+	if len(p.Urgent(now)) != 1 {
+		t.Error("a new start waits for the pause after the command that was on its way")
+	}
 }
