Keep a job's tasks off a machine that has failed one

Now a job avoids the machines that have failed it, also when room is rented, unless it fails everywhere; a job with tasks done is not taken for faulty.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -20,8 +20,9 @@
 	Job   *protocol.Job
 	Zone  string // the only zone that will do, or ""
 	Count int
-	Spare bool // kept ready for jobs to come, not for one that waits
-	Quick bool // spare that must be free: there is no time to clear arrays off it
+	Avoid map[string]bool // machines that will not do
+	Spare bool            // kept ready for jobs to come, not for one that waits
+	Quick bool            // spare that must be free: there is no time to clear arrays off it
 }
 
 // Rent asks for machines.
@@ -284,7 +285,7 @@
 		fits := func(r *room) bool {
 			t := p.Type(r.pool.kind)
 			return t != nil && t.Allows(u.Job) && (u.Zone == "" || u.Zone == r.pool.zone) &&
-				(u.Job.Zone == "" || u.Job.Zone == r.pool.zone) && (!r.pool.spot || u.Job.Spot) && need.Fits(r.open(&u))
+				(u.Job.Zone == "" || u.Job.Zone == r.pool.zone) && (!r.pool.spot || u.Job.Spot) && !u.Avoid[r.name] && need.Fits(r.open(&u))
 		}
 		for left > 0 {
 			var best *room
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -279,7 +279,7 @@
 
 // fits is the predicate: whether the job allows the machine at all.
 func (c *Core) fits(now time.Duration, j *job, x *candidate, l *limits) bool {
-	if x.m.Spot && !j.spec.Spot || !x.kind.Allows(&j.spec) || !l.allow(x.m.Zone) {
+	if x.m.Spot && !j.spec.Spot || !x.kind.Allows(&j.spec) || !l.allow(x.m.Zone) || j.avoids()[x.m.Name] {
 		return false
 	}
 	return !c.reserved(now, x.m, j.spec.ID)
@@ -755,10 +755,13 @@
 			l.zone = c.likelyZone(now, j)
 		}
 		if !j.spec.Spread || l.zone != "" {
-			units = append(units, fleet.Unit{Job: &j.spec, Zone: l.zone, Count: n})
+			units = append(units, fleet.Unit{Job: &j.spec, Zone: l.zone, Count: n, Avoid: j.avoids()})
 			continue
 		}
-		units = append(units, c.spreadUnits(&j.spec, l, n)...)
+		for _, u := range c.spreadUnits(&j.spec, l, n) {
+			u.Avoid = j.avoids()
+			units = append(units, u)
+		}
 	}
 	c.spareNow = c.spare(now)
 	return append(units, c.spareNow...)
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -499,7 +499,6 @@
 	case !lost && pl.Cause == protocol.CauseDone:
 		j.set(task, done)
 		j.touch(task, now)
-		clear(j.failedOn)
 		if j.spec.Shape == protocol.Gang {
 			// A gang completes together.
 			for t := range j.tasks {
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -169,8 +169,17 @@
 }
 
 // suspect says whether a job's tasks have failed on so many machines that the
-// job itself is likely to be at fault.
-func (j *job) suspect() bool { return len(j.failedOn) > 2 }
+// job itself is likely to be at fault. One that has done tasks is not.
+func (j *job) suspect() bool { return len(j.failedOn) > 2 && j.counts[done] == 0 }
+
+// avoids names the machines that a job's tasks should not go to again: those
+// that have failed one, unless it is the job that fails.
+func (j *job) avoids() map[string]bool {
+	if j.suspect() {
+		return nil
+	}
+	return j.failedOn
+}
 
 // standing is the job's state as its user should see it.
 func (j *job) standing() protocol.JobStatus {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -546,6 +546,36 @@
 	}
 }
 
+// TestFailingMachineIsNoSink: a machine that fails every task at once has room
+// again at once. The tasks of one large array must not go down it one after the
+// other; a machine is rented in its place, and the job is not taken for faulty.
+func TestFailingMachineIsNoSink(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.do(Listed{})
+	b.machine("m1", "a", false)
+	b.machine("m2", "a", false)
+	b.job(spec("j-1", protocol.Array, "normal", 40, 2))
+	failed, ran := map[protocol.TaskID]bool{}, 0
+	for range 30 {
+		b.cycle()
+		for id, c := range b.runs {
+			delete(b.runs, id)
+			r := protocol.TaskReport{Name: id.String(), Attempt: c.Attempt, State: protocol.Exited, Cause: protocol.CauseDone}
+			if b.on[id] == "m1" {
+				failed[id], r.Cause = true, protocol.CauseError
+			} else {
+				ran++
+			}
+			b.machine(b.on[id], "a", false, r)
+		}
+		b.machine("m1", "a", false)
+		b.machine("m2", "a", false)
+	}
+	if len(failed) > 4 || ran != 40 {
+		t.Errorf("%d tasks failed on the machine, %d ran elsewhere", len(failed), ran)
+	}
+}
+
 // TestTeamsAreServedInTurn: when more is asked than can be done, the queue of
 // one team does not shut out another's.
 func TestTeamsAreServedInTurn(t *testing.T) {
