Only tasks known to fetch make way; one number of priorities

Found by reading: after a take-over a recorded placement has no state until its machine reports, and an array that ran counted as fetching, so a replica could have stopped it at the cost of its progress. Only placements whose runs may not have left, or that are reported as fetching, yield now; the test has the case. The number of priorities stood in two packages.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -231,17 +231,17 @@
 	free part.Need
 	// soft is what work of each rank that can save takes: room that a job of higher
 	// priority could have at once, and so as good as free for one to come.
-	soft [ranks]part.Need
+	soft [Ranks]part.Need
 }
 
-// ranks is the number of priorities.
-const ranks = 4
+// Ranks is the number of priorities.
+const Ranks = 4
 
 // open is the room for a unit.
 func (r *room) open(u *Unit) part.Need {
 	n := r.free
 	if u.Spare && !u.Quick {
-		for i := max(0, u.Job.Priority.Rank()) + 1; i < ranks; i++ {
+		for i := max(0, u.Job.Priority.Rank()) + 1; i < Ranks; i++ {
 			n = n.Plus(r.soft[i])
 		}
 	}
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -14,9 +14,6 @@
 	"pinebay/internal/protocol"
 )
 
-// lowestRank is the rank of the lowest priority.
-const lowestRank = 3
-
 // shortCycles is how many cycles a gang's partial room stays closed before
 // smaller jobs may backfill it, for one cycle at a time.
 const shortCycles = 3
@@ -86,7 +83,7 @@
 			if best.kept == nil {
 				best.kept = map[int]part.Need{}
 			}
-			for rank := j.rank; rank == j.rank || u.Quick && rank <= lowestRank; rank++ {
+			for rank := j.rank; rank == j.rank || u.Quick && rank < fleet.Ranks; rank++ {
 				best.kept[rank] = best.kept[rank].Plus(j.need)
 			}
 		}
@@ -530,7 +527,7 @@
 	}
 	return func(pl *part.Placement) bool {
 		return pl.Rank >= j.rank+2 && pl.Job != nil && pl.Job.Shape == protocol.Array && pl.Job.Image != j.spec.Image &&
-			(pl.State == "" || pl.State == protocol.Fetching)
+			(!pl.Written || pl.State == protocol.Fetching) // one from an earlier term may run unseen
 	}
 }
 
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -463,7 +463,7 @@
 		state protocol.TaskState
 		prio  protocol.Priority
 		stops int
-	}{{protocol.Fetching, "critical", 1}, {protocol.TaskRunning, "critical", 0}, {protocol.Fetching, "urgent", 0}} {
+	}{{protocol.Fetching, "critical", 1}, {"", "critical", 0}, {protocol.TaskRunning, "critical", 0}, {protocol.Fetching, "urgent", 0}} {
 		b := newBench([]config.Team{{Name: "red"}}, "a")
 		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 40, Share: 0.9}}
 		b.machine("m1", "a", false)
@@ -472,7 +472,11 @@
 		b.job(low)
 		b.cycle()
 		id := protocol.TaskID{Job: "j-1"}
-		b.machine("m1", "a", false, protocol.TaskReport{Name: id.String(), Attempt: 1, State: x.state})
+		if x.state != "" { // else started, perhaps by an earlier leader, and not reported yet
+			b.machine("m1", "a", false, protocol.TaskReport{Name: id.String(), Attempt: 1, State: x.state})
+		} else {
+			b.c.jobs["j-1"].places[0].State = ""
+		}
 		high := spec("j-2", protocol.Service, x.prio, 1, 2)
 		high.Class, high.Image, high.ImageGB = "quick", "high", 30
 		b.job(high)
