Count a job's waiting from its submission, also after a change of leaders

Found by reading: a new leader took every job for just submitted, so aims on waiting, the order of gangs and the choice of victims began anew with each take-over. The record has the time of submission.

A test has a late and a fresh gang meet a new leader.

--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -333,7 +333,7 @@
 		}
 		return
 	}
-	j := newJob(rec.Job, stamp, rec.AtMS, now, c.perPage)
+	j := newJob(rec.Job, stamp, rec.AtMS, since, c.perPage)
 	c.jobs[id] = j
 	class := rec.Job.Class
 	c.arrivals[class] = append(c.arrivals[class], since)
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -804,6 +804,32 @@
 	}
 }
 
+// TestNewLeaderKnowsTheAges: how long a job has waited counts from its submission,
+// also for a leader that has just come: here, which gang can still start in time.
+func TestNewLeaderKnowsTheAges(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Objectives = []config.Objective{
+		{Kind: "wait", Class: "big", WithinS: 20, Share: 0.9}, {Kind: "finished", Class: "big", WithinS: 30, Share: 0.9},
+	}
+	const wallMS = 100_000
+	var live []protocol.Pair
+	for id, waitedMS := range map[string]int64{"j-1": 25_000, "j-2": 5_000} {
+		gang := spec(id, protocol.Gang, "urgent", 1, 8)
+		gang.Class, gang.EstimateS = "big", 20
+		value, err := protocol.Encode(storage.LiveRecord{Job: gang, AtMS: wallMS - waitedMS})
+		if err != nil {
+			t.Fatal(err)
+		}
+		live = append(live, protocol.Pair{Key: storage.LiveKey(id), Value: value, Version: 3})
+	}
+	b.c = New(0, b.c.cfg, b.c.log, 6, 2, []protocol.MachineType{*b.c.part.Type("g8")}, live, nil, nil, wallMS)
+	b.machine("m1", "a", false)
+	b.cycle()
+	if b.started("j-1") != 0 || b.started("j-2") != 1 {
+		t.Errorf("started %d of the late gang, %d of the other", b.started("j-1"), b.started("j-2"))
+	}
+}
+
 // TestLeaderOutOfReachGivesWay: a leader that most machines cannot reach lets
 // another lead; and a machine that only others reach gets its commands with
 // the answers that are passed on, not directly.
