Say once what a reservation and a hastened command are; name the slowest fetch

Found by reading the change whole: the test for a job's own reservation stood three times, lifting the pause before a command twice, and the third that a fetch may take longer in three places. Slows had been left without a caller. A comment said that a job's age began with the leader's knowledge of it, which is no longer so. No behaviour changes.

--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -96,6 +96,9 @@
 	used   time.Duration
 }
 
+// SlowFetch is how much longer than the type's rate says a fetch may take.
+const SlowFetch = 4.0 / 3
+
 // left estimates how long the machine still needs to have the image. A fetch
 // that should be over may go on: until a task has been seen past it, the image
 // is not taken for granted, or tasks would be moved from one unfinished fetch
@@ -151,6 +154,11 @@
 	}
 }
 
+// ReservedFor says whether room is being cleared on the machine for the job.
+func (m *Machine) ReservedFor(now time.Duration, job string) bool {
+	return m.Reserved == job && now < m.ReservedUntil
+}
+
 // Count returns how many tasks may be on the machine.
 func (m *Machine) Count() int { return len(m.placements) }
 
@@ -325,6 +333,11 @@
 // after an earlier command is for repeats, not for what is new.
 func (p *Part) Start(pl *Placement) {
 	pl.Written = true
+	p.hasten(pl)
+}
+
+// hasten lets the machine's next command go out without a pause.
+func (p *Part) hasten(pl *Placement) {
 	if m := p.machines[pl.Machine]; m != nil {
 		m.RetryAt, m.fresh = 0, true
 	}
@@ -340,9 +353,7 @@
 		pl.Stopping, pl.GraceS = true, graceS
 	}
 	pl.GraceS = min(pl.GraceS, graceS)
-	if m := p.machines[pl.Machine]; m != nil {
-		m.RetryAt, m.fresh = 0, true
-	}
+	p.hasten(pl)
 	if !pl.sent {
 		p.Refuse(now, pl)
 		return true
@@ -684,12 +695,6 @@
 	return config.Seconds(j.ImageGB / t.FetchGBPerS * float64(fetches))
 }
 
-// Slows estimates by how much, in all, a fetch of the job's image would delay
-// other fetches on the machine, which share its rate.
-func (p *Part) Slows(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
-	return p.SlowsWithout(now, m, j, nil)
-}
-
 // fetchedFor says whether an image is fetched for nothing but tasks that the
 // function names.
 func (m *Machine) fetchedFor(image string, which func(*Placement) bool) bool {
@@ -704,7 +709,9 @@
 	return true
 }
 
-// SlowsWithout is Slows if those tasks left that the function names.
+// SlowsWithout estimates by how much, in all, a fetch of the job's image would
+// delay other fetches on the machine, which share its rate, if those tasks left
+// that the function names.
 func (p *Part) SlowsWithout(now time.Duration, m *Machine, j *protocol.Job, leave func(*Placement) bool) time.Duration {
 	t := p.types[m.Type]
 	if m.images[j.Image] != nil || t == nil || t.FetchGBPerS <= 0 {
@@ -725,7 +732,7 @@
 	im := m.images[j.Image]
 	if im == nil {
 		whole := p.Warm(now, m, j)
-		im = &image{sizeGB: j.ImageGB, ready: now + whole, latest: now + whole*4/3}
+		im = &image{sizeGB: j.ImageGB, ready: now + whole, latest: now + time.Duration(float64(whole)*SlowFetch)}
 		m.images[j.Image] = im
 	}
 	im.used = now
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -309,7 +309,7 @@
 		// to start here without one, so room beside it, free or held by arrays,
 		// is worth having: half the fetch at most, as a warm machine stays better.
 		s += 1 - warm.Seconds()/2*x.free.Minus(j.need).Plus(x.m.Arrays()).Share(cap)
-	} else if warm > 0 && warm.Seconds()*4/3 > c.waitAim(j.spec.Class) && x.m.Count() > 0 {
+	} else if warm > 0 && warm.Seconds()*part.SlowFetch > c.waitAim(j.spec.Class) && x.m.Count() > 0 {
 		// The same for smaller fetches, but an empty machine is left to jobs that
 		// want a whole one.
 		s -= x.free.Minus(j.need).Plus(x.m.Arrays()).Share(cap)
@@ -576,7 +576,7 @@
 	for _, y := range cands {
 		// Room that is free by now is no longer waited for: had it been the
 		// better one, the task would have got it.
-		if y.m.Reserved == j.spec.ID && now < y.m.ReservedUntil && !y.taken && l.allow(y.m.Zone) && !j.need.Fits(y.free) {
+		if y.m.ReservedFor(now, j.spec.ID) && !y.taken && l.allow(y.m.Zone) && !j.need.Fits(y.free) {
 			y.taken = true // being cleared for one task of the job already
 			l.perZone[y.m.Zone]++
 			return true
@@ -592,7 +592,7 @@
 		return
 	}
 	for _, x := range cands {
-		if x.m.Reserved == j.spec.ID && now < x.m.ReservedUntil {
+		if x.m.ReservedFor(now, j.spec.ID) {
 			n-- // cleared already, and not yet free
 		}
 	}
@@ -608,7 +608,7 @@
 	var bestVictims []*part.Placement
 	bestCost := math.Inf(1)
 	for _, x := range cands {
-		if !c.fits(now, j, x, l) || x.m.Reserved == j.spec.ID && now < x.m.ReservedUntil || !j.need.Fits(part.CapacityOf(x.kind)) {
+		if !c.fits(now, j, x, l) || x.m.ReservedFor(now, j.spec.ID) || !j.need.Fits(part.CapacityOf(x.kind)) {
 			continue
 		}
 		warm := c.part.Warm(now, x.m, &j.spec)
@@ -857,7 +857,7 @@
 		}
 		// Where a fetch that takes a third longer outlasts the aim, no time is
 		// left to clear room first.
-		quick := within < (ready-boot)*4/3
+		quick := within < (ready-boot)*part.SlowFetch
 		jobs := mean + c.margin(class)*math.Sqrt(mean)
 		tasks := int(math.Round(jobs * c.sizes[class]))
 		if tasks == 0 {
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -29,7 +29,7 @@
 	rank  int
 	stamp uint64 // version of its live record; 0 once it is over
 	atMS  int64
-	known time.Duration // when this leader learnt of it
+	known time.Duration // when it was submitted, by this leader's clock
 
 	tasks   []taskState
 	counts  [3]int
