Plan the fleet by a clock of its own, also when every eager cycle has a reason

Cause: planning (rent, return, fence, list, images) ran only in a cycle that came a whole second after the last one. Ruled out: the guard against many silent machines (43 of 385 are fewer than a sixth).

--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -130,6 +130,7 @@
 	due       bool // something relevant has arrived since the last cycle
 	cycles    uint64
 	lastCycle time.Duration
+	lastPlan  time.Duration // when the fleet was last planned
 	lastMove  time.Duration
 	began     time.Duration
 	arrivals  map[string][]time.Duration // by class, newest last
@@ -149,7 +150,8 @@
 	c := &Core{
 		cfg: cfg, log: log, term: term, termStamp: termStamp, perPage: storage.PageTasks(cfg.State.ValueKB),
 		part: part.New(term, cfg.Workers), fleet: fleet.New(term, cfg.Cloud, cfg.Workers), jobs: map[string]*job{},
-		writes: map[uint64]func(time.Duration, Written){}, due: true, began: now, lastCycle: now - Cycle,
+		writes: map[uint64]func(time.Duration, Written){}, due: true, began: now,
+		lastCycle: now - Cycle, lastPlan: now - Cycle,
 		arrivals: map[string][]time.Duration{}, sample: map[string]*protocol.Job{}, sizes: map[string]float64{},
 		counted: map[string]float64{}, prior: map[string]float64{}, warm: map[string]string{}, lastWarm: now,
 	}
@@ -868,9 +870,12 @@
 	return list
 }
 
-// tick runs a cycle when it is time for one, and what goes with it.
+// tick runs a cycle when it is time for one, and what goes with it. The fleet has
+// a clock of its own: in a large one something relevant comes in every eager
+// cycle, and had planning waited for a cycle without, nothing would have been
+// rented, returned or fenced for minutes.
 func (c *Core) tick(now time.Duration) {
-	full := now-c.lastCycle >= Cycle
+	full := now-c.lastPlan >= Cycle
 	if full || c.due && now-c.lastCycle >= Eager*time.Duration(1+len(c.jobs)/crowd) {
 		c.lastCycle, c.due = now, false
 		jobs := c.sorted()
@@ -882,6 +887,7 @@
 			}
 		}
 		if full {
+			c.lastPlan = now
 			units := c.demand(now, jobs)
 			c.emit(c.fleet.Plan(now, c.part, units)...)
 			c.logFleet(now, units)
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"pinebay/internal/config"
+	"pinebay/internal/coordination/fleet"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 	"pinebay/internal/testkit"
@@ -234,6 +235,28 @@
 	}
 }
 
+// TestFleetIsPlannedInACrowd: however often something relevant arrives, the fleet
+// is planned once a second. With hundreds of machines every eager cycle had a
+// reason, and dead machines were not fenced for minutes.
+func TestFleetIsPlannedInACrowd(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	lists, until := 0, 30*time.Second
+	for i := 0; b.now < until; i++ {
+		b.now += Eager
+		b.job(spec(fmt.Sprintf("j-%d", i), protocol.Array, "normal", 1, 1))
+		for _, e := range b.c.Step(b.now, Tick{}) {
+			if _, ok := e.(fleet.List); ok {
+				lists++
+				b.do(Listed{Asked: b.now})
+			}
+		}
+	}
+	every := config.Seconds(b.c.cfg.Cloud.ListLagS/2) + Cycle // a list is asked for when the fleet is planned next
+	if want := int(until / every); lists < want {
+		t.Errorf("the machines were listed %d times, want %d", lists, want)
+	}
+}
+
 // TestGangRestartsWhole: when one of its tasks is gone, the others are stopped
 // and the gang starts again with one new attempt number, but only once all of
 // the old attempt is proven gone.
