Wait for the stragglers when a zone falls silent; fence up to a third of one

The wait now lasts a lease from the last time that a third of the zone was silent; a minority of a zone that falls silent is fenced however many machines it is.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -61,6 +61,7 @@
 	complete  time.Duration // when a whole list first came
 	firstSeen map[string]time.Duration
 	returned  map[string]time.Duration
+	darkUntil map[string]time.Duration // zones of which much has been silent lately
 }
 
 // New returns the fleet of a term.
@@ -69,6 +70,7 @@
 		cloud: cloud, workers: workers, term: term, listedAt: math.MinInt64 / 2,
 		blocked: map[pool]time.Duration{}, refusals: map[pool]int{}, pending: map[string]pool{}, counts: map[string]int{},
 		releasing: map[string]bool{}, firstSeen: map[string]time.Duration{}, returned: map[string]time.Duration{},
+		darkUntil: map[string]time.Duration{},
 	}
 }
 
@@ -180,29 +182,39 @@
 	}
 }
 
-// Silence fences machines: those that cannot be heard for a lease are
-// released, since only that proves their tasks gone. When many fall silent at
-// once, our own network is the likelier cause, and we wait.
+// silent fences machines: those that cannot be heard for a while are released,
+// since only that proves their tasks gone. When many of a zone fall silent at
+// once, the network is the likelier cause, and we wait; also for those that come
+// back later than the others, since workers that lost their controller need
+// until about then to find a way round, and each that is fenced is a healthy one.
 func (f *Fleet) silent(now time.Duration, p *part.Part) {
 	lease := config.Seconds(f.workers.LeaseS)
-	up, quiet := 0, 0
+	up, quiet := map[string]int{}, map[string]int{}
 	var dead []*part.Machine
 	p.Each(func(m *part.Machine) {
 		if !m.Up && m.Count() == 0 {
 			return
 		}
-		up++
+		up[m.Zone]++
 		if now-m.Heard > lease/2 {
-			quiet++
+			quiet[m.Zone]++
 		}
 		if now-m.Heard > lease*3/4 {
 			dead = append(dead, m)
 		}
 	})
-	many := quiet > max(2, up/6)
-	for i, m := range dead {
-		if many && (now-m.Heard < 3*lease || i > max(1, up/20)) {
-			continue
+	for zone, n := range quiet {
+		if n > max(2, up[zone]/3) {
+			f.darkUntil[zone] = now + lease
+		}
+	}
+	fenced := map[string]int{}
+	for _, m := range dead {
+		if now < f.darkUntil[m.Zone] {
+			if now-m.Heard < 3*lease || fenced[m.Zone] >= max(1, up[m.Zone]/20) {
+				continue
+			}
+			fenced[m.Zone]++
 		}
 		m.Condemned = true
 	}
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -147,18 +147,26 @@
 		t.Errorf("never came up: %v", got)
 	}
 
-	for _, x := range []struct{ machines, silent, want int }{{12, 1, 1}, {12, 8, 0}} {
+	for _, x := range []struct{ machines, silent, back, want int }{
+		{12, 1, 0, 1}, {12, 3, 0, 3}, {12, 8, 0, 0},
+		{12, 8, 7, 0}, // the last one to find its way is none to be fenced
+		{300, 60, 0, 60},
+	} {
 		f, p := setup()
 		f.Listed(1*s, 0, p, nil)
 		hear := func(now time.Duration, from int, seq uint64) {
 			for i := from; i < x.machines; i++ {
-				p.Report(now, &protocol.Report{Machine: string(rune('a' + i)), Addr: "x", Type: "g8", Zone: "a", Session: 1, Seq: seq})
+				p.Report(now, &protocol.Report{Machine: fmt.Sprintf("m%03d", i), Addr: "x", Type: "g8", Zone: "a", Session: 1, Seq: seq})
 			}
 		}
 		hear(10*s, 0, 1)
-		hear(21*s, x.silent, 2)
-		if got := released(f.Plan(21*s, p, nil)); len(got) != x.want {
-			t.Errorf("%d of %d silent: fenced %v", x.silent, x.machines, got)
+		hear(16*s, x.silent, 2)
+		if got := released(f.Plan(16*s, p, nil)); got != nil {
+			t.Errorf("%d of %d just silent: fenced %v", x.silent, x.machines, got)
+		}
+		hear(18*s, x.silent-x.back, 3)
+		if got := released(f.Plan(18*s, p, nil)); len(got) != x.want {
+			t.Errorf("%d of %d silent, %d back: fenced %v", x.silent, x.machines, x.back, got)
 		}
 	}
 }
