Relay workers that had the leader's word at once; end the lease with the term

A worker waits 4 s for it, 1 s to go on, is sent back to it, and waits 4 s again: with a lease of 15.25 s about half of them were killed before their reports were passed on. A worker whose token is of the leader's term has had its word, so its coming elsewhere says enough. After a lease it tries the leader again. The leader that gives way ends its lease, so the next need not wait out a silence. Idle machines that are silent are not returned, nor replaced while most of a zone is silent.

--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -80,8 +80,8 @@
 	Renew struct{ Lease, Term uint64 }
 	// Lead begins the leadership of a term.
 	Lead struct{ Term, Stamp uint64 }
-	// Yield ends the leadership of a term.
-	Yield struct{ Term uint64 }
+	// Yield ends the leadership of a term, and the lease that holds its key.
+	Yield struct{ Term, Lease uint64 }
 )
 
 // Machine is the state machine of one controller.
@@ -305,7 +305,7 @@
 }
 
 func (m *Machine) yield(now time.Duration) {
-	m.out = append(m.out, Yield{m.term})
+	m.out = append(m.out, Yield{m.term, m.lease})
 	m.role, m.lease, m.asking = Following, 0, false
 	m.heard = now
 	clear(m.acks)
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -70,6 +70,10 @@
 				g.t.Fatalf("term %d is led by %s and %s", o.Term, other, name)
 			}
 			g.leads[o.Term] = name
+		case Yield:
+			if !g.down[name] && g.lease == o.Lease {
+				g.present = false
+			}
 		}
 	}
 }
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -196,7 +196,7 @@
 			return
 		}
 		up[m.Zone]++
-		if now-m.Heard > lease/2 {
+		if now-m.Heard > p.Silent() {
 			quiet[m.Zone]++
 		}
 		if now-m.Heard > lease*3/4 {
@@ -270,8 +270,8 @@
 			return
 		}
 		perZone[m.Zone]++
-		if m.Up && now-m.Heard > p.Silent() {
-			return
+		if m.Up && now-m.Heard > p.Silent() && now >= f.darkUntil[m.Zone] {
+			return // not to be counted on, unless all of them are to come back
 		}
 		r := &room{name: m.Name, pool: pool{m.Type, m.Zone, m.Spot}, free: p.Free(m)}
 		m.Placements(func(pl *part.Placement) {
@@ -414,7 +414,8 @@
 		case m.Sick && m.Count() == 0, m.Notice && m.Count() == 0, m.Condemned:
 		case !m.Up && now-m.Rented > 4*boot && now-m.Heard > boot:
 			// It never came up, and is charged until it is deleted.
-		case m.Up && m.Count() == 0 && !used[m.Name] && f.Known() && now-m.IdleSince > boot/8 && now-m.Rented > time.Minute:
+		case m.Up && m.Count() == 0 && !used[m.Name] && f.Known() && now-m.IdleSince > boot/8 && now-m.Rented > time.Minute &&
+			now-m.Heard <= p.Silent():
 			// Idle beyond what is forecast; a machine is paid for a minute anyway.
 		default:
 			return
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -208,3 +208,24 @@
 		}
 	}
 }
+
+// TestSilentSpareStays: idle machines that cannot be heard for the moment, as when
+// the leader is cut off from all workers, are neither returned nor replaced. The
+// spare room of a whole fleet had been given back in such a moment.
+func TestSilentSpareStays(t *testing.T) {
+	f, p := setup()
+	f.Listed(1*s, 0, p, nil)
+	want := []Unit{{Job: &protocol.Job{ID: "j-1", GPUs: 8}, Count: 6, Spare: true}}
+	for i := range 6 {
+		p.Report(100*s, &protocol.Report{Machine: fmt.Sprintf("m%d", i), Addr: "x", Type: "g8", Zone: "a", Session: 1, Seq: 1})
+	}
+	for now := 101 * s; now < 110*s; now += s {
+		effects := f.Plan(now, p, want)
+		if got := released(effects); got != nil {
+			t.Errorf("at %v: returned %v", now, got)
+		}
+		if got := rentals(effects); got != nil {
+			t.Errorf("at %v: rented %v", now, got)
+		}
+	}
+}
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -909,7 +909,7 @@
 	direct, relayed := 0, 0
 	c.part.Each(func(m *part.Machine) {
 		switch {
-		case !m.Up || now-m.Heard > half:
+		case !m.Up || now-m.Heard > c.part.Silent():
 		case m.Relayed:
 			relayed++
 		default:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -183,10 +183,11 @@
 }
 
 // report takes a worker's report. The leader answers it; others send the worker
-// there, or pass its report on if it has been sent there and has come back.
+// there, or pass its report on if it comes from there and so cannot reach it.
 func (c *Controller) report(w http.ResponseWriter, r *http.Request) {
 	l := c.leading.Load()
-	leader := c.view.Load().Leader
+	view := c.view.Load()
+	leader := view.Leader
 	care := l == nil && c.caretaker()
 	if l == nil && !care && (leader == "" || leader == c.cfg.Node) {
 		c.redirect(w, "")
@@ -212,7 +213,8 @@
 	ctx, cancel := context.WithTimeout(r.Context(), reportPatience)
 	defer cancel()
 	if l == nil {
-		if c.turned.Back(rep.Machine, leader, c.now()) {
+		met := protocol.TermOf(rep.Token) == view.Term
+		if c.turned.Relay(rep.Machine, leader, met, c.now()) {
 			c.relay(ctx, w, leader, raw)
 		} else {
 			c.redirect(w, leader)
@@ -399,6 +401,12 @@
 		}
 	case election.Yield:
 		c.log.Info("yielding", "term", e.Term)
+		// Its key ends with the lease, and others need not wait for that.
+		go func() {
+			if err := c.store.EndLease(ctx, e.Lease); err != nil {
+				c.log.Debug("lease not ended", "err", err)
+			}
+		}()
 		if l := c.leading.Load(); l != nil && l.Term() == e.Term {
 			c.leading.Store(nil)
 			l.Stop()
--- a/internal/daemon/turned.go
+++ b/internal/daemon/turned.go
@@ -5,38 +5,58 @@
 	"time"
 )
 
-// Turned remembers which machines were sent to the leader. One that comes back
-// soon after cannot reach it, although we can: its reports are passed on, or
-// its lease would run out while it goes round in a circle.
+// Turned remembers which machines were sent to the leader. One that comes from
+// there cannot reach it, although we can: its reports are passed on, or its
+// lease would run out while it goes round in a circle. After a lease it is sent
+// to the leader once more, for commands reach it sooner there.
 type Turned struct {
 	mu     sync.Mutex
-	keep   time.Duration
+	lease  time.Duration
 	leader string
-	when   map[string]time.Duration
+	seen   map[string]visit
 }
 
-// NewTurned returns an empty memory that keeps a machine for some leases.
+// visit is when a machine last came and since when its reports are passed on;
+// 0 if they are not.
+type visit struct{ last, since time.Duration }
+
+// keepLeases is how long a machine that was sent away is remembered.
+const keepLeases = 3
+
+// NewTurned returns an empty memory.
 func NewTurned(lease time.Duration) *Turned {
-	return &Turned{keep: 3 * lease, when: map[string]time.Duration{}}
+	return &Turned{lease: lease, seen: map[string]visit{}}
 }
 
-// Back notes that a machine is here although the named node leads, and says
-// whether it has been sent there before.
-func (t *Turned) Back(machine, leader string, now time.Duration) bool {
+// Relay notes that a machine is here although the named node leads, and says
+// whether its report should be passed on. met says that it has had the leader's
+// word, and so would be there if it could.
+func (t *Turned) Relay(machine, leader string, met bool, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if leader != t.leader {
 		t.leader = leader
-		clear(t.when)
+		clear(t.seen)
+	}
+	v, known := t.seen[machine]
+	recent := known && now-v.last <= keepLeases*t.lease
+	switch {
+	case recent && v.since > 0 && now-v.since > t.lease:
+		v.since = 0 // time for another try
+	case recent && v.since > 0:
+	case recent || met:
+		v.since = now
+	default:
+		v.since = 0
 	}
-	at, ok := t.when[machine]
-	t.when[machine] = now
-	if len(t.when) > 1 && !ok {
-		for m, at := range t.when {
-			if now-at > t.keep {
-				delete(t.when, m)
+	v.last = now
+	t.seen[machine] = v
+	if !known {
+		for m, o := range t.seen {
+			if now-o.last > keepLeases*t.lease {
+				delete(t.seen, m)
 			}
 		}
 	}
-	return ok && now-at <= t.keep
+	return v.since > 0
 }
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -251,6 +251,12 @@
 	return err
 }
 
+// EndLease ends a lease at once, and removes the keys attached to it.
+func (c *Client) EndLease(ctx context.Context, lease uint64) error {
+	_, _, err := c.call(ctx, Urgent, 0, http.MethodDelete, "/grants/"+strconv.FormatUint(lease, 10), nil)
+	return err
+}
+
 // Watch waits up to wait for changes after rev to keys with the prefix.
 func (c *Client) Watch(ctx context.Context, prefix string, rev uint64, wait time.Duration) (*protocol.Events, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+2*c.timeout)
