--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -25,9 +25,28 @@
 	free part.Need // less what was granted or is held in this cycle
 	// taken says that the room reserved on it is spoken for in this cycle.
 	taken bool
-	// kept is room for jobs to come, against work of the same rank that has no
-	// aim on waiting and could not be preempted for them.
-	kept map[int]part.Need
+	// kept is room for jobs to come.
+	kept []kept
+}
+
+// kept is room for jobs to come of a class, against work of the given rank that
+// can wait for longer. Of the class's own rank, it could not be preempted for them.
+type kept struct {
+	rank int
+	aim  float64 // the class's on waiting, in seconds
+	need part.Need
+}
+
+// less is what is left of the free room for work of the rank with that aim on
+// waiting.
+func (x *candidate) less(rank int, aim float64) part.Need {
+	n := x.free
+	for _, k := range x.kept {
+		if k.rank == rank && k.aim < aim {
+			n = n.Minus(k.need)
+		}
+	}
+	return n
 }
 
 // manyAlike is after how many jobs of a kind that found no room the others of
@@ -52,10 +71,10 @@
 
 // room is what a job may use of a candidate.
 func (c *Core) room(x *candidate, j *job) part.Need {
-	if k, ok := x.kept[j.rank]; ok && math.IsInf(c.waitAim(j.spec.Class), 1) {
-		return x.free.Minus(k)
+	if len(x.kept) == 0 {
+		return x.free
 	}
-	return x.free
+	return x.less(j.rank, c.waitAim(j.spec.Class))
 }
 
 // keep sets aside the room that classes with an aim on waiting are likely to
@@ -65,11 +84,12 @@
 	none := &limits{}
 	for _, u := range c.spareNow {
 		j := &job{spec: *u.Job, need: part.NeedOf(u.Job), rank: u.Job.Priority.Rank()}
+		aim := c.waitAim(u.Job.Class)
 		for range u.Count {
 			var best *candidate
 			bestScore := 0.0
 			for _, x := range cands {
-				if u.Zone != "" && u.Zone != x.m.Zone || !j.need.Fits(x.free.Minus(x.kept[j.rank])) ||
+				if u.Zone != "" && u.Zone != x.m.Zone || !j.need.Fits(x.less(j.rank, math.Inf(1))) ||
 					x.m.Spot && !j.spec.Spot || !x.kind.Allows(&j.spec) {
 					continue
 				}
@@ -80,11 +100,8 @@
 			if best == nil {
 				break
 			}
-			if best.kept == nil {
-				best.kept = map[int]part.Need{}
-			}
 			for rank := j.rank; rank == j.rank || u.Quick && rank < fleet.Ranks; rank++ {
-				best.kept[rank] = best.kept[rank].Plus(j.need)
+				best.kept = append(best.kept, kept{rank, aim, j.need})
 			}
 		}
 	}
--- /dev/null
+++ b/internal/coordination/scheduler/large_test.go
@@ -0,0 +1,92 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+)
+
+// largeBench is a fleet of n machines that are nearly full, with jobs that wait.
+func largeBench(n int) *bench {
+	b := newBench([]config.Team{{Name: "red"}}, "a", "b")
+	b.c.cfg.Objectives = []config.Objective{
+		{Kind: "wait", Class: "serve", WithinS: 0.5, Share: 0.9}, {Kind: "wait", Class: "big", WithinS: 20, Share: 0.9},
+		{Kind: "finished", Class: "sweep", WithinS: 100, Share: 0.9},
+	}
+	zones := []string{"a", "b"}
+	for i := range n {
+		b.machine(fmt.Sprintf("m%04d", i), zones[i%2], i%5 == 0)
+	}
+	job := func(i int, class string, shape protocol.Shape, prio protocol.Priority, tasks int, gpus float64) {
+		j := spec(fmt.Sprintf("j-%s%d", class, i), shape, prio, tasks, gpus)
+		j.Class, j.Image, j.ImageGB, j.Spread = class, fmt.Sprintf("%s-%d", class, i%6), 10, shape == protocol.Service && tasks > 1
+		j.Spot = shape == protocol.Array
+		if shape != protocol.Service {
+			j.CheckpointS, j.SaveS = 10, 2
+		}
+		b.job(j)
+	}
+	for i := range n * 2 / 5 {
+		job(i, "serve", protocol.Service, "critical", 2+i%3, 2)
+		if i%3 == 0 {
+			job(i, "big", protocol.Gang, "urgent", 2, 8)
+		}
+		job(i, "sweep", protocol.Array, "normal", 20, 1)
+		if i%20 == 0 {
+			b.cycle()
+			b.settle()
+		}
+	}
+	for range 60 {
+		b.cycle()
+		b.settle()
+	}
+	return b
+}
+
+// settle lets everything that fetches run.
+func (b *bench) settle() {
+	for name, ts := range b.tasks {
+		for id, t := range ts {
+			if t.State == protocol.Fetching {
+				t.State = protocol.TaskRunning
+				ts[id] = t
+			}
+		}
+		b.do(Reported{Tag: name, Report: b.report(name)})
+	}
+}
+
+func BenchmarkCycle(b *testing.B) {
+	for _, n := range []int{100, 400, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := largeBench(n)
+			waiting := 0
+			for _, j := range l.c.jobs {
+				waiting += j.counts[pending]
+			}
+			b.ResetTimer()
+			b.ReportMetric(float64(waiting), "waiting")
+			for range b.N {
+				l.now += Eager
+				l.c.due = true
+				l.c.Step(l.now, Tick{})
+			}
+		})
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []int{100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := largeBench(n)
+			b.ResetTimer()
+			for i := range b.N {
+				name := fmt.Sprintf("m%04d", i%n)
+				l.c.Step(l.now, Reported{Tag: name, Report: l.report(name)})
+			}
+		})
+	}
+}
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -728,10 +728,17 @@
 
 // TestRoomIsKeptForWaitAims: arrays of the same rank, which could not be
 // preempted for it, leave the room that a class with a wait aim is likely to
-// want; the class itself may use it.
+// want, also if they have a looser one; the class itself may use it.
 func TestRoomIsKeptForWaitAims(t *testing.T) {
+	t.Run("no aim", func(t *testing.T) { roomIsKept(t) })
+	t.Run("looser aim", func(t *testing.T) {
+		roomIsKept(t, config.Objective{Kind: "wait", Class: "c", WithinS: 100, Share: 0.9})
+	})
+}
+
+func roomIsKept(t *testing.T, aims ...config.Objective) {
 	b := newBench([]config.Team{{Name: "red"}}, "a")
-	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
+	b.c.cfg.Objectives = append(aims, config.Objective{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9})
 	b.machine("m1", "a", false)
 	quick := spec("j-1", protocol.Service, "normal", 1, 4)
 	quick.Class = "quick"
