Fence a silent machine as soon as a healthy worker would have found its way

A healthy worker that gets no answer is at the next controller, which passes its report on, after at most 1.5 reports, 4 s and 1 s. That is now the wait, and no more than before.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -188,7 +188,10 @@
 // back later than the others, since workers that lost their controller need
 // until about then to find a way round, and each that is fenced is a healthy one.
 func (f *Fleet) silent(now time.Duration, p *part.Part) {
-	lease := config.Seconds(f.workers.LeaseS)
+	lease, patience := config.Seconds(f.workers.LeaseS), f.patience()
+	// That a zone falls silent must be plain before the first of its machines
+	// would be fenced.
+	late := min(p.Silent(), patience-config.Seconds(f.workers.ReportS))
 	up, quiet := map[string]int{}, map[string]int{}
 	var dead []*part.Machine
 	p.Each(func(m *part.Machine) {
@@ -196,10 +199,10 @@
 			return
 		}
 		up[m.Zone]++
-		if now-m.Heard > p.Silent() {
+		if now-m.Heard > late {
 			quiet[m.Zone]++
 		}
-		if now-m.Heard > lease*3/4 {
+		if now-m.Heard > patience {
 			dead = append(dead, m)
 		}
 	})
@@ -220,6 +223,14 @@
 	}
 }
 
+// patience is how long a machine may be silent before it is fenced: as long as a
+// worker takes that reports at its slowest, waits for an answer in vain and goes
+// on to the next controller, and no longer than most of a lease.
+func (f *Fleet) patience() time.Duration {
+	report := config.Seconds(f.workers.ReportS)
+	return min(config.Seconds(f.workers.LeaseS)*3/4, report*3/2+protocol.ReportPatience+protocol.ReportPause)
+}
+
 // Plan compares what is wanted with what there is.
 func (f *Fleet) Plan(now time.Duration, p *part.Part, units []Unit) (effects []any) {
 	if !f.listing && now-f.listedAt >= config.Seconds(f.cloud.ListLagS/2) {
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -171,6 +171,38 @@
 	}
 }
 
+// TestSilentZoneIsNotFenced: when a zone is cut off, machines fall silent one after
+// the other, each when its next report would have been due. None is fenced before
+// it is plain that all do, whatever the times of the settings.
+func TestSilentZoneIsNotFenced(t *testing.T) {
+	for _, w := range []config.Workers{
+		{ReportS: 1, LeaseS: 10, CancelS: 40}, {ReportS: 5, LeaseS: 29, CancelS: 59}, {ReportS: 2.5, LeaseS: 15.25, CancelS: 45},
+		{ReportS: 3, LeaseS: 8, CancelS: 40},
+	} {
+		f, p := New(3, cloud, w), part.New(3, w)
+		p.SetTypes([]protocol.MachineType{kind})
+		f.Listed(1*s, 0, p, nil)
+		const n = 200
+		for i := range n {
+			zone, now := "a", 10*s+config.Seconds(1.25*w.ReportS*float64(i)/n)
+			if i%2 == 0 {
+				zone = "b"
+			}
+			p.Report(now, &protocol.Report{Machine: fmt.Sprintf("m%03d", i), Addr: "x", Type: "g8", Zone: zone, Session: 1, Seq: 1})
+		}
+		for now := 11 * s; now < 10*s+config.Seconds(2*w.LeaseS); now += s {
+			for i := 0; i < n; i += 2 { // zone b goes on
+				p.Report(now, &protocol.Report{Machine: fmt.Sprintf("m%03d", i), Addr: "x", Type: "g8", Zone: "b", Session: 1, Seq: 2 + uint64(now)})
+			}
+			for _, name := range released(f.Plan(now, p, nil)) {
+				if p.Machine(name).Zone == "a" {
+					t.Fatalf("report %v s, lease %v s: %s fenced at %v", w.ReportS, w.LeaseS, name, now)
+				}
+			}
+		}
+	}
+}
+
 // TestReturnedMachinesAreForgotten: the memory of returned machines is bounded.
 func TestReturnedMachinesAreForgotten(t *testing.T) {
 	f, _ := setup()
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // TaskState is a task's state on its machine.
@@ -125,6 +126,13 @@
 	Commands []Command `msgpack:"orders"`
 }
 
+// How long a worker waits for the answer to a report, and then before it goes on
+// to the next controller.
+const (
+	ReportPatience = 4 * time.Second
+	ReportPause    = time.Second
+)
+
 // epochBits is how many low bits of a token count the epochs within a term.
 const epochBits = 24
 
