A new leader inspects the machines that are there

The first list of a term tells the addresses, and every machine that runs is asked directly, a few dozen at a time.

--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
 	"pinebay/internal/actor"
@@ -42,6 +43,7 @@
 	box         *actor.Mailbox[any]
 	ctx         context.Context
 	cancel      context.CancelFunc
+	inspects    *semaphore.Weighted
 }
 
 // query asks for a job's status.
@@ -50,9 +52,14 @@
 	reply chan protocol.JobStatus
 }
 
+// socketsInspects is the part of a process's sockets that may ask machines how
+// they stand at a time.
+const socketsInspects = 32
+
 // Start begins a term.
 func Start(ctx context.Context, d Deps, term, stamp uint64) *Leader {
-	l := &Leader{Deps: d, term: term, stamp: stamp, box: actor.NewMailbox[any]()}
+	l := &Leader{Deps: d, term: term, stamp: stamp, box: actor.NewMailbox[any](),
+		inspects: semaphore.NewWeighted(int64(max(1, d.Cfg.Quota.MaxSockets/socketsInspects)))}
 	l.Log = d.Log.With("term", term)
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	go l.run()
@@ -229,6 +236,8 @@
 			go l.write(e)
 		case scheduler.Order:
 			go l.order(e)
+		case scheduler.Inspect:
+			go l.inspect(e)
 		case fleet.Rent:
 			go l.rent(e)
 		case fleet.Release:
@@ -301,6 +310,25 @@
 	l.box.Send(done)
 }
 
+// inspect asks a machine how it stands. A new leader asks all of them at once;
+// some at a time are asked in fact.
+func (l *Leader) inspect(e scheduler.Inspect) {
+	if err := l.inspects.Acquire(l.ctx, 1); err != nil {
+		return
+	}
+	defer l.inspects.Release(1)
+	ctx, cancel := context.WithTimeout(l.ctx, orderPatience(l.Cfg))
+	defer cancel()
+	status, raw, err := l.Workers.Do(ctx, http.MethodGet, "http://"+e.Addr+"/inspect", nil)
+	if err != nil || status != http.StatusOK {
+		l.Log.Debug("not inspected", "machine", e.Machine, "status", status, "err", err)
+		return
+	}
+	if r, err := protocol.DecodeReport(raw); err == nil && r.Machine == e.Machine {
+		l.box.Send(scheduler.Inspected{Report: r})
+	}
+}
+
 // orderPatience is how long a direct command may take: a report's interval,
 // give or take, after which the machine's next report is the better way.
 func orderPatience(cfg *config.Deployment) time.Duration {
--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -209,6 +209,12 @@
 // Machine returns a machine, or nil.
 func (p *Part) Machine(name string) *Machine { return p.machines[name] }
 
+// Up says whether the machine's worker has been heard.
+func (p *Part) Up(name string) bool {
+	m := p.machines[name]
+	return m != nil && m.Up
+}
+
 // Each calls f for every machine in name order.
 func (p *Part) Each(f func(*Machine)) {
 	for _, n := range p.names {
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -49,6 +49,8 @@
 		OK      bool
 		Report  *protocol.Report
 	}
+	// Inspected is a machine's answer to an Inspect.
+	Inspected struct{ Report *protocol.Report }
 	// Types is the cloud's price list.
 	Types struct{ Types []protocol.MachineType }
 	// Listed is the cloud's list; Failed says that it did not come.
@@ -92,6 +94,8 @@
 		Machine, Addr string
 		Orders        protocol.Orders
 	}
+	// Inspect asks a machine how it stands; no answer means nothing.
+	Inspect struct{ Machine, Addr string }
 	// Depose says that this leader's time is over; Term is a later one, if one
 	// was seen.
 	Depose struct {
@@ -141,6 +145,7 @@
 	prior     map[string]float64         // what the last leader counted
 	warm      map[string]string          // images records as written
 	warming   bool
+	inspected bool // the machines that were there before us
 	lastWarm  time.Duration
 }
 
@@ -367,6 +372,8 @@
 		}
 	case OrdersDone:
 		c.ordersDone(now, e)
+	case Inspected:
+		c.heard(now, e.Report)
 	case Types:
 		c.part.SetTypes(e.Types)
 	case Listed:
@@ -374,6 +381,7 @@
 			c.fleet.ListFailed()
 			break
 		}
+		c.inspect(e.Machines)
 		for _, name := range c.fleet.Listed(now, e.Asked, c.part, e.Machines) {
 			c.log.Info("machine has left the list", "machine", name)
 			c.facts(now, c.part.Lost(now, name))
@@ -405,8 +413,7 @@
 
 func (c *Core) reported(now time.Duration, e Reported) {
 	r := e.Report
-	if t := protocol.TermOf(r.Token); t > c.term {
-		c.emit(Depose{Term: t, Reason: "a worker has seen a later term"})
+	if c.outdated(r) {
 		return
 	}
 	answer := protocol.ReportAnswer{Token: protocol.Token(c.term, 0), Commands: []protocol.Command{}}
@@ -414,9 +421,7 @@
 		c.emit(Answer{e.Tag, answer})
 		return
 	}
-	m, facts, newer := c.part.Report(now, r)
-	c.facts(now, facts)
-	c.judgeMachine(m)
+	m, newer := c.heard(now, r)
 	if newer {
 		m.Relayed = e.Relayed
 		if cmds := c.part.Orders(now, m); cmds != nil {
@@ -432,13 +437,11 @@
 	if m == nil {
 		return
 	}
-	if e.Report != nil && protocol.TermOf(e.Report.Token) > c.term {
-		c.emit(Depose{Term: protocol.TermOf(e.Report.Token), Reason: "a worker has seen a later term"})
+	if e.Report != nil && c.outdated(e.Report) {
 		return
 	}
 	if e.Report != nil && e.Report.Machine == e.Machine {
-		_, facts, _ := c.part.Report(now, e.Report)
-		c.facts(now, facts)
+		c.heard(now, e.Report)
 	}
 	c.part.Answered(now, m, e.OK || e.Report != nil)
 	if e.Report == nil {
@@ -446,7 +449,44 @@
 		// until it has had time for another report.
 		m.MutedUntil = now + config.Seconds(2*c.cfg.Workers.ReportS)
 	}
+}
+
+// outdated says whether a worker has seen a later term, and if so ends ours.
+func (c *Core) outdated(r *protocol.Report) bool {
+	t := protocol.TermOf(r.Token)
+	if t > c.term {
+		c.emit(Depose{Term: t, Reason: "a worker has seen a later term"})
+	}
+	return t > c.term
+}
+
+// heard takes in what a machine says, in whichever way it came.
+func (c *Core) heard(now time.Duration, r *protocol.Report) (m *part.Machine, newer bool) {
+	if c.outdated(r) || c.fleet.Gone(r.Machine) {
+		return nil, false
+	}
+	up := c.part.Up(r.Machine)
+	m, facts, newer := c.part.Report(now, r)
+	c.due = c.due || !up
+	c.facts(now, facts)
 	c.judgeMachine(m)
+	return m, newer
+}
+
+// inspect asks the machines that have not been heard in this term how they stand,
+// once the first list tells their addresses. Their workers may still be waiting
+// for the last leader's answer, for most of a lease if it fell silent; until they
+// are heard nothing can be placed there.
+func (c *Core) inspect(list []protocol.ListedMachine) {
+	if c.inspected {
+		return
+	}
+	c.inspected = true
+	for i := range list {
+		if l := &list[i]; l.State == protocol.MachineRunning && l.Addr != "" && !c.part.Up(l.Name) && !c.fleet.Gone(l.Name) {
+			c.emit(Inspect{l.Name, l.Addr})
+		}
+	}
 }
 
 // judgeMachine sets a machine aside that fails the tasks of several jobs.
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -944,3 +944,37 @@
 		t.Errorf("expects %v jobs after the take-over, %v before", got, want)
 	}
 }
+
+// TestNewLeaderInspects: a new leader asks the machines that are there how they
+// stand, once, and places work where one answers, before its worker has found out
+// who leads. Copies of what they say do no harm.
+func TestNewLeaderInspects(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	var list []protocol.ListedMachine
+	for i, state := range []string{protocol.MachineRunning, protocol.MachineRunning, protocol.MachineStarting, protocol.MachineFailed} {
+		list = append(list, protocol.ListedMachine{Name: fmt.Sprintf("m%d", i), Addr: "x", Type: "g8", Zone: "a", State: state})
+	}
+	b.machine("m0", "a", false)
+	asked := map[string]int{}
+	for range 3 {
+		for _, e := range b.c.Step(b.now, Listed{Asked: b.now, Machines: list}) {
+			if i, ok := e.(Inspect); ok {
+				asked[i.Machine]++
+			}
+		}
+		b.now += Cycle
+	}
+	if len(asked) != 1 || asked["m1"] != 1 {
+		t.Errorf("asked %v, want only the machine that runs and has not been heard", asked)
+	}
+	b.zone["m1"], b.tasks["m1"] = "a", map[protocol.TaskID]protocol.TaskReport{}
+	r := b.report("m1")
+	b.do(Inspected{Report: r})
+	b.machine("m0", "a", false)
+	b.job(spec("j-1", protocol.Array, "normal", 16, 1))
+	b.cycle()
+	b.do(Inspected{Report: r})
+	if n := b.started("j-1"); n != 16 {
+		t.Errorf("%d of 16 tasks started on two machines", n)
+	}
+}
--- a/internal/standin/system_test.go
+++ b/internal/standin/system_test.go
@@ -184,6 +184,11 @@
 		s.write(l, e, false)
 	case scheduler.Order:
 		s.command(l, e)
+	case scheduler.Inspect:
+		if m := s.world.Workers[e.Machine]; m != nil && !s.cut(e.Machine) && !s.chance(0.1) {
+			r := m.Report()
+			s.after(s.upTo(3*time.Second), func() { s.step(l, scheduler.Inspected{Report: r}) })
+		}
 	case fleet.List:
 		asked := s.now
 		list := s.list()
