Fit all sockets into the budget: requests take turns, idle connections make way

Cause: direct commands kept up to a quarter of the sockets idle and had no bound on those under way, beside 0.6 for users and workers: with a thousand machines, one connection each and as many commands, 1,744 sockets would not do. Now three quarters are served, a sixteenth commands and a sixteenth keeps idle connections; the state service's calls are bounded, and the leadership's have a client of their own. A connection too many closes the one that is idle for longest before it is refused itself.

--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -53,7 +53,7 @@
 }
 
 // socketsInspects is the part of a process's sockets that may ask machines how
-// they stand at a time.
+// they stand at a time: fewer than may command, so that commands have their turn.
 const socketsInspects = 32
 
 // Start begins a term.
@@ -295,9 +295,7 @@
 }
 
 func (l *Leader) order(o scheduler.Order) {
-	ctx, cancel := context.WithTimeout(l.ctx, orderPatience(l.Cfg))
-	defer cancel()
-	status, raw, err := l.Workers.Do(ctx, http.MethodPost, "http://"+o.Addr+"/commands", o.Orders)
+	status, raw, err := l.Workers.Do(l.ctx, orderPatience(l.Cfg), http.MethodPost, "http://"+o.Addr+"/commands", o.Orders)
 	done := scheduler.OrdersDone{Machine: o.Machine}
 	if err == nil && (status == http.StatusOK || status == http.StatusConflict) {
 		if r, err := protocol.DecodeReport(raw); err == nil {
@@ -317,9 +315,7 @@
 		return
 	}
 	defer l.inspects.Release(1)
-	ctx, cancel := context.WithTimeout(l.ctx, orderPatience(l.Cfg))
-	defer cancel()
-	status, raw, err := l.Workers.Do(ctx, http.MethodGet, "http://"+e.Addr+"/inspect", nil)
+	status, raw, err := l.Workers.Do(l.ctx, orderPatience(l.Cfg), http.MethodGet, "http://"+e.Addr+"/inspect", nil)
 	if err != nil || status != http.StatusOK {
 		l.Log.Debug("not inspected", "machine", e.Machine, "status", status, "err", err)
 		return
@@ -394,9 +390,7 @@
 	if err := c.limit.Wait(ctx); err != nil {
 		return 0, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	status, raw, err := c.client.Do(ctx, method, c.base+path, body)
+	status, raw, err := c.client.Do(ctx, c.timeout, method, c.base+path, body)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,10 +27,11 @@
 	"pinebay/internal/transport"
 )
 
-// Shares of the sockets that a process may have.
+// Shares of the sockets that a process may have. The rest is for the state
+// service (see storage), the cloud and the other controllers.
 const (
-	socketsServed  = 0.6  // users and workers
-	socketsWorkers = 0.25 // direct commands
+	socketsServed   = 0.75    // users and workers
+	socketsCommands = 1. / 16 // direct commands under way, and as many idle connections
 )
 
 // Controller is one process of the service.
@@ -74,7 +75,7 @@
 		peers: map[string]election.Peer{}, turned: NewTurned(config.Seconds(d.Workers.LeaseS))}
 	c.store = storage.NewClient(d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
 	c.cloud = leader.NewCloud(cfg.Outside.Cloud, d.Cloud)
-	c.workers = transport.NewClient(1, int(float64(d.Quota.MaxSockets)*socketsWorkers), config.Seconds(d.Workers.LeaseS))
+	c.workers = transport.NewClient(1, max(1, int(float64(d.Quota.MaxSockets)*socketsCommands)), config.Seconds(d.Workers.LeaseS))
 	c.intake = intake.New(d, c.store, c.log, c.status)
 	peers := map[string]string{}
 	var names []string
@@ -113,7 +114,7 @@
 	lease := config.Seconds(c.cfg.Deploy.Workers.LeaseS)
 	srv := &http.Server{
 		Handler: c.routes(), ReadHeaderTimeout: lease, ReadTimeout: lease, IdleTimeout: max(3*lease, 30*time.Second),
-		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
+		ConnState: l.ConnState, MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -48,10 +48,15 @@
 	Bulk               // done batches and cleaning
 )
 
+// socketsState is the part of a process's sockets that calls of the state service
+// may take.
+const socketsState = 32
+
 // Client speaks to the state service.
 type Client struct {
 	base    string
 	calls   *transport.Client
+	urgent  *transport.Client
 	watches *transport.Client
 	timeout time.Duration
 	reads   map[Use]*rate.Limiter
@@ -70,10 +75,11 @@
 		return rate.NewLimiter(rate.Limit(r), max(1, int(r)))
 	}
 	n := float64(d.Nodes)
-	perHost := max(4, d.Quota.MaxSockets/32)
+	perHost := max(4, d.Quota.MaxSockets/socketsState)
 	return &Client{
 		base:    "http://" + addr,
 		calls:   transport.NewClient(perHost, perHost, config.Seconds(d.Workers.LeaseS)),
+		urgent:  transport.NewClient(4, 4, config.Seconds(d.Workers.LeaseS)),
 		watches: transport.NewClient(4, 4, config.Seconds(d.Workers.LeaseS)),
 		timeout: timeout,
 		reads: map[Use]*rate.Limiter{
@@ -104,9 +110,11 @@
 			return 0, nil, fmt.Errorf("%w: %w", ErrBusy, err)
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	status, raw, err := c.calls.Do(ctx, method, c.base+path, body)
+	client := c.calls
+	if use == Urgent {
+		client = c.urgent // the leadership must not wait behind a crowd
+	}
+	status, raw, err := client.Do(ctx, c.timeout, method, c.base+path, body)
 	if err != nil {
 		return 0, nil, fmt.Errorf("%w: %w", ErrUncertain, err)
 	}
@@ -259,10 +267,8 @@
 
 // Watch waits up to wait for changes after rev to keys with the prefix.
 func (c *Client) Watch(ctx context.Context, prefix string, rev uint64, wait time.Duration) (*protocol.Events, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+2*c.timeout)
-	defer cancel()
 	path := fmt.Sprintf("%s/changes?prefix=%s&from=%d&block_ms=%d", c.base, url.QueryEscape(prefix), rev, wait.Milliseconds())
-	status, raw, err := c.watches.Do(ctx, http.MethodGet, path, nil)
+	status, raw, err := c.watches.Do(ctx, wait+2*c.timeout, http.MethodGet, path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUncertain, err)
 	}
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -4,26 +4,33 @@
 
 import (
 	"bytes"
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"pinebay/internal/protocol"
 )
 
-// Listener accepts at most max connections at a time and closes those beyond,
-// so that the process keeps sockets for the mesh and its own calls: a refused
-// user is moved on by the load balancer, while a process without sockets can
-// reach nobody.
+// Listener keeps at most max connections open at a time, so that the process has
+// sockets left for the mesh and its own calls: a process without can reach nobody.
+// When a connection comes that is one too many, the one that has been idle for
+// longest makes way; if none is idle, the new one is closed, and whoever opened it
+// is moved on by the load balancer.
 type Listener struct {
 	net.Listener
-	max  int64
-	open atomic.Int64
+	max int
+
+	mu   sync.Mutex
+	open int
+	idle *list.List // of *countedConn, the longest idle first
 }
 
 // Listen opens addr with room for max connections.
@@ -32,7 +39,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
-	return &Listener{Listener: l, max: int64(max)}, nil
+	return &Listener{Listener: l, max: max, idle: list.New()}, nil
 }
 
 // Accept returns the next connection that fits the budget.
@@ -42,24 +49,75 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Add(1) <= l.max {
-			return &countedConn{Conn: c, open: &l.open}, nil
+		if l.admit() {
+			return &countedConn{Conn: c, l: l}, nil
 		}
-		l.open.Add(-1)
 		c.Close()
 	}
 }
 
+// admit counts one more connection, if there is room for it or can be made.
+func (l *Listener) admit() bool {
+	l.mu.Lock()
+	var old *countedConn
+	if l.open >= l.max {
+		e := l.idle.Front()
+		if e == nil {
+			l.mu.Unlock()
+			return false
+		}
+		old = e.Value.(*countedConn)
+	}
+	l.open++
+	l.mu.Unlock()
+	if old != nil {
+		old.Close()
+	}
+	return true
+}
+
+// ConnState is told by the HTTP server which connections are idle.
+func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
+	cc, ok := c.(*countedConn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case cc.closed:
+	case state == http.StateIdle && cc.place == nil:
+		cc.place = l.idle.PushBack(cc)
+	case state == http.StateActive:
+		cc.busy()
+	}
+}
+
+// countedConn is a connection that is counted until it is closed.
 type countedConn struct {
 	net.Conn
-	open *atomic.Int64
-	done atomic.Bool
+	l      *Listener
+	closed bool
+	place  *list.Element // among the idle ones
+}
+
+// busy takes the connection off the list of idle ones.
+func (c *countedConn) busy() {
+	if c.place != nil {
+		c.l.idle.Remove(c.place)
+		c.place = nil
+	}
 }
 
+// Close closes the connection; it is given up once.
 func (c *countedConn) Close() error {
-	if c.done.CompareAndSwap(false, true) {
-		c.open.Add(-1)
+	c.l.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		c.l.open--
+		c.busy()
 	}
+	c.l.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -100,13 +158,14 @@
 
 // Client calls one service or many workers.
 type Client struct {
-	http *http.Client
+	http  *http.Client
+	slots *semaphore.Weighted
 }
 
-// NewClient returns a client that keeps at most perHost connections to a host
-// and idle ones no longer than idle.
+// NewClient returns a client that has at most total requests under way at a time,
+// and perHost to one host; it keeps as many idle connections, no longer than idle.
 func NewClient(perHost, total int, idle time.Duration) *Client {
-	return &Client{http: &http.Client{
+	return &Client{slots: semaphore.NewWeighted(int64(total)), http: &http.Client{
 		Transport: &http.Transport{
 			DialContext:         (&net.Dialer{KeepAlive: -1}).DialContext,
 			MaxConnsPerHost:     perHost,
@@ -121,9 +180,16 @@
 	}}
 }
 
-// Do sends a request and returns the status and body of the response. An
-// error means that no response came, whatever became of the request.
-func (c *Client) Do(ctx context.Context, method, url string, body any) (int, []byte, error) {
+// Do sends a request and returns the status and body of the response, which must
+// come within the given time, once it is the request's turn. An error means that
+// no response came, whatever became of the request.
+func (c *Client) Do(ctx context.Context, within time.Duration, method, url string, body any) (int, []byte, error) {
+	if err := c.slots.Acquire(ctx, 1); err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	defer c.slots.Release(1)
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
 	var payload io.Reader
 	if body != nil {
 		raw, err := protocol.Encode(body)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -7,6 +7,9 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,15 +101,16 @@
 	}
 }
 
-// TestSocketBudget: connections beyond the budget are closed at once, and
-// room that is given back is used again.
+// TestSocketBudget: connections beyond the budget are closed at once unless one is
+// idle, which then makes way, the longest idle one first; and room that is given
+// back is used again.
 func TestSocketBudget(t *testing.T) {
-	l, err := Listen("127.0.0.1:0", 1)
+	l, err := Listen("127.0.0.1:0", 2)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	accepted := make(chan net.Conn, 3)
+	accepted := make(chan net.Conn, 8)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -123,16 +127,68 @@
 		}
 		return c
 	}
-	dial()
+	closed := func(c net.Conn) bool { _, err := c.Read(make([]byte, 1)); return err != nil }
+	open := func() int { l.mu.Lock(); defer l.mu.Unlock(); return l.open }
+	one := dial()
 	first := <-accepted
-	if _, err := dial().Read(make([]byte, 1)); err == nil {
-		t.Error("a second connection was kept")
+	two := dial()
+	second := <-accepted
+	if !closed(dial()) {
+		t.Error("a third connection was kept beside two busy ones")
+	}
+	l.ConnState(second, http.StateIdle)
+	l.ConnState(first, http.StateIdle)
+	dial()
+	<-accepted
+	if !closed(two) {
+		t.Error("the longest idle connection was kept")
+	}
+	l.ConnState(first, http.StateActive)
+	l.ConnState(second, http.StateIdle) // it is closed, and late news change nothing
+	if !closed(dial()) {
+		t.Error("a connection was kept beside two busy ones")
 	}
 	first.Close()
 	first.Close() // counted once
+	if !closed(one) {
+		t.Error("closed, and yet open")
+	}
 	dial()
 	<-accepted
-	if n := l.open.Load(); n != 1 {
+	if n := open(); n != 2 {
 		t.Errorf("%d open", n)
 	}
 }
+
+// TestRequestsTakeTurns: no more requests are under way than the client may have
+// sockets for, and their time begins with their turn.
+func TestRequestsTakeTurns(t *testing.T) {
+	var under, most atomic.Int64
+	turn := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n := under.Add(1)
+		for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+		}
+		<-turn
+		under.Add(-1)
+	}))
+	defer srv.Close()
+	c := NewClient(8, 3, time.Minute)
+	done := make(chan error)
+	const n = 12
+	for range n {
+		go func() {
+			_, _, err := c.Do(context.Background(), time.Minute, http.MethodGet, srv.URL, nil)
+			done <- err
+		}()
+	}
+	for range n {
+		turn <- struct{}{}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	if m := most.Load(); m > 3 {
+		t.Errorf("%d requests under way at a time", m)
+	}
+}
