A leader acts only while it is confirmed; machines that need commands are a list

A controller may stand still for seconds while its clocks run on. Its election would notice at the next tick, but the leader's own loop could first act on books in which all machines seem silent, and release machines, which no term fences. It now asks before each step until when the leadership is confirmed, and gives up if that is over. A cycle that takes long is followed by a pause three times as long, so that reports and questions have their turn. Which machines need a command is kept as a list; every message had looked at all placements of all machines. Silent machines are commanded seldom, so that those behind a cut don't take the turns of others.

--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -5,6 +5,8 @@
 package election
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -120,12 +122,16 @@
 	Term    uint64
 	Leader  string // "" when unknown or silent
 	Leading bool
+	Until   time.Duration // when leading: it is confirmed until then
 }
 
 // View returns the current view.
 func (m *Machine) View(now time.Duration) View {
 	v := View{Term: m.term, Leader: m.leader, Leading: m.role == Leading}
-	if !v.Leading && (m.leader == m.self || now-m.heard > m.times.Silent) {
+	switch {
+	case v.Leading:
+		v.Until = m.confirmed()
+	case m.leader == m.self || now-m.heard > m.times.Silent:
 		v.Leader = ""
 	}
 	return v
@@ -203,7 +209,7 @@
 			m.out = append(m.out, Claim{Over: m.term})
 		}
 	case Leading:
-		if !m.valid(now) {
+		if now >= m.confirmed() {
 			// Nobody confirms us: others may lead, and know of cancellations
 			// that we don't. Our workers must be free to find them.
 			m.yield(now)
@@ -243,19 +249,15 @@
 	return 2*n > len(m.peers)+1
 }
 
-// valid says whether the state service or a majority of the controllers has
-// confirmed the leadership lately.
-func (m *Machine) valid(now time.Duration) bool {
-	if now-m.renewed < m.times.Hold {
-		return true
-	}
-	n := 1
-	for _, at := range m.acks {
-		if now-at < m.times.Hold {
-			n++
-		}
+// confirmed is until when the leadership counts as confirmed, by the state service
+// or by a majority of the controllers.
+func (m *Machine) confirmed() time.Duration {
+	until := m.renewed
+	need := (len(m.peers) + 1) / 2 // with us a majority
+	if acks := slices.Sorted(maps.Values(m.acks)); need > 0 && len(acks) >= need {
+		until = max(until, acks[len(acks)-need])
 	}
-	return 2*n > len(m.peers)+1 && len(m.peers) > 0
+	return until + m.times.Hold
 }
 
 func (m *Machine) key(now time.Duration, e Key) {
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -216,6 +216,26 @@
 	})
 }
 
+// TestStoodStill: the view of a leader tells until when it is confirmed, so that one
+// that stood still while its clocks ran on knows before its first step that it is
+// not any more.
+func TestStoodStill(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(t, 3)
+		for range rapid.IntRange(100, 130).Draw(t, "ticks") {
+			g.tick()
+		}
+		m := g.nodes[g.leaders()[0]]
+		if v := m.View(g.now); !v.Leading || v.Until <= g.now || v.Until > g.now+times.Hold {
+			t.Fatalf("at %v: %+v", g.now, v)
+		}
+		woke := g.now + times.Hold
+		if v := m.View(woke); v.Until > woke {
+			t.Fatalf("at %v after standing still: %+v", woke, v)
+		}
+	})
+}
+
 // TestCaretakerOnlyWhenNobodyCanLead: a single controller that reaches the
 // state service, knows a leader or is not heard forbids it, for it might let
 // users know of cancellations.
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -30,6 +30,8 @@
 	Cloud   *Cloud
 	Workers *transport.Client
 	Now     func() time.Duration
+	// Confirmed says whether the leadership is, at this moment.
+	Confirmed func() bool
 	// Deposed is told that the term is over, and why.
 	Deposed func(term uint64, d scheduler.Depose)
 	// Types is told of machine types that were read.
@@ -110,10 +112,14 @@
 func (l *Leader) run() {
 	defer l.cancel()
 	l.Log.Info("leading")
+	began := l.Now()
 	go l.recover()
 	var core *scheduler.Core
 	early := map[string]scheduler.Reported{}
 	step := func(e any) {
+		if !l.stands() {
+			return
+		}
 		now := l.Now()
 		if core != nil {
 			if q, ok := e.(query); ok {
@@ -139,7 +145,7 @@
 			early[e.Report.Machine] = e
 		case loaded:
 			core = scheduler.New(now, l.Cfg, l.Log, l.term, l.stamp, e.types, e.live, e.pages, e.warm, time.Now().UnixMilli())
-			l.Log.Info("records read", "jobs", len(e.live), "pages", len(e.pages), "took", now.String())
+			l.Log.Info("records read", "jobs", len(e.live), "pages", len(e.pages), "took", now-began)
 			for _, r := range early {
 				l.do(core.Step(now, r))
 			}
@@ -147,14 +153,38 @@
 			go l.refreshTypes()
 		}
 	}
+	rest := time.Duration(0)
 	l.box.Run(l.ctx, scheduler.Cycle/8, step, func() {
-		if core != nil {
-			l.do(core.Step(l.Now(), scheduler.Tick{}))
+		now := l.Now()
+		if core == nil || now < rest || !l.stands() {
+			return
 		}
+		l.do(core.Step(now, scheduler.Tick{}))
+		// A cycle that takes long is followed by a pause, so that reports and
+		// questions have most of the time, however many jobs wait.
+		rest = l.Now() + cycleShare*(l.Now()-now)
 	})
 	l.Log.Info("term over")
 }
 
+// cycleShare is how many times as long as a cycle the pause after it is.
+const cycleShare = 3
+
+// stands says whether the term still stands, and ends it if not. A process that
+// stood still while its clocks ran on finds its books full of machines that seem
+// silent and leases that seem over; by then others may lead, and it must not act on
+// any of that.
+func (l *Leader) stands() bool {
+	if l.Confirmed() {
+		return true
+	}
+	if l.ctx.Err() == nil {
+		l.Deposed(l.term, scheduler.Depose{Reason: "unconfirmed"})
+		l.cancel()
+	}
+	return false
+}
+
 // recover reads the records, trying until it can.
 func (l *Leader) recover() {
 	for l.ctx.Err() == nil {
--- /dev/null
+++ b/internal/coordination/leader/leader_test.go
@@ -0,0 +1,61 @@
+package leader
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/scheduler"
+	"pinebay/internal/protocol"
+	"pinebay/internal/standin"
+	"pinebay/internal/storage"
+	"pinebay/internal/testkit"
+	"pinebay/internal/transport"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+// TestStaleLeaderDoesNotAct: a leader that stood still while its clocks ran on
+// answers no worker any more, renews no lease and gives the term up, for others may
+// lead by then. Until that is so, it answers.
+func TestStaleLeaderDoesNotAct(t *testing.T) {
+	srv := httptest.NewServer(standin.NewState())
+	t.Cleanup(srv.Close)
+	cfg := &config.Deployment{
+		Nodes: 3, Teams: []config.Team{{Name: "red"}},
+		Workers: config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 40, GangPeerS: 4, CancelS: 40},
+		State:   config.State{RPS: 1e6, WriteRPS: 1e6, ValueKB: 8, TxnOps: 16}, Cloud: config.Cloud{RPS: 1e6, ListLagS: 1e6},
+		Quota: config.Quota{CoreShare: 1, RAMMB: 64, MaxSockets: 500},
+	}
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	start := time.Now()
+	var stale atomic.Bool
+	deposed := make(chan scheduler.Depose, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	l := Start(ctx, Deps{
+		Cfg: cfg, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Store: storage.NewClient(cfg, addr, time.Minute),
+		Cloud: NewCloud(addr, cfg.Cloud), Workers: transport.NewClient(1, 4, time.Minute),
+		Now: func() time.Duration { return time.Since(start) }, Types: func([]protocol.MachineType) {},
+		Confirmed: func() bool { return !stale.Load() },
+		Deposed:   func(_ uint64, d scheduler.Depose) { deposed <- d },
+	}, 3, 1)
+	r := &protocol.Report{Machine: "m1", Addr: "127.0.0.1:1", Type: "g8", Zone: "a", Session: 1, Seq: 1}
+	if a, ok := l.Report(ctx, r, false); !ok || protocol.TermOf(a.Token) != 3 {
+		t.Fatalf("while it is confirmed: %+v %v", a, ok)
+	}
+	stale.Store(true)
+	r.Seq = 2
+	if a, ok := l.Report(ctx, r, false); ok {
+		t.Errorf("unconfirmed: %+v", a)
+	}
+	if d := <-deposed; d.Away || d.Term != 0 {
+		t.Errorf("gave up with %+v", d)
+	}
+}
--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -181,7 +181,8 @@
 	machines map[string]*Machine
 	names    []string // sorted, for the same decisions every time
 	usage    map[string]Need
-	hints    map[string][]Copy // images that machines had in an earlier term
+	owed     map[string]*Machine // those on which a placement may need a command
+	hints    map[string][]Copy   // images that machines had in an earlier term
 }
 
 // New returns an empty part of the given term.
@@ -189,7 +190,7 @@
 	return &Part{
 		term: term, workers: w,
 		types: map[string]*protocol.MachineType{}, machines: map[string]*Machine{}, usage: map[string]Need{},
-		hints: map[string][]Copy{},
+		hints: map[string][]Copy{}, owed: map[string]*Machine{},
 	}
 }
 
@@ -300,6 +301,7 @@
 	}
 	pl.Written, pl.sent, pl.Granted = true, true, now
 	pl.runToken = protocol.Token(p.term, 0) - 1 // whatever an earlier leader sent
+	p.owed[m.Name] = m
 	p.add(m, pl)
 }
 
@@ -346,6 +348,7 @@
 func (p *Part) hasten(pl *Placement) {
 	if m := p.machines[pl.Machine]; m != nil {
 		m.RetryAt, m.fresh = 0, true
+		p.owed[m.Name] = m
 	}
 }
 
@@ -621,23 +624,35 @@
 	}
 }
 
+// due says whether a placement needs a command.
+func (pl *Placement) due() bool {
+	return pl.Written && (!pl.Seen || pl.Stopping && (pl.State != protocol.Saving || pl.GraceS == 0))
+}
+
 // Urgent returns the machines that should be sent commands directly, since
-// waiting for their next report would be noticed.
+// waiting for their next report would be noticed. Only those are looked at on
+// which something is due: this is asked with every message.
 func (p *Part) Urgent(now time.Duration) []*Machine {
 	var out []*Machine
-	for _, n := range p.names {
-		m := p.machines[n]
-		if !m.Up || m.Busy || m.Relayed || m.Addr == "" || now < m.RetryAt {
+	for name, m := range p.owed {
+		if p.machines[name] != m {
+			delete(p.owed, name)
 			continue
 		}
+		any, here := false, false
 		for _, pl := range m.placements {
-			if pl.Written && pl.Session == m.Session &&
-				(!pl.Seen || pl.Stopping && (pl.State != protocol.Saving || pl.GraceS == 0)) {
-				out = append(out, m)
-				break
+			if pl.due() {
+				any, here = true, here || pl.Session == m.Session
 			}
 		}
+		switch {
+		case !any:
+			delete(p.owed, name)
+		case here && m.Up && !m.Busy && !m.Relayed && m.Addr != "" && now >= m.RetryAt:
+			out = append(out, m)
+		}
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
 
@@ -645,8 +660,14 @@
 func (p *Part) Answered(now time.Duration, m *Machine, ok bool) {
 	m.Busy = false
 	if !ok {
-		// The next report is the natural time for another try.
-		m.RetryAt = now + config.Seconds(p.workers.ReportS)
+		// The next report is the natural time for another try; a machine that is
+		// silent is tried seldom, or hundreds behind a cut would take the turns of
+		// those that answer.
+		pause := p.workers.ReportS
+		if now-m.Heard > p.Silent() {
+			pause = p.workers.LeaseS / 2
+		}
+		m.RetryAt = now + config.Seconds(pause)
 		return
 	}
 	if !m.fresh {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -390,6 +390,10 @@
 		l := leader.Start(ctx, leader.Deps{
 			Cfg: &c.cfg.Deploy, Log: c.log, Store: c.store, Cloud: c.cloud, Workers: c.workers, Now: c.now,
 			Types: c.intake.SetTypes,
+			Confirmed: func() bool {
+				v := c.view.Load()
+				return v.Leading && v.Term == e.Term && c.now() < v.Until
+			},
 			Deposed: func(term uint64, d scheduler.Depose) {
 				if d.Term > term {
 					c.box.Send(election.Higher{Term: d.Term})
