Tell a crowd of users to come back instead of holding their requests

It may now wait for its turn no longer than the pause after which a refused user asks again, and is otherwise told at once. The second try of a slow transaction is made only where the budget has room.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -112,6 +112,7 @@
 		If:   []protocol.Cond{{Key: live}, {Key: ended}},
 		Then: []protocol.Op{{Put: live, Value: value}},
 	}
+	began := time.Now()
 	for {
 		ok, err := in.store.TxnTwice(ctx, storage.Accept, t)
 		switch {
@@ -123,8 +124,8 @@
 				return http.StatusServiceUnavailable, protocol.JobStatus{}
 			}
 			return http.StatusOK, st
-		case ctx.Err() != nil || !errors.Is(err, storage.ErrBusy):
-			// An outage, or no answer: the user is told at once when to come
+		case ctx.Err() != nil || !again(err, began):
+			// An outage, a crowd, or no answer: the user is told at once when to come
 			// back. Should the job have been recorded, the retry will see it.
 			in.log.Debug("submission put off", "job", job.ID, "err", err)
 			return http.StatusServiceUnavailable, protocol.JobStatus{}
@@ -135,6 +136,13 @@
 
 const retryPause = 50 * time.Millisecond
 
+// again says whether a request of a user should be tried once more: if the state
+// service refused it for its rate, which corrects where several controllers are busy
+// at once. When too many wait here already, the user is told to come back.
+func again(err error, began time.Time) bool {
+	return errors.Is(err, storage.ErrBusy) && !errors.Is(err, storage.ErrCrowded) && time.Since(began) < storage.Queue
+}
+
 // lookup reads a job's state through to the state service, unless it is final
 // and known. Reading the live key first is right, for the move is one way.
 func (in *Intake) lookup(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
@@ -226,6 +234,7 @@
 	if err != nil {
 		return http.StatusServiceUnavailable, protocol.JobStatus{}
 	}
+	began := time.Now()
 	for ctx.Err() == nil {
 		p, err := in.store.Get(ctx, storage.Accept, storage.LiveKey(id))
 		if err == nil && p.Version == 0 {
@@ -250,7 +259,7 @@
 			}
 			err = terr
 		}
-		if err != nil && !errors.Is(err, storage.ErrBusy) {
+		if err != nil && !again(err, began) {
 			break // the user is told at once when to come back
 		}
 		storage.Pause(ctx, retryPause)
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -32,11 +33,15 @@
 var kinds = []protocol.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, Zones: []string{"a", "b"}}}
 
 func newSite(t testing.TB) *site {
+	return newSiteWith(t, config.State{RPS: 1e6, WriteRPS: 1e6, TxnOps: 16})
+}
+
+func newSiteWith(t testing.TB, rates config.State) *site {
 	s := &site{t: t, state: standin.NewState()}
 	srv := httptest.NewServer(s.state)
 	t.Cleanup(srv.Close)
 	cfg := &config.Deployment{Nodes: 2, Teams: []config.Team{{Name: "red", GPUsMax: 16}},
-		State: config.State{RPS: 1e6, WriteRPS: 1e6, TxnOps: 16}, Workers: config.Workers{LeaseS: 10}, Quota: config.Quota{RAMMB: 1, MaxSockets: 500}}
+		State: rates, Workers: config.Workers{LeaseS: 10}, Quota: config.Quota{RAMMB: 1, MaxSockets: 500}}
 	for range 2 {
 		store := storage.NewClient(cfg, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
 		in := New(cfg, store, slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -183,3 +188,43 @@
 		}
 	}
 }
+
+// TestCrowdIsToldToComeBack: when more is submitted at once than the state service's
+// budget takes in the time after which users ask again, the others are not held but
+// told when to come back, and what was called accepted is there.
+func TestCrowdIsToldToComeBack(t *testing.T) {
+	const crowd = 100
+	s := newSiteWith(t, config.State{RPS: 1e6, WriteRPS: 1e-3, TxnOps: 16}) // room for one, and none for long
+	type answer struct {
+		id     string
+		code   int
+		header http.Header
+	}
+	answers := make(chan answer)
+	for i := range crowd {
+		go func() {
+			id := fmt.Sprintf("j-%03d", i)
+			code, _, h := s.call(0, http.MethodPost, "/submissions", body(t, array(id)))
+			answers <- answer{id, code, h}
+		}()
+	}
+	accepted := 0
+	for range crowd {
+		switch a := <-answers; a.code {
+		case http.StatusCreated:
+			accepted++
+			if s.state.Get(storage.LiveKey(a.id)).Version == 0 {
+				t.Errorf("%s was called accepted", a.id)
+			}
+		case http.StatusServiceUnavailable:
+			if a.header.Get("Retry-After") == "" {
+				t.Errorf("%s was not told when to come back", a.id)
+			}
+		default:
+			t.Errorf("%s: status %d", a.id, a.code)
+		}
+	}
+	if accepted != 1 {
+		t.Errorf("%d of %d accepted", accepted, crowd)
+	}
+}
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -27,6 +27,10 @@
 // it can be tried again in a moment. It is a kind of ErrUnavailable.
 var ErrBusy = fmt.Errorf("%w: over the rate", ErrUnavailable)
 
+// ErrCrowded says that a request was not even sent, because too many wait for the
+// same budget. It is a kind of ErrBusy.
+var ErrCrowded = fmt.Errorf("%w here", ErrBusy)
+
 // ErrUncertain says that a request may have been executed, or may yet be.
 var ErrUncertain = errors.New("no answer from the state service")
 
@@ -99,17 +103,50 @@
 	return time.Since(c.start) - time.Duration(c.lastOK.Load())
 }
 
-func (c *Client) call(ctx context.Context, use Use, writes int, method, path string, body any) (int, []byte, error) {
+// Queue is how long a user's request may wait for its turn: no longer than the
+// pause after which a user who was refused asks again.
+const Queue = time.Second
+
+// admit waits until the budgets allow a request. Users' requests that would wait
+// for too long are refused at once, so that a crowd is told to come back instead
+// of being held.
+func (c *Client) admit(ctx context.Context, use Use, writes int) error {
+	if use == Accept || use == Consult {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, Queue)
+		defer cancel()
+	}
 	if l := c.reads[use]; l != nil {
 		if err := l.Wait(ctx); err != nil {
-			return 0, nil, fmt.Errorf("%w: %w", ErrBusy, err)
+			return fmt.Errorf("%w: %w", ErrCrowded, err)
 		}
 	}
 	if l := c.writes[use]; l != nil && writes > 0 {
 		if err := l.WaitN(ctx, min(writes, l.Burst())); err != nil {
-			return 0, nil, fmt.Errorf("%w: %w", ErrBusy, err)
+			return fmt.Errorf("%w: %w", ErrCrowded, err)
 		}
 	}
+	return nil
+}
+
+// spare says whether the budgets allow a request that is not needed, and takes it
+// from them.
+func (c *Client) spare(use Use, writes int) bool {
+	if l := c.reads[use]; l != nil && !l.Allow() {
+		return false
+	}
+	l := c.writes[use]
+	return l == nil || l.AllowN(time.Now(), writes)
+}
+
+func (c *Client) call(ctx context.Context, use Use, writes int, method, path string, body any) (int, []byte, error) {
+	if err := c.admit(ctx, use, writes); err != nil {
+		return 0, nil, err
+	}
+	return c.send(ctx, use, method, path, body)
+}
+
+func (c *Client) send(ctx context.Context, use Use, method, path string, body any) (int, []byte, error) {
 	client := c.calls
 	if use == Urgent {
 		client = c.urgent // the leadership must not wait behind a crowd
@@ -191,7 +228,14 @@
 
 // TxnFailed is Txn, and also returns the keys whose conditions failed.
 func (c *Client) TxnFailed(ctx context.Context, use Use, t protocol.Txn) (rev uint64, ok bool, failed []string, err error) {
-	status, raw, err := c.call(ctx, use, len(t.Then), http.MethodPost, "/multi", t)
+	if err := c.admit(ctx, use, len(t.Then)); err != nil {
+		return 0, false, nil, err
+	}
+	return c.try(ctx, use, t)
+}
+
+func (c *Client) try(ctx context.Context, use Use, t protocol.Txn) (rev uint64, ok bool, failed []string, err error) {
+	status, raw, err := c.send(ctx, use, http.MethodPost, "/multi", t)
 	if err != nil {
 		return 0, false, nil, err
 	}
@@ -206,17 +250,20 @@
 // protocol calls usual. Now and then one takes a few hundred.
 const slow = 50 * time.Millisecond
 
-// TxnTwice tries a transaction, and a second time when the answer is slow, and
-// returns the first outcome that is certain. It must be harmless to repeat: a
-// failed condition may be the work of the other try.
+// TxnTwice tries a transaction, and a second time when the answer is slow and the
+// budget has room, and returns the first outcome that is certain. It must be harmless
+// to repeat: a failed condition may be the work of the other try.
 func (c *Client) TxnTwice(ctx context.Context, use Use, t protocol.Txn) (ok bool, err error) {
+	if err := c.admit(ctx, use, len(t.Then)); err != nil {
+		return false, err
+	}
 	type outcome struct {
 		ok  bool
 		err error
 	}
 	done := make(chan outcome, 2)
 	try := func() {
-		_, ok, err := c.Txn(ctx, use, t)
+		_, ok, _, err := c.try(ctx, use, t)
 		done <- outcome{ok, err}
 	}
 	go try()
@@ -231,8 +278,10 @@
 			}
 			err = o.err
 		case <-timer.C:
-			under++
-			go try()
+			if c.spare(use, len(t.Then)) {
+				under++
+				go try()
+			}
 		}
 	}
 }
