--- a/cmd/pinebay/main.go
+++ b/cmd/pinebay/main.go
@@ -22,6 +22,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/daemon"
+	"pinebay/internal/transport"
 )
 
 // version is that of CHANGELOG.md.
@@ -64,7 +65,7 @@
 			limit(cfg)
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			return daemon.New(cfg, log).Run(ctx)
+			return daemon.New(transport.TCP{}, cfg, log).Run(ctx)
 		},
 	}
 	cmd.SetContext(context.Background())
--- a/internal/coordination/election/caretaker.go
+++ b/internal/coordination/election/caretaker.go
@@ -2,31 +2,41 @@
 
 import "time"
 
-// Peer is what a peer last said of itself.
+// Peer is what a peer last said of itself, in answer to a message sent At.
 type Peer struct {
-	At      time.Duration // when
-	StateOK bool          // it reaches the state service
-	Leader  string        // whom it takes for the leader
+	At       time.Duration
+	StateOK  bool   // it reaches the state service
+	Leader   string // whom it takes for the leader
+	Complete bool   // we hold all notices that it holds
+	Whole    bool   // it has forgotten none that may still matter
 }
 
 // Caretake says whether this controller may renew workers' leases although
 // nobody leads: when the leader has died in an outage of the state service,
 // no other can be chosen, and all tasks would be killed by their leases.
 //
-// That is harmless only while nobody could have told a user that a job is
-// cancelled, for a worker that is kept here does not learn of it. So every
-// single controller must have said just now that it does not reach the state
-// service and knows no leader. No command is given, and a lease is never a
-// proof that a task is gone.
-func Caretake(now time.Duration, t Times, v View, stateOK bool, peers []string, heard map[string]Peer) bool {
-	if v.Leading || v.Leader != "" || stateOK || len(peers) == 0 {
+// It takes a majority, with this controller, of those that have just said that
+// they reach neither the state service nor a leader. Before a user is told that a
+// job is cancelled, a majority holds a notice of it; so one of those who speak
+// here does, and has handed it on, unless it has forgotten it. The notices of all
+// of them together tell what has to be stopped. A controller that began lately
+// counts for nothing: until every task has ended whose lease was last renewed
+// without knowing what it forgot. No other command is given, and a lease is
+// never a proof that a task is gone.
+func Caretake(now time.Duration, t Times, v View, stateOK, whole bool, peers []string, heard map[string]Peer) bool {
+	if v.Leading || v.Leader != "" || stateOK || !whole || len(peers) == 0 {
 		return false
 	}
+	n := 1
 	for _, name := range peers {
 		p, ok := heard[name]
-		if !ok || p.StateOK || p.Leader != "" || now-p.At > t.Silent/2 {
-			return false
+		switch {
+		case !ok || now-p.At > t.Silent/2:
+		case p.StateOK || p.Leader != "":
+			return false // it will lead, or knows who does
+		case p.Complete && p.Whole:
+			n++
 		}
 	}
-	return true
+	return 2*n > len(peers)+1
 }
--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -27,7 +27,14 @@
 	Silent time.Duration // a leader that is silent so long may be replaced
 	TTL    time.Duration // of the leader's lease
 	Hold   time.Duration // a leader without any confirmation goes on so long
-	Step   time.Duration // between candidates that wake at the same time
+	// Confirm is within what time of its notice a cancellation is confirmed, or
+	// else not without another notice.
+	Confirm time.Duration
+	// Amnesia is how long after its start a controller may have forgotten notices
+	// that matter: until every task has ended whose lease was last renewed by
+	// somebody who did not know them.
+	Amnesia time.Duration
+	Step    time.Duration // between candidates that wake at the same time
 }
 
 // Events.
@@ -41,12 +48,17 @@
 		Term    uint64
 	}
 	// Beat is a peer's message; Reply is true if it answers ours, sent at Sent.
+	// Complete says that we now hold every notice which the peer holds, Whole that
+	// it has forgotten none that may still matter, and LifeAt when its process first
+	// answered us.
 	Beat struct {
-		From   string
-		Term   uint64
-		Leader string
-		Reply  bool
-		Sent   time.Duration
+		From            string
+		Term            uint64
+		Leader          string
+		Reply           bool
+		Complete, Whole bool
+		LifeAt          time.Duration
+		Sent            time.Duration
 	}
 	// Lost says that a peer's connection to us has ended.
 	Lost struct{ Peer string }
@@ -64,6 +76,12 @@
 		Term        uint64
 		Sent        time.Duration
 	}
+	// Sight says that the leader of the term knows every change of the accepted
+	// jobs up to At.
+	Sight struct {
+		Term uint64
+		At   time.Duration
+	}
 	// Higher says that a higher term exists somewhere.
 	Higher struct{ Term uint64 }
 	// Resign ends our leadership, if the term is still ours. Away says that
@@ -104,17 +122,20 @@
 	shy     time.Duration            // until then others should lead
 	peerAt  map[string]time.Duration // when each peer was last heard; not there once its connection has ended
 
-	lease   uint64
-	renewed time.Duration // when the last confirmed renewal was sent
-	asked   time.Duration
-	asking  bool
-	acks    map[string]time.Duration // when the last acknowledged beat was sent
-	out     []any
+	lease  uint64
+	asked  time.Duration
+	asking bool
+	began  time.Duration
+	won    time.Duration            // when the claim of our term was sent
+	sight  time.Duration            // up to when we know the state service's changes; 0: not at all
+	acks   map[string]time.Duration // when the last beat was sent that was acknowledged with all notices
+	out    []any
 }
 
 // New returns a follower that knows nothing.
 func New(now time.Duration, self string, peers []string, t Times) *Machine {
-	return &Machine{self: self, peers: peers, times: t, heard: now, peerAt: map[string]time.Duration{}, acks: map[string]time.Duration{}}
+	return &Machine{self: self, peers: peers, times: t, heard: now, began: now,
+		peerAt: map[string]time.Duration{}, acks: map[string]time.Duration{}}
 }
 
 // View is what others may know of the machine.
@@ -123,6 +144,9 @@
 	Leader  string // "" when unknown or silent
 	Leading bool
 	Until   time.Duration // when leading: it is confirmed until then
+	// Aware is, when leading, until when workers may be answered: whoever renews
+	// their leases must know of every cancellation that a user may have been told of.
+	Aware time.Duration
 }
 
 // View returns the current view.
@@ -130,7 +154,10 @@
 	v := View{Term: m.term, Leader: m.leader, Leading: m.role == Leading}
 	switch {
 	case v.Leading:
-		v.Until = m.confirmed()
+		v.Until = m.confirmed(now)
+		if at := m.aware(now); at > 0 {
+			v.Aware = at + m.times.Hold
+		}
 	case m.leader == m.self || now-m.heard > m.times.Silent:
 		v.Leader = ""
 	}
@@ -159,6 +186,10 @@
 		m.claimed(now, e)
 	case Renewed:
 		m.renewal(now, e)
+	case Sight:
+		if m.role == Leading && e.Term == m.term {
+			m.sight = max(m.sight, e.At)
+		}
 	case Higher:
 		m.higher(now, e.Term, "")
 	case Resign:
@@ -209,7 +240,7 @@
 			m.out = append(m.out, Claim{Over: m.term})
 		}
 	case Leading:
-		if now >= m.confirmed() {
+		if now >= m.confirmed(now) {
 			// Nobody confirms us: others may lead, and know of cancellations
 			// that we don't. Our workers must be free to find them.
 			m.yield(now)
@@ -249,15 +280,37 @@
 	return 2*n > len(m.peers)+1
 }
 
-// confirmed is until when the leadership counts as confirmed, by the state service
-// or by a majority of the controllers.
-func (m *Machine) confirmed() time.Duration {
-	until := m.renewed
+// confirmed is until when the leadership counts as confirmed. That its lease is
+// renewed does not count: the key may be ours while a cancellation that another
+// controller confirmed has not reached us.
+func (m *Machine) confirmed(now time.Duration) time.Duration {
+	return max(m.won, m.aware(now)) + m.times.Hold
+}
+
+// aware is up to when we surely know of every cancellation that users were told
+// of; 0 if that cannot be said of any time. Either the state service has shown us
+// its changes; or a majority, of which each has forgotten nothing, has handed us
+// its notices: a cancellation is not committed before a majority holds its notice,
+// and two majorities meet.
+func (m *Machine) aware(now time.Duration) time.Duration {
+	if now < m.began+m.times.Amnesia && !m.outlived(m.began) {
+		return m.sight // our own part of a majority may be forgotten
+	}
 	need := (len(m.peers) + 1) / 2 // with us a majority
-	if acks := slices.Sorted(maps.Values(m.acks)); need > 0 && len(acks) >= need {
-		until = max(until, acks[len(acks)-need])
+	if need == 0 {
+		return now // nobody else tells users anything
+	}
+	if acks := slices.Sorted(maps.Values(m.acks)); len(acks) >= need {
+		return max(m.sight, acks[len(acks)-need])
 	}
-	return until + m.times.Hold
+	return m.sight
+}
+
+// outlived says whether the state service has shown us all that a process which
+// began at the given time may have forgotten: notices that it held before have
+// been committed since, or never will be by their own.
+func (m *Machine) outlived(began time.Duration) bool {
+	return m.sight >= began+m.times.Confirm+m.times.Silent
 }
 
 func (m *Machine) key(now time.Duration, e Key) {
@@ -284,7 +337,7 @@
 	if e.Term > m.term {
 		m.higher(now, e.Term, e.Leader)
 	}
-	if m.role == Leading && e.Reply && e.Term == m.term && e.Leader == m.self {
+	if m.role == Leading && e.Reply && e.Term == m.term && e.Leader == m.self && e.Complete && (e.Whole || m.outlived(e.LifeAt)) {
 		m.acks[e.From] = max(m.acks[e.From], e.Sent)
 	}
 	if m.role != Leading && !e.Reply && e.Term == m.term && e.Leader == e.From {
@@ -327,7 +380,7 @@
 		return // a later leader is known already
 	}
 	m.role, m.term, m.leader = Leading, e.Term, m.self
-	m.lease, m.renewed, m.asked, m.asking = e.Lease, e.Sent, now, false
+	m.lease, m.won, m.sight, m.asked, m.asking = e.Lease, e.Sent, 0, now, false
 	m.keyGone, m.keyTerm = false, e.Term
 	m.claimAt = 0
 	clear(m.acks)
@@ -339,10 +392,7 @@
 		return
 	}
 	m.asking = false
-	switch {
-	case e.OK:
-		m.renewed = max(m.renewed, e.Sent)
-	case e.NoLease:
+	if e.NoLease {
 		m.yield(now)
 		m.leader = ""
 		m.keyGone = true
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -14,7 +14,8 @@
 
 const ms = time.Millisecond
 
-var times = Times{Beat: 100 * ms, Silent: time.Second, TTL: 1500 * ms, Hold: 2 * time.Second, Step: 100 * ms}
+var times = Times{Beat: 100 * ms, Silent: time.Second, TTL: 1500 * ms, Hold: 2 * time.Second, Step: 100 * ms,
+	Confirm: time.Second, Amnesia: 5 * time.Second}
 
 // group is a set of controllers with a model of the leader's key.
 type group struct {
@@ -29,11 +30,13 @@
 	down    map[string]bool // without the state service
 	cut     map[string]bool // without the mesh
 	leads   map[uint64]string
+	began   map[string]time.Duration
 	t       *rapid.T
 }
 
 func newGroup(t *rapid.T, n int) *group {
-	g := &group{nodes: map[string]*Machine{}, down: map[string]bool{}, cut: map[string]bool{}, leads: map[uint64]string{}, t: t}
+	g := &group{nodes: map[string]*Machine{}, down: map[string]bool{}, cut: map[string]bool{}, leads: map[uint64]string{},
+		began: map[string]time.Duration{}, t: t}
 	for i := range n {
 		g.names = append(g.names, fmt.Sprintf("n%d", i))
 	}
@@ -51,6 +54,7 @@
 		}
 	}
 	g.nodes[name] = New(g.now, name, peers, times)
+	g.began[name] = g.now
 }
 
 func (g *group) step(name string, e any) {
@@ -100,6 +104,7 @@
 	for _, n := range g.names {
 		if !g.down[n] {
 			g.step(n, Key{Present: g.present, Node: g.node, Term: g.term})
+			g.step(n, Sight{Term: g.nodes[n].term, At: g.now})
 		}
 		g.step(n, Tick{})
 		for _, o := range g.names {
@@ -109,7 +114,8 @@
 			v := g.nodes[n].View(g.now)
 			g.step(o, Beat{From: n, Term: v.Term, Leader: v.Leader})
 			w := g.nodes[o].View(g.now)
-			g.step(n, Beat{From: o, Term: w.Term, Leader: w.Leader, Reply: true, Sent: g.now})
+			g.step(n, Beat{From: o, Term: w.Term, Leader: w.Leader, Reply: true, Sent: g.now,
+				Complete: true, Whole: g.now >= g.began[o]+times.Amnesia, LifeAt: g.began[o]})
 		}
 	}
 }
@@ -236,39 +242,102 @@
 	})
 }
 
-// TestCaretakerOnlyWhenNobodyCanLead: a single controller that reaches the
-// state service, knows a leader or is not heard forbids it, for it might let
-// users know of cancellations.
-func TestCaretakerOnlyWhenNobodyCanLead(t *testing.T) {
+// TestCaretakerOnlyByMajority: one controller that says it reaches the state service
+// or knows a leader forbids it, for somebody can lead. Otherwise it takes a majority
+// that has just spoken, handed on all its notices and forgotten none; whoever is not
+// heard, or has forgotten, counts for nothing.
+func TestCaretakerOnlyByMajority(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Minute
-		peers := []string{"a", "b"}
+		peers := []string{"a", "b", "c", "d"}[:rapid.SampledFrom([]int{1, 2, 4}).Draw(t, "peers")]
 		heard := map[string]Peer{}
-		want := true
+		forbidden, good := false, 1
 		for _, p := range peers {
+			if rapid.IntRange(0, 6).Draw(t, "unheard") == 0 {
+				continue
+			}
 			x := Peer{
-				At:      now - time.Duration(rapid.IntRange(0, 1000).Draw(t, "age"))*ms,
-				StateOK: rapid.IntRange(0, 4).Draw(t, "ok") == 0,
-				Leader:  rapid.SampledFrom([]string{"", "", "", "", "c"}).Draw(t, "leader"),
+				At:       now - time.Duration(rapid.IntRange(0, 1000).Draw(t, "age"))*ms,
+				StateOK:  rapid.IntRange(0, 4).Draw(t, "ok") == 0,
+				Leader:   rapid.SampledFrom([]string{"", "", "", "", "c"}).Draw(t, "leader"),
+				Complete: rapid.IntRange(0, 4).Draw(t, "incomplete") != 0,
+				Whole:    rapid.IntRange(0, 4).Draw(t, "forgetful") != 0,
+			}
+			heard[p] = x
+			if now-x.At > times.Silent/2 {
+				continue
 			}
-			if rapid.IntRange(0, 6).Draw(t, "unheard") != 0 {
-				heard[p] = x
+			forbidden = forbidden || x.StateOK || x.Leader != ""
+			if x.Complete && x.Whole {
+				good++
 			}
-			_, ok := heard[p]
-			want = want && ok && !x.StateOK && x.Leader == "" && now-x.At <= times.Silent/2
 		}
 		v := View{Term: 3, Leader: rapid.SampledFrom([]string{"", "", "a"}).Draw(t, "mine")}
 		stateOK := rapid.IntRange(0, 3).Draw(t, "state") == 0
-		want = want && v.Leader == "" && !stateOK
-		if got := Caretake(now, times, v, stateOK, peers, heard); got != want {
-			t.Fatalf("%v for %+v, %+v, state %v", got, v, heard, stateOK)
+		whole := rapid.IntRange(0, 3).Draw(t, "whole") != 0
+		want := !forbidden && 2*good > len(peers)+1 && v.Leader == "" && !stateOK && whole
+		if got := Caretake(now, times, v, stateOK, whole, peers, heard); got != want {
+			t.Fatalf("%v for %+v, %+v, state %v, whole %v", got, v, heard, stateOK, whole)
 		}
 	})
-	if Caretake(0, times, View{}, false, nil, nil) {
+	if Caretake(time.Minute, times, View{}, false, true, nil, nil) {
 		t.Error("one controller alone may not")
 	}
 }
 
+// TestOnlyWhoKnowsOfCancellationsAnswersWorkers: a leader whose lease is renewed but
+// that neither sees the state service's changes nor has a majority's notices is not
+// aware, and gives up. A peer that may have forgotten notices counts only once the
+// service has shown all that it can have forgotten.
+func TestOnlyWhoKnowsOfCancellationsAnswersWorkers(t *testing.T) {
+	lead := func() *Machine {
+		m := New(0, "a", []string{"b", "c"}, times)
+		m.began = -time.Hour
+		m.Step(0, Key{})
+		m.Step(10*time.Second, Tick{})
+		if m.role != Claiming {
+			t.Fatal("no claim")
+		}
+		m.Step(10*time.Second, Claimed{Won: true, Term: 1, Stamp: 1, Lease: 7, Sent: 10 * time.Second})
+		return m
+	}
+	beat := func(whole, complete bool, lifeAt, sent time.Duration) Beat {
+		return Beat{From: "b", Term: 1, Leader: "a", Reply: true, Sent: sent, Whole: whole, Complete: complete, LifeAt: lifeAt}
+	}
+	at := 12 * time.Second
+	for _, c := range []struct {
+		name  string
+		event any
+		began time.Duration
+		want  time.Duration
+	}{
+		{"renewed only", Renewed{OK: true, Term: 1, Sent: 11 * time.Second}, -time.Hour, 0},
+		{"saw the changes", Sight{Term: 1, At: 11 * time.Second}, -time.Hour, 13 * time.Second},
+		{"saw them in another term", Sight{Term: 2, At: 11 * time.Second}, -time.Hour, 0},
+		{"a majority's notices", beat(true, true, 0, 11*time.Second), -time.Hour, 13 * time.Second},
+		{"not all notices", beat(true, false, 0, 11*time.Second), -time.Hour, 0},
+		{"a peer that forgot", beat(false, true, 9*time.Second, 11*time.Second), -time.Hour, 0},
+		{"forgot itself", beat(true, true, 0, 11*time.Second), 9 * time.Second, 0},
+	} {
+		m := lead()
+		m.began = c.began
+		m.Step(at, c.event)
+		if v := m.View(at); v.Aware != c.want || v.Until < 12*time.Second {
+			t.Errorf("%s: %+v, want aware until %v", c.name, v, c.want)
+		}
+		m.Step(at+times.Hold, Tick{})
+		if m.View(at + times.Hold).Leading {
+			t.Errorf("%s: still leads when nobody has told it of cancellations for %v", c.name, times.Hold)
+		}
+	}
+	m := lead()
+	m.Step(at, Sight{Term: 1, At: 11 * time.Second}) // two seconds after the peer began anew
+	m.Step(at, beat(false, true, 9*time.Second, at))
+	if v := m.View(at); v.Aware != at+times.Hold {
+		t.Errorf("a peer whose loss the service has made good: %+v", v)
+	}
+}
+
 // TestLeaderThatIsOutOfReachLetsOthersLead: one that resigns because machines
 // reach others only does not take the leadership back at once.
 func TestLeaderThatIsOutOfReachLetsOthersLead(t *testing.T) {
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -26,18 +27,30 @@
 	store  *storage.Client
 	log    *slog.Logger
 	status func(context.Context, string) (protocol.JobStatus, bool)
-	types  atomic.Pointer[[]protocol.MachineType]
+	// announce has a majority of the controllers hold a notice that a job is cancelled.
+	announce Announce
+	types    atomic.Pointer[[]protocol.MachineType]
 
 	mu      sync.Mutex
 	finals  map[string]protocol.JobStatus
 	maxKept int
 }
 
+// Announce has a majority of the controllers hold a notice that a job is about to be
+// called cancelled, and returns when the notice was made; an error says that too few
+// of them can be reached.
+type Announce func(ctx context.Context, job string) (time.Time, error)
+
+// Confirm is within what time of its notice a user may be told that a job is
+// cancelled: controllers that the state service does not answer keep the job stopped
+// for so long, and may then take it that it lives, if they see so.
+const Confirm = submitPatience
+
 // New returns an intake. status asks the leader about a job, briefly.
 func New(cfg *config.Deployment, store *storage.Client, log *slog.Logger,
-	status func(context.Context, string) (protocol.JobStatus, bool)) *Intake {
+	status func(context.Context, string) (protocol.JobStatus, bool), announce Announce) *Intake {
 	// Final states never change, so they may be kept: some hundred a MB.
-	return &Intake{cfg: cfg, store: store, log: log, status: status,
+	return &Intake{cfg: cfg, store: store, log: log, status: status, announce: announce,
 		finals: map[string]protocol.JobStatus{}, maxKept: int(cfg.Quota.RAMMB * 100)}
 }
 
@@ -116,13 +129,18 @@
 	for {
 		ok, err := in.store.TxnTwice(ctx, storage.Accept, t)
 		switch {
-		case err == nil && ok:
+		case err == nil && ok && time.Since(began) < storage.Slow:
 			return http.StatusCreated, protocol.JobStatus{ID: job.ID, Standing: protocol.Queued}
 		case err == nil:
+			// The job was known, or the answer took so long that others may have read
+			// of the job meanwhile, and even cancelled it: look what has become of it.
 			st, found, err := in.lookup(ctx, job.ID)
 			if err != nil || !found {
 				return http.StatusServiceUnavailable, protocol.JobStatus{}
 			}
+			if ok {
+				return http.StatusCreated, st
+			}
 			return http.StatusOK, st
 		case ctx.Err() != nil || !again(err, began):
 			// An outage, a crowd, or no answer: the user is told at once when to come
@@ -144,7 +162,9 @@
 }
 
 // lookup reads a job's state through to the state service, unless it is final
-// and known. Reading the live key first is right, for the move is one way.
+// and known. The leader is asked first: had the service been read before it, the
+// job could be cancelled between the two. Reading the live key before the other is
+// right, for the move is one way.
 func (in *Intake) lookup(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
 	in.mu.Lock()
 	st, ok := in.finals[id]
@@ -152,29 +172,50 @@
 	if ok {
 		return st, true, nil
 	}
+	st, ok = in.status(ctx, id)
 	p, err := in.store.Get(ctx, storage.Consult, storage.LiveKey(id))
 	if err != nil {
 		return st, false, err
 	}
 	if p.Version != 0 {
-		if st, ok := in.status(ctx, id); ok {
-			return st, true, nil
+		if !ok {
+			st = protocol.JobStatus{ID: id, Standing: protocol.Queued}
 		}
-		return protocol.JobStatus{ID: id, Standing: protocol.Queued}, true, nil
+		return st, true, nil
 	}
 	p, err = in.store.Get(ctx, storage.Consult, storage.EndedKey(id))
 	if err != nil || p.Version == 0 {
-		return st, false, err
+		return protocol.JobStatus{}, false, err
 	}
 	var rec storage.EndedRecord
 	if err := protocol.Decode(p.Value, &rec); err != nil {
-		return st, false, err
+		return protocol.JobStatus{}, false, err
 	}
 	st = protocol.JobStatus{ID: id, Standing: rec.Standing, Done: rec.Done}
+	if st.Standing == protocol.Cancelled {
+		// Its transaction may have come late, when its notice was no longer taken
+		// seriously; whoever tells of it makes sure that it is known.
+		if err := in.confirm(ctx, id, time.Time{}); err != nil {
+			return protocol.JobStatus{}, false, err
+		}
+	}
 	in.keep(st)
 	return st, true, nil
 }
 
+// confirm makes sure that a notice is held by a majority and is fresh, at the moment
+// at which a user is told that the job is cancelled. noticed is when the last one
+// was made.
+func (in *Intake) confirm(ctx context.Context, id string, noticed time.Time) error {
+	for time.Since(noticed) > Confirm {
+		var err error
+		if noticed, err = in.announce(ctx, id); err != nil {
+			return fmt.Errorf("notice of %s: %w", id, err)
+		}
+	}
+	return nil
+}
+
 func (in *Intake) keep(st protocol.JobStatus) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -224,7 +265,7 @@
 	case http.StatusNotFound:
 		refuse(w, status, "no such job")
 	default:
-		refuse(w, status, "the state service did not answer")
+		refuse(w, status, "the cancellation cannot be recorded for the moment")
 	}
 }
 
@@ -247,12 +288,19 @@
 			}
 			return http.StatusOK, st
 		}
+		var noticed time.Time
+		if err == nil {
+			noticed, err = in.announce(ctx, id)
+		}
 		if err == nil {
 			_, ok, terr := in.store.Txn(ctx, storage.Accept, protocol.Txn{
 				If:   []protocol.Cond{{Key: storage.LiveKey(id), Version: p.Version}, {Key: storage.EndedKey(id)}},
 				Then: []protocol.Op{{Delete: storage.LiveKey(id)}, {Put: storage.EndedKey(id), Value: value}},
 			})
 			if terr == nil && ok {
+				if err := in.confirm(ctx, id, noticed); err != nil {
+					break
+				}
 				st := protocol.JobStatus{ID: id, Standing: protocol.Cancelled}
 				in.keep(st)
 				return http.StatusOK, st
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -20,6 +21,7 @@
 	"pinebay/internal/standin"
 	"pinebay/internal/storage"
 	"pinebay/internal/testkit"
+	"pinebay/internal/transport"
 )
 
 func TestMain(m *testing.M) { testkit.Main(m) }
@@ -28,6 +30,8 @@
 	t     testing.TB
 	state *standin.State
 	nodes []http.Handler
+	// unsafe is what an announcement comes to.
+	unsafe error
 }
 
 var kinds = []protocol.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, Zones: []string{"a", "b"}}}
@@ -43,9 +47,10 @@
 	cfg := &config.Deployment{Nodes: 2, Teams: []config.Team{{Name: "red", GPUsMax: 16}},
 		State: rates, Workers: config.Workers{LeaseS: 10}, Quota: config.Quota{RAMMB: 1, MaxSockets: 500}}
 	for range 2 {
-		store := storage.NewClient(cfg, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
+		store := storage.NewClient(transport.TCP{}, cfg, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
 		in := New(cfg, store, slog.New(slog.NewTextHandler(io.Discard, nil)),
-			func(context.Context, string) (protocol.JobStatus, bool) { return protocol.JobStatus{}, false })
+			func(context.Context, string) (protocol.JobStatus, bool) { return protocol.JobStatus{}, false },
+			func(context.Context, string) (time.Time, error) { return time.Now(), s.unsafe })
 		in.SetTypes(kinds)
 		r := chi.NewRouter()
 		in.Routes(r)
@@ -176,6 +181,37 @@
 	}
 }
 
+// TestCancellationNeedsAMajority: nobody is told that a job is cancelled, by whoever
+// cancelled it or by another controller that reads of it, before a majority of the
+// controllers holds a notice of it; and nothing is recorded before.
+func TestCancellationNeedsAMajority(t *testing.T) {
+	s := newSite(t)
+	j := array("j-000001")
+	s.call(0, "POST", "/submissions", body(t, j))
+	s.unsafe = errors.New("cut off")
+	code, _, h := s.call(0, "POST", "/submissions/j-000001/withdraw", nil)
+	if code != http.StatusServiceUnavailable || h.Get("Retry-After") == "" {
+		t.Errorf("a cancellation that no majority knows of: %d %v", code, h)
+	}
+	if s.state.Get(storage.LiveKey(j.ID)).Version == 0 {
+		t.Error("it was recorded all the same")
+	}
+	s.unsafe = nil
+	if code, st, _ := s.call(0, "POST", "/submissions/j-000001/withdraw", nil); code != 200 || st.Standing != protocol.Cancelled {
+		t.Errorf("with a majority: %d %+v", code, st)
+	}
+	s.unsafe = errors.New("cut off")
+	if code, _, _ := s.call(1, "GET", "/submissions/j-000001", nil); code != http.StatusServiceUnavailable {
+		t.Errorf("the news of a cancellation that no majority knows of: %d", code)
+	}
+	if code, st, _ := s.call(0, "GET", "/submissions/j-000001", nil); code != 200 || st.Standing != protocol.Cancelled {
+		t.Errorf("what was told once: %d %+v", code, st)
+	}
+	if code, _, _ := s.call(0, "POST", "/submissions/j-000002/withdraw", nil); code != http.StatusNotFound {
+		t.Errorf("a job that nobody submitted: %d", code)
+	}
+}
+
 // TestOutageIsToldAtOnce: what cannot be taken is answered at once, with when
 // to come back; it is not held until the user gives up.
 func TestOutageIsToldAtOnce(t *testing.T) {
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -32,6 +32,16 @@
 	Now     func() time.Duration
 	// Confirmed says whether the leadership is, at this moment.
 	Confirmed func() bool
+	// Watch is how long a look at the state service's changes may wait for one, and
+	// Sighted is told up to when all of them are known.
+	Watch   time.Duration
+	Sighted func(term uint64, at time.Duration)
+	// Withdrawals returns the jobs of which a notice of cancellation is held, and when
+	// the newest came; IsWithdrawn says it of one. Without another, a cancellation is
+	// confirmed within Confirm of its notice or not at all.
+	Withdrawals func(now time.Duration) map[string]time.Duration
+	IsWithdrawn func(job string) bool
+	Confirm     time.Duration
 	// Deposed is told that the term is over, and why.
 	Deposed func(term uint64, d scheduler.Depose)
 	// Types is told of machine types that were read.
@@ -88,6 +98,11 @@
 	return protocol.ReportAnswer{}, false
 }
 
+// Withdrawn tells that a user may be about to hear that the job is cancelled.
+func (l *Leader) Withdrawn(job string, at time.Duration) {
+	l.box.Send(scheduler.Withdrawn{ID: job, Until: at + l.Confirm})
+}
+
 // Status asks what the leader knows of a job.
 func (l *Leader) Status(ctx context.Context, id string) (protocol.JobStatus, bool) {
 	q := query{id, make(chan protocol.JobStatus, 1)}
@@ -106,7 +121,7 @@
 	types       []protocol.MachineType
 	live, pages []protocol.Pair
 	warm        []protocol.Pair
-	rev         uint64
+	at          time.Duration // when live was asked for
 }
 
 func (l *Leader) run() {
@@ -116,6 +131,7 @@
 	go l.recover()
 	var core *scheduler.Core
 	early := map[string]scheduler.Reported{}
+	var changes []any // of the accepted jobs, since they were read
 	step := func(e any) {
 		if !l.stands() {
 			return
@@ -140,17 +156,26 @@
 				l.Deposed(l.term, scheduler.Depose{Term: t, Reason: "a worker has seen a later term"})
 				return
 			}
-			e.Tag.(chan protocol.ReportAnswer) <- protocol.ReportAnswer{Token: protocol.Token(l.term, 0), Commands: []protocol.Command{}}
+			// What users may have been told is cancelled ends all the same.
+			e.Tag.(chan protocol.ReportAnswer) <- protocol.ReportAnswer{Token: protocol.Token(l.term, 0), Commands: e.Report.StopsOf(l.IsWithdrawn)}
 			e.Tag = nil // it has its answer
 			early[e.Report.Machine] = e
 		case loaded:
 			core = scheduler.New(now, l.Cfg, l.Log, l.term, l.stamp, e.types, e.live, e.pages, e.warm, time.Now().UnixMilli())
 			l.Log.Info("records read", "jobs", len(e.live), "pages", len(e.pages), "took", now-began)
+			for job, at := range l.Withdrawals(now) {
+				l.do(core.Step(now, scheduler.Withdrawn{ID: job, Until: at + l.Confirm}))
+			}
+			for _, c := range changes {
+				l.do(core.Step(now, c))
+			}
+			changes = nil
 			for _, r := range early {
 				l.do(core.Step(now, r))
 			}
-			go l.watch(e.rev)
 			go l.refreshTypes()
+		case scheduler.JobSet, scheduler.JobDropped, scheduler.Sighted:
+			changes = append(changes, e)
 		}
 	}
 	rest := time.Duration(0)
@@ -187,10 +212,20 @@
 
 // recover reads the records, trying until it can.
 func (l *Leader) recover() {
+	var got loaded
+	var rev uint64
+	watching := false
 	for l.ctx.Err() == nil {
-		var got loaded
 		var err error
-		if got.live, got.rev, err = l.Store.List(l.ctx, storage.LivePrefix); err == nil {
+		if !watching {
+			got.at = l.Now()
+			if got.live, rev, err = l.Store.List(l.ctx, storage.LivePrefix); err == nil {
+				watching = true
+				l.sighted(got.at)
+				go l.watch(rev)
+			}
+		}
+		if err == nil {
 			if got.pages, _, err = l.Store.List(l.ctx, storage.PlacePrefix); err == nil {
 				if got.warm, _, err = l.Store.List(l.ctx, storage.WarmPrefix); err == nil {
 					got.types, err = l.Cloud.Types(l.ctx, l.Store)
@@ -207,11 +242,19 @@
 	}
 }
 
-// watch follows the accepted jobs.
+// sighted notes that all changes up to the given time have been taken in or wait
+// in the mailbox.
+func (l *Leader) sighted(at time.Duration) {
+	l.box.Send(scheduler.Sighted{At: at})
+	l.Sighted(l.term, at)
+}
+
+// watch follows the accepted jobs. It looks often, for only an answer shows that
+// nothing has changed until the question was sent: a watch that hangs shows nothing.
 func (l *Leader) watch(rev uint64) {
-	wait := config.Seconds(l.Cfg.Workers.LeaseS)
 	for l.ctx.Err() == nil {
-		ev, err := l.Store.Watch(l.ctx, storage.LivePrefix, rev, wait)
+		asked := l.Now()
+		ev, err := l.Store.Watch(l.ctx, storage.LivePrefix, rev, l.Watch)
 		if errors.Is(err, storage.ErrCompacted) {
 			l.Deposed(l.term, scheduler.Depose{Reason: "fell behind the changes"})
 			return
@@ -233,6 +276,7 @@
 			}
 			l.box.Send(scheduler.JobSet{Record: rec, Stamp: e.Version})
 		}
+		l.sighted(asked)
 	}
 }
 
@@ -406,8 +450,8 @@
 
 // NewCloud returns a client. A controller uses most of the whole rate, since
 // only the leader calls more than now and then.
-func NewCloud(addr string, cfg config.Cloud) *Cloud {
-	return &Cloud{base: "http://" + addr, client: transport.NewClient(4, 4, config.Seconds(cfg.ListLagS)),
+func NewCloud(network transport.Network, addr string, cfg config.Cloud) *Cloud {
+	return &Cloud{base: "http://" + addr, client: transport.NewClient(network, 4, 4, config.Seconds(cfg.ListLagS)),
 		limit: rate.NewLimiter(rate.Limit(cfg.RPS*0.9), max(1, int(cfg.RPS))), timeout: 4 * scheduler.Cycle}
 }
 
--- a/internal/coordination/leader/leader_test.go
+++ b/internal/coordination/leader/leader_test.go
@@ -40,11 +40,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	l := Start(ctx, Deps{
-		Cfg: cfg, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Store: storage.NewClient(cfg, addr, time.Minute),
-		Cloud: NewCloud(addr, cfg.Cloud), Workers: transport.NewClient(1, 4, time.Minute),
+		Cfg: cfg, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Store: storage.NewClient(transport.TCP{}, cfg, addr, time.Minute),
+		Cloud: NewCloud(transport.TCP{}, addr, cfg.Cloud), Workers: transport.NewClient(transport.TCP{}, 1, 4, time.Minute),
 		Now: func() time.Duration { return time.Since(start) }, Types: func([]protocol.MachineType) {},
 		Confirmed: func() bool { return !stale.Load() },
 		Deposed:   func(_ uint64, d scheduler.Depose) { deposed <- d },
+		Sighted:   func(uint64, time.Duration) {}, Watch: time.Second,
+		Withdrawals: func(time.Duration) map[string]time.Duration { return nil },
+		IsWithdrawn: func(string) bool { return false },
 	}, 3, 1)
 	r := &protocol.Report{Machine: "m1", Addr: "127.0.0.1:1", Type: "g8", Zone: "a", Session: 1, Seq: 1}
 	if a, ok := l.Report(ctx, r, false); !ok || protocol.TermOf(a.Token) != 3 {
--- /dev/null
+++ b/internal/coordination/notice/notice_test.go
@@ -0,0 +1,143 @@
+package notice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/protocol"
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+const (
+	keep    = 30 * time.Second
+	amnesia = 10 * time.Second
+)
+
+// TestWordIsNeverTooMuch plays two controllers that hand each other notices over a
+// network that loses messages and brings old ones again, and that begin anew. Whoever
+// is said to hold a notice does; whoever is said to be complete has everything that
+// the other holds and that is not over.
+func TestWordIsNeverTooMuch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Duration(0)
+		most := rapid.SampledFrom([]int{4, 400}).Draw(t, "most")
+		names := []string{"a", "b"}
+		logs := map[string]*Log{}
+		begin := func(i int) { logs[names[i]] = New([]string{names[1-i]}, keep, now+amnesia, most) }
+		begin(0)
+		begin(1)
+		var old []protocol.MeshMessage
+		n := 0
+		send := func(from, to string, life uint64) protocol.MeshMessage {
+			m := protocol.MeshMessage{Kind: protocol.MeshBeat, From: from}
+			logs[from].Fill(now, to, life, &m)
+			if len(old) < 50 {
+				old = append(old, m)
+			}
+			return m
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+			i := rapid.IntRange(0, 1).Draw(t, "who")
+			me, peer := names[i], names[1-i]
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				begin(i)
+			case 1, 2, 3:
+				n++
+				job := fmt.Sprintf("j-%d", rapid.IntRange(0, 5).Draw(t, "job"))
+				if own, err := logs[me].Announce(now, time.Second, job); err == nil && !logs[me].Active(now, job) {
+					t.Fatalf("%s does not hold its own %v", me, own)
+				}
+			case 4:
+				if len(old) > 0 {
+					m := old[rapid.IntRange(0, len(old)-1).Draw(t, "late")]
+					if m.From != me {
+						logs[me].Take(now, &m, false)
+					}
+				}
+			default:
+				// A beat, of which the request or the answer may be lost.
+				q := send(me, peer, 0)
+				if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+					break
+				}
+				logs[peer].Take(now, &q, false)
+				r := send(peer, me, q.Life)
+				if rapid.IntRange(0, 4).Draw(t, "unanswered") == 0 {
+					break
+				}
+				got := logs[me].Take(now, &r, true)
+				if got.Complete {
+					for _, e := range logs[peer].list {
+						if now-e.at <= keep && !logs[me].known[e.Notice] {
+							t.Fatalf("%s is complete without %v of %s", me, e.Notice, peer)
+						}
+					}
+				}
+				if got.Whole && now < logs[peer].whole {
+					t.Fatalf("%s is whole", peer)
+				}
+				held := logs[me].peers[peer].held
+				for k, e := range logs[me].list {
+					if logs[me].base+uint64(k) < held && !logs[peer].known[e.Notice] && now-e.at < keep {
+						t.Fatalf("%s takes %s to hold %v: %d", me, peer, e.Notice, held)
+					}
+				}
+			}
+			for _, l := range logs {
+				if len(l.list) > most || len(l.known) != len(l.list) {
+					t.Fatalf("%d notices, %d known, of at most %d", len(l.list), len(l.known), most)
+				}
+			}
+		}
+		// With no more trouble both hold all that fits.
+		for range 2 * (1 + n/protocol.MaxNotices) {
+			for i, me := range names {
+				q := send(me, names[1-i], 0)
+				logs[names[1-i]].Take(now, &q, false)
+				r := send(names[1-i], me, q.Life)
+				logs[me].Take(now, &r, true)
+			}
+		}
+		for i, me := range names {
+			l, p := logs[me], logs[names[1-i]]
+			if held, _ := l.Holders(l.base + uint64(len(l.list))); held != 2 && len(p.list) < most {
+				t.Fatalf("%d hold all of %s: %+v", held, me, l.peers[names[1-i]])
+			}
+		}
+	})
+}
+
+// TestNoticesAreOfLimitedUse: a notice of ours serves again only while it is fresh,
+// all are forgotten in the end, and a peer of an older version consents to nothing.
+func TestNoticesAreOfLimitedUse(t *testing.T) {
+	l := New([]string{"b"}, keep, 0, 3)
+	first, _ := l.Announce(0, time.Second, "j-1")
+	if again, _ := l.Announce(time.Second, time.Second, "j-1"); again != first {
+		t.Errorf("a fresh notice was made again: %v", again)
+	}
+	if later, _ := l.Announce(2*time.Second, time.Second, "j-1"); later == first {
+		t.Error("an old notice served again")
+	}
+	for i := range 3 {
+		_, err := l.Announce(3*time.Second, 0, fmt.Sprintf("j-%d", i+2))
+		if (err == nil) != (i < 1) {
+			t.Errorf("notice %d of at most 3: %v", i+3, err)
+		}
+	}
+	if got := l.Take(3*time.Second, &protocol.MeshMessage{From: "b"}, true); got.Complete || got.Whole {
+		t.Errorf("a peer without notices: %+v", got)
+	}
+	if held, _ := l.Holders(first.Seq); held != 1 {
+		t.Errorf("%d hold what nobody acknowledged", held)
+	}
+	if jobs := l.Jobs(keep + 4*time.Second); len(jobs) > 0 || l.Active(keep+4*time.Second, "j-1") || len(l.mine) > 0 {
+		t.Errorf("%v are still held", jobs)
+	}
+}
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -204,7 +204,7 @@
 
 // waits says whether a job has tasks that may be placed now.
 func (c *Core) waits(now time.Duration, j *job) bool {
-	if j.counts[pending] == 0 || j.over || j.writing || j.finishing || len(j.granted) > 0 || now < j.notBefore {
+	if j.counts[pending] == 0 || c.held(j) || j.writing || len(j.granted) > 0 || now < j.notBefore {
 		return false
 	}
 	return j.spec.Shape != protocol.Gang || len(j.places) == 0
@@ -751,7 +751,7 @@
 	var units []fleet.Unit
 	for _, j := range jobs {
 		n := min(j.counts[pending], c.allowance(j))
-		if n == 0 || j.over || j.finishing {
+		if n == 0 || c.held(j) {
 			continue
 		}
 		if j.suspect() {
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -35,6 +35,14 @@
 	}
 	// JobDropped says that a job's live record is gone: it is over.
 	JobDropped struct{ ID string }
+	// Withdrawn says that a user may be about to be told that a job is cancelled, by
+	// the given time or else not before another Withdrawn.
+	Withdrawn struct {
+		ID    string
+		Until time.Duration
+	}
+	// Sighted says that all changes of the accepted jobs up to At have been told.
+	Sighted struct{ At time.Duration }
 	// Written is the outcome of a Write. Failed names the conditions that did
 	// not hold.
 	Written struct {
@@ -127,6 +135,9 @@
 	part  *part.Part
 	fleet *fleet.Fleet
 	jobs  map[string]*job
+	// withdrawn holds the jobs that users may have been told are cancelled, until the
+	// state service tells, by when one must have been told.
+	withdrawn map[string]time.Duration
 
 	out       []any
 	writes    map[uint64]func(now time.Duration, w Written)
@@ -154,7 +165,7 @@
 	live, pages, warm []protocol.Pair, wallMS int64) *Core {
 	c := &Core{
 		cfg: cfg, log: log, term: term, termStamp: termStamp, perPage: storage.PageTasks(cfg.State.ValueKB),
-		part: part.New(term, cfg.Workers), fleet: fleet.New(term, cfg.Cloud, cfg.Workers), jobs: map[string]*job{},
+		part: part.New(term, cfg.Workers), fleet: fleet.New(term, cfg.Cloud, cfg.Workers), jobs: map[string]*job{}, withdrawn: map[string]time.Duration{},
 		writes: map[uint64]func(time.Duration, Written){}, due: true, began: now,
 		lastCycle: now - Cycle, lastPlan: now - Cycle,
 		arrivals: map[string][]time.Duration{}, sample: map[string]*protocol.Job{}, sizes: map[string]float64{},
@@ -365,6 +376,10 @@
 		c.accept(now, now, e.Record, e.Stamp)
 	case JobDropped:
 		c.dropped(now, e.ID)
+	case Withdrawn:
+		c.withdraw(now, e)
+	case Sighted:
+		c.sighted(e.At)
 	case Written:
 		if f := c.writes[e.Write]; f != nil {
 			delete(c.writes, e.Write)
@@ -646,6 +661,42 @@
 	c.sweep(now, j)
 }
 
+// withdraw stops a job whose user may be told that it is cancelled before we hear
+// of it from the state service, which may be out of our reach. Nobody has any use
+// for what its tasks do; should it not be cancelled after all, it begins again.
+func (c *Core) withdraw(now time.Duration, e Withdrawn) {
+	c.withdrawn[e.ID] = max(c.withdrawn[e.ID], e.Until)
+	j := c.jobs[e.ID]
+	if j == nil || j.over {
+		return
+	}
+	c.log.Debug("withdrawn", "job", e.ID)
+	if j.spec.Shape == protocol.Gang {
+		c.stopGang(now, j)
+		return
+	}
+	for _, pl := range placements(j) {
+		c.stop(now, j, pl, 0)
+	}
+}
+
+// sighted lets jobs run again that live although the time is over in which their
+// cancellation could have been confirmed.
+func (c *Core) sighted(at time.Duration) {
+	for id, until := range c.withdrawn {
+		if at > until {
+			delete(c.withdrawn, id)
+			c.due = true
+		}
+	}
+}
+
+// held says whether a job must not start anything.
+func (c *Core) held(j *job) bool {
+	_, ok := c.withdrawn[j.spec.ID]
+	return ok || j.over || j.finishing
+}
+
 // dropped takes in that a job is over by somebody's transaction.
 func (c *Core) dropped(now time.Duration, id string) {
 	j := c.jobs[id]
--- a/internal/coordination/scheduler/move.go
+++ b/internal/coordination/scheduler/move.go
@@ -103,7 +103,7 @@
 // says, and for large images that is longer than some aims on waiting; a task
 // that has not started loses nothing by the move.
 func (c *Core) rewarm(now time.Duration, j *job, cands []*candidate) {
-	if j.over || j.writing || j.finishing || j.counts[pending] > 0 || len(j.places) == 0 || math.IsInf(c.waitAim(j.spec.Class), 1) {
+	if c.held(j) || j.writing || j.counts[pending] > 0 || len(j.places) == 0 || math.IsInf(c.waitAim(j.spec.Class), 1) {
 		return
 	}
 	if j.spec.Shape == protocol.Gang && j.spec.Tasks > 1 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -21,6 +20,7 @@
 	"pinebay/internal/coordination/election"
 	"pinebay/internal/coordination/intake"
 	"pinebay/internal/coordination/leader"
+	"pinebay/internal/coordination/notice"
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
@@ -36,10 +36,11 @@
 
 // Controller is one process of the service.
 type Controller struct {
-	cfg   *config.Settings
-	log   *slog.Logger
-	start time.Time
-	times election.Times
+	network transport.Network
+	cfg     *config.Settings
+	log     *slog.Logger
+	start   time.Time
+	times   election.Times
 
 	store   *storage.Client
 	cloud   *leader.Cloud
@@ -51,8 +52,10 @@
 	elect     *election.Machine
 	view      atomic.Pointer[election.View]
 	leading   atomic.Pointer[leader.Leader]
+	notices   *notice.Log
+	wakes     map[string]chan struct{} // make the beat to a peer leave at once
 	peersMu   sync.Mutex
-	peers     map[string]election.Peer // what each last said of itself
+	peers     map[string]election.Peer // what each last answered of itself
 	turned    *Turned
 	peersOK   atomic.Int64 // steady time when a peer last had the state service
 	peerHeard atomic.Int64 // steady time when a peer was last heard
@@ -62,21 +65,32 @@
 func Times(d *config.Deployment) election.Times {
 	lease, cancel := config.Seconds(d.Workers.LeaseS), config.Seconds(d.Workers.CancelS)
 	base := min(lease, cancel/4)
-	return election.Times{
+	t := election.Times{
 		Beat: base / 40, Silent: base / 5, TTL: max(3*base/10, 100*time.Millisecond),
-		Hold: base / 2, Step: base / 50,
+		Hold: base / 2, Step: base / 50, Confirm: intake.Confirm,
 	}
+	// Whoever does not know of a cancellation renews a lease for the last time within
+	// Hold of its confirmation, and the task must be gone within the cancel time.
+	t.Hold = min(t.Hold, max((cancel-lease)/4, 4*t.Beat))
+	t.Amnesia = lease + t.Hold + t.Silent
+	return t
+}
+
+// keepNotices is how long notices are kept: until their tasks must be gone, and
+// for longer than a controller may have forgotten some.
+func keepNotices(d *config.Deployment, t election.Times) time.Duration {
+	return config.Seconds(d.Workers.CancelS) + t.Amnesia
 }
 
 // New returns a controller that is not running yet.
-func New(cfg *config.Settings, log *slog.Logger) *Controller {
+func New(network transport.Network, cfg *config.Settings, log *slog.Logger) *Controller {
 	d := &cfg.Deploy
-	c := &Controller{cfg: cfg, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[any](),
-		peers: map[string]election.Peer{}, turned: NewTurned(config.Seconds(d.Workers.LeaseS))}
-	c.store = storage.NewClient(d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
-	c.cloud = leader.NewCloud(cfg.Outside.Cloud, d.Cloud)
-	c.workers = transport.NewClient(1, max(1, int(float64(d.Quota.MaxSockets)*socketsCommands)), config.Seconds(d.Workers.LeaseS))
-	c.intake = intake.New(d, c.store, c.log, c.status)
+	c := &Controller{network: network, cfg: cfg, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[any](),
+		peers: map[string]election.Peer{}, wakes: map[string]chan struct{}{}, turned: NewTurned(config.Seconds(d.Workers.LeaseS))}
+	c.store = storage.NewClient(network, d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
+	c.cloud = leader.NewCloud(network, cfg.Outside.Cloud, d.Cloud)
+	c.workers = transport.NewClient(network, 1, max(1, int(float64(d.Quota.MaxSockets)*socketsCommands)), config.Seconds(d.Workers.LeaseS))
+	c.intake = intake.New(d, c.store, c.log, c.status, c.announce)
 	peers := map[string]string{}
 	var names []string
 	for _, p := range cfg.Seeds {
@@ -85,8 +99,12 @@
 		}
 		peers[p.Node] = p.Addr
 		names = append(names, p.Node)
+		c.wakes[p.Node] = make(chan struct{}, 1)
 	}
-	c.mesh = transport.NewMesh(cfg.Node, peers, c.times.Silent/2, c.log, c.answerPeer,
+	keep := keepNotices(d, c.times)
+	// The state service's writes bound how many cancellations there can be.
+	c.notices = notice.New(names, keep, c.now()+c.times.Amnesia, int(max(1, d.State.WriteRPS*keep.Seconds())))
+	c.mesh = transport.NewMesh(network, cfg.Node, peers, c.times.Silent/2, c.log, c.answerPeer,
 		func(node string) { c.box.Send(election.Lost{Peer: node}) })
 	c.elect = election.New(c.now(), cfg.Node, names, c.times)
 	c.publish()
@@ -102,14 +120,14 @@
 
 // Run serves until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
-	l, err := transport.Listen(c.cfg.Listen, int(float64(c.cfg.Deploy.Quota.MaxSockets)*socketsServed))
+	l, err := transport.Listen(c.network, c.cfg.Listen, int(float64(c.cfg.Deploy.Quota.MaxSockets)*socketsServed))
 	if err != nil {
 		return err
 	}
-	ml, err := net.Listen("tcp", c.cfg.MeshAddr)
+	ml, err := c.network.Listen(c.cfg.MeshAddr)
 	if err != nil {
 		l.Close()
-		return fmt.Errorf("listen on %s: %w", c.cfg.MeshAddr, err)
+		return err
 	}
 	lease := config.Seconds(c.cfg.Deploy.Workers.LeaseS)
 	srv := &http.Server{
@@ -207,8 +225,8 @@
 	}
 	if care {
 		// Nobody can lead: keep the tasks alive, with the token that the worker
-		// has, and command nothing.
-		transport.Answer(w, http.StatusOK, protocol.ReportAnswer{Token: rep.Token, Commands: []protocol.Command{}})
+		// has, but for those whose users may have been told that they are cancelled.
+		transport.Answer(w, http.StatusOK, protocol.ReportAnswer{Token: rep.Token, Commands: rep.StopsOf(c.withdrawn)})
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), reportPatience)
@@ -223,8 +241,9 @@
 		return
 	}
 	a, ok := l.Report(ctx, rep, false)
-	if !ok || c.leading.Load() != l {
-		// A 200 with a token that the worker has to drop would hold it here.
+	if !ok || c.leading.Load() != l || !c.aware() {
+		// A 200 with a token that the worker has to drop would hold it here, and one
+		// by a leader that may not know of a cancellation would keep its tasks alive.
 		c.redirect(w, "")
 		return
 	}
@@ -258,7 +277,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportPatience)
 	defer cancel()
 	a, ok := l.Report(ctx, rep, true)
-	if !ok || c.leading.Load() != l {
+	if !ok || c.leading.Load() != l || !c.aware() {
 		return nil
 	}
 	raw, err := protocol.Encode(a)
@@ -272,7 +291,65 @@
 func (c *Controller) caretaker() bool {
 	c.peersMu.Lock()
 	defer c.peersMu.Unlock()
-	return election.Caretake(c.now(), c.times, *c.view.Load(), c.stateOK(), c.mesh.Peers(), c.peers)
+	now := c.now()
+	return election.Caretake(now, c.times, *c.view.Load(), c.stateOK(), c.notices.Whole(now), c.mesh.Peers(), c.peers)
+}
+
+// aware says whether workers may be answered by the leader that we are.
+func (c *Controller) aware() bool {
+	v := c.view.Load()
+	return v.Leading && c.now() < v.Aware
+}
+
+// withdrawn says whether a user may have been told that the job is cancelled.
+func (c *Controller) withdrawn(job string) bool { return c.notices.Active(c.now(), job) }
+
+// errUnsafe says that a cancellation cannot be confirmed, since too few controllers
+// would know of it.
+var errUnsafe = errors.New("no majority holds the notice")
+
+// announce has a majority hold a notice of a job's cancellation, and returns when
+// the notice was made.
+func (c *Controller) announce(ctx context.Context, job string) (time.Time, error) {
+	now := c.now()
+	own, err := c.notices.Announce(now, intake.Confirm/4, job)
+	if err != nil {
+		return time.Time{}, err
+	}
+	if l := c.leading.Load(); l != nil {
+		l.Withdrawn(job, now)
+	}
+	for _, wake := range c.wakes {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.times.Silent/2)
+	defer cancel()
+	for {
+		held, news := c.notices.Holders(own.Seq)
+		if 2*held > len(c.wakes)+1 {
+			return c.start.Add(own.At), nil
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return time.Time{}, errUnsafe
+		}
+	}
+}
+
+// takeNotices takes in the notices that a peer's message brings.
+func (c *Controller) takeNotices(m *protocol.MeshMessage, reply bool) notice.Taken {
+	now := c.now()
+	t := c.notices.Take(now, m, reply)
+	if l := c.leading.Load(); l != nil {
+		for _, n := range t.News {
+			l.Withdrawn(n.Job, now)
+		}
+	}
+	return t
 }
 
 // reportPatience stays inside the 4 s that a worker waits.
@@ -310,12 +387,14 @@
 	switch m.Kind {
 	case protocol.MeshBeat:
 		c.heardPeer(m)
+		c.takeNotices(m, false)
 		c.box.Send(election.Beat{From: m.From, Term: m.Term, Leader: m.Leader})
 		reply.Term, reply.Leader = v.Term, v.Leader
 		if m.Leader == m.From && m.Term >= v.Term {
 			reply.Term, reply.Leader = m.Term, m.From // what we shall have taken in
 		}
 		reply.StateOK = c.stateOK()
+		c.notices.Fill(c.now(), m.From, m.Life, reply)
 	case protocol.MeshStatus:
 		if l := c.leading.Load(); l != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), c.times.Silent/2)
@@ -333,9 +412,6 @@
 func (c *Controller) stateOK() bool { return c.store.SilentFor() < c.times.Silent/2 }
 
 func (c *Controller) heardPeer(m *protocol.MeshMessage) {
-	c.peersMu.Lock()
-	c.peers[m.From] = election.Peer{At: c.now(), StateOK: m.StateOK, Leader: m.Leader}
-	c.peersMu.Unlock()
 	c.peerHeard.Store(int64(c.now()))
 	if m.StateOK {
 		c.peersOK.Store(int64(c.now()))
@@ -349,18 +425,31 @@
 	for ctx.Err() == nil {
 		v := c.view.Load()
 		sent := c.now()
-		r, err := c.mesh.Call(ctx, peer, protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK()})
+		m := protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK()}
+		c.notices.Fill(sent, peer, 0, &m)
+		r, err := c.mesh.Call(ctx, peer, m)
 		if err == nil {
-			c.heardPeer(r)
-			c.box.Send(election.Beat{From: peer, Term: r.Term, Leader: r.Leader, Reply: true, Sent: sent})
+			c.answeredBeat(r, sent)
 		}
 		select {
 		case <-ctx.Done():
+		case <-c.wakes[peer]:
 		case <-t.C:
 		}
 	}
 }
 
+// answeredBeat takes in a peer's answer to a beat that was sent at the given time.
+func (c *Controller) answeredBeat(r *protocol.MeshMessage, sent time.Duration) {
+	c.heardPeer(r)
+	t := c.takeNotices(r, true)
+	c.peersMu.Lock()
+	c.peers[r.From] = election.Peer{At: sent, StateOK: r.StateOK, Leader: r.Leader, Complete: t.Complete, Whole: t.Whole}
+	c.peersMu.Unlock()
+	c.box.Send(election.Beat{From: r.From, Term: r.Term, Leader: r.Leader, Reply: true, Sent: sent,
+		Complete: t.Complete, Whole: t.Whole, LifeAt: t.LifeAt})
+}
+
 // runElection is the election's actor.
 func (c *Controller) runElection(ctx context.Context) {
 	step := func(e any) {
@@ -394,6 +483,8 @@
 				v := c.view.Load()
 				return v.Leading && v.Term == e.Term && c.now() < v.Until
 			},
+			Watch: c.times.Silent / 2, Confirm: c.times.Confirm, Withdrawals: c.notices.Jobs, IsWithdrawn: c.withdrawn,
+			Sighted: func(term uint64, at time.Duration) { c.box.Send(election.Sight{Term: term, At: at}) },
 			Deposed: func(term uint64, d scheduler.Depose) {
 				if d.Term > term {
 					c.box.Send(election.Higher{Term: d.Term})
--- a/internal/protocol/mesh.go
+++ b/internal/protocol/mesh.go
@@ -27,8 +27,35 @@
 	Status  *JobStatus `cbor:"9,keyasint,omitempty"`
 	// Body is a report, or the answer to one, as the worker's interface has it.
 	Body []byte `cbor:"10,keyasint,omitempty"`
+
+	// What follows goes with beats and their replies. A controller of a version
+	// without it sends a Life of 0, and counts for nothing that rests on notices.
+
+	// Life tells this process from earlier ones of the same name.
+	Life uint64 `cbor:"11,keyasint,omitempty"`
+	// Whole says that the sender has forgotten no notice that may still matter.
+	Whole bool `cbor:"12,keyasint,omitempty"`
+	// Notices are the sender's, in its order, after the first Base of this life; of
+	// those the first Expired are over. More says that there are others after them.
+	Base    uint64   `cbor:"13,keyasint,omitempty"`
+	Expired uint64   `cbor:"18,keyasint,omitempty"`
+	Notices []Notice `cbor:"14,keyasint,omitempty"`
+	More    bool     `cbor:"15,keyasint,omitempty"`
+	// Held is how many of the receiver's notices of HeldLife the sender holds.
+	HeldLife uint64 `cbor:"16,keyasint,omitempty"`
+	Held     uint64 `cbor:"17,keyasint,omitempty"`
+}
+
+// Notice says that a user is about to be told that a job is cancelled. Mark tells
+// one announcement of the same job from another.
+type Notice struct {
+	Job  string `cbor:"1,keyasint"`
+	Mark uint64 `cbor:"2,keyasint"`
 }
 
+// MaxNotices bounds the notices of one message.
+const MaxNotices = 256
+
 // EncodeMesh returns the message as CBOR.
 func EncodeMesh(m *MeshMessage) ([]byte, error) {
 	m.Version = MeshVersion
@@ -51,5 +78,15 @@
 	if m.Kind < MeshBeat || m.Kind > MeshReport || m.From == "" {
 		return nil, fmt.Errorf("%w: mesh kind %d from %q", ErrMalformed, m.Kind, m.From)
 	}
+	// What is out of form must never pass for consent.
+	if len(m.Notices) > MaxNotices || m.Life == 0 && (m.Whole || len(m.Notices) > 0 || m.Held > 0) ||
+		m.Base+uint64(len(m.Notices)) < m.Base || m.Expired > m.Base {
+		return nil, fmt.Errorf("%w: mesh notices from %q", ErrMalformed, m.From)
+	}
+	for _, n := range m.Notices {
+		if !ValidJobID(n.Job) {
+			return nil, fmt.Errorf("%w: mesh notice of %.80q", ErrMalformed, n.Job)
+		}
+	}
 	return &m, nil
 }
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -90,6 +90,19 @@
 	return &r, nil
 }
 
+// StopsOf returns commands that end at once every reported task whose job the
+// function names.
+func (r *Report) StopsOf(job func(string) bool) []Command {
+	out := []Command{}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		if id, err := ParseTaskID(t.Name); err == nil && t.State != Exited && job(id.Job) {
+			out = append(out, Command{Verb: Stop, Name: t.Name, Attempt: t.Attempt, GraceS: new(float64)})
+		}
+	}
+	return out
+}
+
 // Verb is what a command tells a worker to do.
 type Verb string
 
--- /dev/null
+++ b/internal/standin/ledger.go
@@ -0,0 +1,125 @@
+package standin
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"pinebay/internal/protocol"
+)
+
+// Ledger watches over what users are told, by any controller: it keeps every answer
+// that binds later ones, and notes each that breaks a rule of the protocol.
+type Ledger struct {
+	mu        sync.Mutex
+	submitted map[string]bool
+	asked     map[string]bool // to cancel
+	accepted  map[string]time.Duration
+	finals    map[string]final
+	answered  map[string]time.Duration // when a question was last answered
+	// AllDone says whether all tasks of a job are done, and ToldCancelled takes in
+	// that a user was told.
+	AllDone       func(id string) bool
+	ToldCancelled func(id string, at time.Duration)
+	Broken        []string
+	// Told counts answers that bind.
+	Told int
+}
+
+type final struct {
+	standing protocol.Standing
+	at       time.Duration
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(allDone func(string) bool, toldCancelled func(string, time.Duration)) *Ledger {
+	return &Ledger{submitted: map[string]bool{}, asked: map[string]bool{}, accepted: map[string]time.Duration{},
+		finals: map[string]final{}, answered: map[string]time.Duration{}, AllDone: allDone, ToldCancelled: toldCancelled}
+}
+
+// Kinds of users' requests.
+const (
+	Submits = "submission"
+	Asks    = "question"
+	Cancels = "cancellation"
+)
+
+// Sent notes that a user sends a request.
+func (l *Ledger) Sent(kind, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch kind {
+	case Submits:
+		l.submitted[id] = true
+	case Cancels:
+		l.asked[id] = true
+	}
+}
+
+// Answered takes in the answer to a request about a job. Only what somebody was told
+// before the request was sent binds the answer; but two different final states never
+// go together.
+func (l *Ledger) Answered(kind, id string, sent, now time.Duration, status int, st protocol.JobStatus) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	broken := func(rule, format string, args ...any) {
+		l.Broken = append(l.Broken, fmt.Sprintf("%s: %s at %v: ", rule, id, now)+fmt.Sprintf(format, args...))
+	}
+	at, ok := l.accepted[id]
+	known := ok && at <= sent
+	switch status {
+	case 404, 400, 422:
+		if known && (status == 404) == (kind != Submits) {
+			broken("forgotten", "a %s got %d", kind, status)
+		}
+		return
+	case 200, 201:
+	default:
+		return
+	}
+	l.Told++
+	l.answered[id] = now
+	if !l.submitted[id] {
+		broken("invented", "a %s got %d", kind, status)
+		return
+	}
+	if !ok {
+		l.accepted[id] = now
+	}
+	f, over := l.finals[id]
+	switch {
+	case over && st.Standing != f.standing && (f.at <= sent || st.Standing.Final()):
+		broken("went_back", "a %s got %s after %s", kind, st.Standing, f.standing)
+	case st.Standing == protocol.Cancelled && !l.asked[id]:
+		broken("went_back", "cancelled, though nobody asked for it")
+	case st.Standing == protocol.Done && !l.AllDone(id):
+		broken("not_done", "a %s got done", kind)
+	}
+	if !over && st.Standing.Final() {
+		l.finals[id] = final{st.Standing, now}
+		if st.Standing == protocol.Cancelled {
+			l.ToldCancelled(id, now)
+		}
+	}
+}
+
+// Unanswered returns the accepted jobs about which no question was answered since
+// the given time.
+func (l *Ledger) Unanswered(since time.Duration) (ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.accepted {
+		if _, over := l.finals[id]; !over && l.answered[id] < since {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Final returns the final state that users were told of a job.
+func (l *Ledger) Final(id string) (protocol.Standing, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f, ok := l.finals[id]
+	return f.standing, ok
+}
--- /dev/null
+++ b/internal/standin/ledger_test.go
@@ -0,0 +1,107 @@
+package standin
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pinebay/internal/protocol"
+)
+
+// TestLedgerSeesEveryBrokenRule plays short histories of answers, each of which breaks
+// one rule or none.
+func TestLedgerSeesEveryBrokenRule(t *testing.T) {
+	type step struct {
+		kind      string
+		sent, now int
+		status    int
+		standing  protocol.Standing
+	}
+	const q, d, c, r = protocol.Queued, protocol.Done, protocol.Cancelled, protocol.Running
+	for name, h := range map[string]struct {
+		steps  []step
+		done   bool
+		broken string
+	}{
+		"a job's life":             {[]step{{Submits, 0, 1, 201, q}, {Asks, 2, 3, 200, r}, {Submits, 3, 4, 200, r}, {Asks, 5, 6, 200, d}, {Asks, 7, 8, 200, d}}, true, ""},
+		"cancelled":                {[]step{{Submits, 0, 1, 201, q}, {Cancels, 2, 3, 200, c}, {Asks, 4, 5, 200, c}}, false, ""},
+		"cancelled when done":      {[]step{{Submits, 0, 1, 201, q}, {Cancels, 2, 3, 200, d}, {Asks, 4, 5, 200, d}}, true, ""},
+		"asked before it was told": {[]step{{Submits, 0, 1, 201, q}, {Cancels, 2, 3, 200, c}, {Asks, 2, 5, 200, r}}, false, ""},
+		"unknown before":           {[]step{{Asks, 0, 1, 404, ""}, {Submits, 0, 1, 201, q}}, false, ""},
+		"refused, then accepted":   {[]step{{Submits, 0, 1, 503, ""}, {Submits, 2, 3, 201, q}, {Asks, 4, 5, 503, ""}}, false, ""},
+		"404":                      {[]step{{Submits, 0, 1, 201, q}, {Asks, 2, 3, 404, ""}}, false, "forgotten"},
+		"404 to a cancel":          {[]step{{Submits, 0, 1, 201, q}, {Cancels, 2, 3, 404, ""}}, false, "forgotten"},
+		"422 to a repeat":          {[]step{{Submits, 0, 1, 201, q}, {Submits, 2, 3, 422, ""}}, false, "forgotten"},
+		"nobody's job":             {[]step{{Asks, 0, 1, 200, q}}, false, "invented"},
+		"done too early":           {[]step{{Submits, 0, 1, 201, q}, {Asks, 2, 3, 200, d}}, false, "not_done"},
+		"back from done":           {[]step{{Submits, 0, 1, 201, q}, {Asks, 2, 3, 200, d}, {Asks, 4, 5, 200, r}}, true, "went_back"},
+		"back from cancelled":      {[]step{{Submits, 0, 1, 201, q}, {Cancels, 2, 3, 200, c}, {Submits, 4, 5, 200, q}}, false, "went_back"},
+		"both at once":             {[]step{{Submits, 0, 1, 201, q}, {Cancels, 2, 4, 200, c}, {Asks, 2, 5, 200, d}}, true, "went_back"},
+		"cancelled by nobody":      {[]step{{Submits, 0, 1, 201, q}, {Asks, 2, 3, 200, c}}, false, "went_back"},
+	} {
+		var told []string
+		l := NewLedger(func(string) bool { return h.done }, func(id string, _ time.Duration) { told = append(told, id) })
+		for _, s := range h.steps {
+			l.Sent(s.kind, "j-1")
+			l.Answered(s.kind, "j-1", time.Duration(s.sent)*time.Second, time.Duration(s.now)*time.Second, s.status,
+				protocol.JobStatus{ID: "j-1", Standing: s.standing})
+		}
+		switch {
+		case h.broken == "" && len(l.Broken) > 0, h.broken != "" && len(l.Broken) != 1,
+			h.broken != "" && !strings.HasPrefix(l.Broken[0], h.broken):
+			t.Errorf("%s: %v, want %q", name, l.Broken, h.broken)
+		}
+		if f, _ := l.Final("j-1"); (f == c) != (len(told) == 1) {
+			t.Errorf("%s: final %q, told %v", name, f, told)
+		}
+	}
+}
+
+// TestWorldSeesEveryBrokenRule breaks each rule about tasks once.
+func TestWorldSeesEveryBrokenRule(t *testing.T) {
+	kind := &protocol.MachineType{Name: "g8", CPUs: 8, GPUs: 8, MemoryGB: 64}
+	for name, h := range map[string]struct {
+		job    protocol.Job
+		runs   []string // machine and task
+		cancel bool
+		hang   bool
+		broken string
+	}{
+		"well":          {protocol.Job{Tasks: 2}, []string{"a1 0", "b1 1"}, false, false, ""},
+		"twice":         {protocol.Job{Tasks: 1}, []string{"a1 0", "b1 0"}, false, false, "ran_twice"},
+		"limit":         {protocol.Job{Tasks: 5}, []string{"a1 0", "a1 1", "b1 2", "b1 3", "b2 4"}, false, false, "quota"},
+		"zone":          {protocol.Job{Tasks: 1, Zone: "a"}, []string{"b1 0"}, false, false, "wrong_place"},
+		"spot":          {protocol.Job{Tasks: 1}, []string{"spot 0"}, false, false, "wrong_place"},
+		"one zone":      {protocol.Job{Tasks: 2, SameZone: true}, []string{"a1 0", "b1 1"}, false, false, "wrong_place"},
+		"spread":        {protocol.Job{Tasks: 2, Spread: true}, []string{"b1 0", "b2 1"}, false, false, "wrong_place"},
+		"cancelled":     {protocol.Job{Tasks: 1}, []string{"a1 0"}, true, false, "ran_cancelled"},
+		"hung meantime": {protocol.Job{Tasks: 1}, []string{"a1 0"}, true, true, "ran_cancelled"},
+	} {
+		w := NewWorld(10*time.Second, time.Second, time.Hour)
+		w.Limits["red"] = [2]float64{0, 4}
+		j := h.job
+		j.ID, j.Team, j.Shape, j.GPUs = "j-1", "red", protocol.Array, 1
+		w.Jobs[j.ID] = &j
+		for _, m := range []string{"a1", "b1", "b2", "spot"} {
+			w.Add(0, m, m[:1], m == "spot", kind, time.Hour)
+		}
+		for i, r := range h.runs {
+			m, task, _ := strings.Cut(r, " ")
+			w.Workers[m].Command(0, protocol.Orders{Session: 1, Commands: []protocol.Command{{Verb: protocol.Run, Name: "j-1/" + task, Attempt: uint64(i + 1)}}})
+			w.Advance(time.Duration(i+2) * time.Second)
+		}
+		if h.cancel {
+			w.Cancelled[j.ID] = 3 * time.Second
+		}
+		w.Workers["a1"].Hung = h.hang
+		w.Advance(13 * time.Second)
+		if len(w.Broken) > 0 && h.broken == "" {
+			t.Errorf("%s: %v", name, w.Broken)
+		}
+		w.Workers["a1"].Hung = false
+		w.Advance(14 * time.Second)
+		if (h.broken == "") != (len(w.Broken) == 0) || h.broken != "" && !strings.HasPrefix(w.Broken[0], h.broken) {
+			t.Errorf("%s: %v, want %q", name, w.Broken, h.broken)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/network.go
@@ -0,0 +1,262 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Network is an in-memory network between hosts. It delays what it carries, and a
+// cut from one host to another holds it back: what is under way when the cut ends
+// arrives then, in order, also when its sender has given up or ended meanwhile.
+type Network struct {
+	mu        sync.Mutex
+	rng       *rand.Rand
+	listeners map[string]*listener
+	cut       func(from, to string) bool
+	changed   chan struct{} // closed when cuts have changed
+	done      chan struct{}
+	ports     int
+}
+
+// NewNetwork returns a network without hosts.
+func NewNetwork(seed uint64) *Network {
+	return &Network{rng: rand.New(rand.NewPCG(seed, 3)), listeners: map[string]*listener{},
+		cut: func(string, string) bool { return false }, changed: make(chan struct{}), done: make(chan struct{})}
+}
+
+// Cut replaces the rule that says which hosts cannot send to which.
+func (n *Network) Cut(cut func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Close ends everything that is under way.
+func (n *Network) Close() { close(n.done) }
+
+// passable waits until the host can send to the other; false means that the
+// network is closed or the time is up.
+func (n *Network) passable(from, to string, stop <-chan struct{}) bool {
+	for {
+		n.mu.Lock()
+		cut, changed := n.cut(from, to), n.changed
+		n.mu.Unlock()
+		if !cut {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-stop:
+			return false
+		case <-n.done:
+			return false
+		}
+	}
+}
+
+func (n *Network) delay() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Millisecond/2 + time.Duration(n.rng.IntN(1500))*time.Microsecond
+}
+
+// Host is one process's access to the network.
+type Host struct {
+	net   *Network
+	name  string
+	mu    sync.Mutex
+	dead  bool
+	conns map[*conn]bool
+	ls    []*listener
+}
+
+// Host returns access for a process on the host of that name.
+func (n *Network) Host(name string) *Host { return &Host{net: n, name: name, conns: map[*conn]bool{}} }
+
+// Kill ends the process's connections and listeners, and allows no new ones.
+func (h *Host) Kill() {
+	h.mu.Lock()
+	h.dead = true
+	conns, ls := h.conns, h.ls
+	h.conns, h.ls = map[*conn]bool{}, nil
+	h.mu.Unlock()
+	for _, l := range ls {
+		l.Close()
+	}
+	for c := range conns {
+		c.Close()
+	}
+}
+
+func (h *Host) adopt(c *conn) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.dead {
+		return false
+	}
+	h.conns[c] = true
+	c.host = h
+	return true
+}
+
+type listener struct {
+	host   *Host
+	addr   addr
+	queue  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+type addr string
+
+func (a addr) Network() string { return "tcp" }
+func (a addr) String() string  { return string(a) }
+
+// Listen opens an address of the host.
+func (h *Host) Listen(address string) (net.Listener, error) {
+	l := &listener{host: h, addr: addr(address), queue: make(chan net.Conn, 1024), closed: make(chan struct{})}
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	if old := h.net.listeners[address]; old != nil {
+		select {
+		case <-old.closed:
+		default:
+			return nil, fmt.Errorf("listen on %s: in use", address)
+		}
+	}
+	h.net.listeners[address] = l
+	h.mu.Lock()
+	h.ls = append(h.ls, l)
+	h.mu.Unlock()
+	return l, nil
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Addr() net.Addr { return l.addr }
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// conn is one end of a connection.
+type conn struct {
+	net.Conn
+	local, remote addr
+	host          *Host
+}
+
+func (c *conn) LocalAddr() net.Addr  { return c.local }
+func (c *conn) RemoteAddr() net.Addr { return c.remote }
+
+func (c *conn) Close() error {
+	if h := c.host; h != nil {
+		h.mu.Lock()
+		delete(h.conns, c)
+		h.mu.Unlock()
+	}
+	return c.Conn.Close()
+}
+
+// HostOf is the host part of an address.
+func HostOf(address string) string {
+	host, _, _ := strings.Cut(address, ":")
+	return host
+}
+
+// Dial connects to an address, once the hosts can send to each other.
+func (h *Host) Dial(ctx context.Context, address string) (net.Conn, error) {
+	to := HostOf(address)
+	time.Sleep(h.net.delay())
+	if !h.net.passable(h.name, to, ctx.Done()) {
+		return nil, fmt.Errorf("dial %s: %w", address, context.DeadlineExceeded)
+	}
+	h.net.mu.Lock()
+	l := h.net.listeners[address]
+	h.net.ports++
+	local := addr(fmt.Sprintf("%s:%d", h.name, 10000+h.net.ports))
+	h.net.mu.Unlock()
+	if l == nil {
+		return nil, fmt.Errorf("dial %s: refused", address)
+	}
+	mine, a := net.Pipe()
+	theirs, b := net.Pipe()
+	here := &conn{Conn: mine, local: local, remote: l.addr}
+	there := &conn{Conn: theirs, local: l.addr, remote: local}
+	shut := func() { mine.Close(); theirs.Close(); a.Close(); b.Close() }
+	if !h.adopt(here) || !l.host.adopt(there) {
+		shut()
+		return nil, fmt.Errorf("dial %s: refused", address)
+	}
+	select {
+	case <-l.closed:
+		shut()
+		return nil, fmt.Errorf("dial %s: refused", address)
+	case l.queue <- there:
+	}
+	go h.net.carry(a, b, h.name, to)
+	go h.net.carry(b, a, to, h.name)
+	return here, nil
+}
+
+type packet struct {
+	data []byte // nil: the sender has closed
+	due  time.Time
+}
+
+// carry moves what one end sends to the other, late and in order.
+func (n *Network) carry(in, out net.Conn, from, to string) {
+	queue := make(chan packet, 4096)
+	go func() {
+		defer out.Close()
+		for p := range queue {
+			time.Sleep(time.Until(p.due))
+			if !n.passable(from, to, nil) || p.data == nil {
+				return
+			}
+			if _, err := out.Write(p.data); err != nil {
+				return
+			}
+		}
+	}()
+	defer close(queue)
+	buf := make([]byte, 64<<10)
+	for {
+		k, err := in.Read(buf)
+		p := packet{due: time.Now().Add(n.delay())}
+		if k > 0 {
+			p.data = append([]byte{}, buf[:k]...)
+			select {
+			case queue <- p:
+			case <-n.done:
+				return
+			}
+		}
+		if err != nil {
+			if err != io.EOF {
+				return
+			}
+			select {
+			case queue <- packet{due: p.due}:
+			case <-n.done:
+			}
+			return
+		}
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -27,7 +27,7 @@
 	mu     sync.Mutex
 	rev    uint64
 	keys   map[string]entry
-	leases map[uint64]time.Duration // when each ends
+	leases map[uint64]*lease
 	next   uint64
 	now    time.Duration
 	events []event
@@ -37,8 +37,20 @@
 	MaxValue int
 	// Oversized counts values that were refused for their size.
 	Oversized int
+	// Fate, if set, decides what becomes of a transaction that a host sends.
+	Fate    func(host string, t *protocol.Txn) Fate
+	refused map[string]bool // hosts that alone get no service
+	bell    chan struct{}   // closed when something has changed
 }
 
+// Fate is what becomes of a transaction.
+type Fate struct {
+	Late   time.Duration // so much later it is answered or, without an answer, carried out
+	Answer bool
+}
+
+type lease struct{ ttl, end time.Duration }
+
 type event struct {
 	rev uint64
 	ev  protocol.Event
@@ -47,7 +59,41 @@
 
 // NewState returns an empty state service.
 func NewState() *State {
-	return &State{keys: map[string]entry{}, leases: map[uint64]time.Duration{}}
+	return &State{keys: map[string]entry{}, leases: map[uint64]*lease{}, refused: map[string]bool{}, bell: make(chan struct{})}
+}
+
+// ring wakes open watches; s.mu is held.
+func (s *State) ring() {
+	close(s.bell)
+	s.bell = make(chan struct{})
+}
+
+// Outage begins or ends an outage for all. After one, leases have their full time
+// again.
+func (s *State) Outage(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down && !down {
+		for _, l := range s.leases {
+			l.end = s.now + l.ttl
+		}
+	}
+	s.Down = down
+	s.ring()
+}
+
+// Refuse begins or ends the refusal of one host alone; its leases run out.
+func (s *State) Refuse(host string, refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[host] = refuse
+	s.ring()
+}
+
+func (s *State) serves(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.Down && !s.refused[host]
 }
 
 // Advance sets the time and ends leases that are due.
@@ -55,18 +101,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.now = now
-	for id, end := range s.leases {
-		if now < end {
-			continue
+	if s.Down {
+		return
+	}
+	for id, l := range s.leases {
+		if now >= l.end {
+			s.end(id)
 		}
-		delete(s.leases, id)
-		for k, e := range s.keys {
-			if e.lease == id {
-				s.rev++
-				s.remove(k)
-			}
+	}
+}
+
+// end ends a lease, with the keys attached to it; s.mu is held.
+func (s *State) end(id uint64) {
+	delete(s.leases, id)
+	for k, e := range s.keys {
+		if e.lease == id {
+			s.rev++
+			s.remove(k)
 		}
 	}
+	s.ring()
 }
 
 func (s *State) remove(key string) {
@@ -115,7 +169,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next++
-	s.leases[s.next] = s.now + ttl
+	s.leases[s.next] = &lease{ttl, s.now + ttl}
 	return s.next
 }
 
@@ -138,6 +192,7 @@
 	}
 	if len(t.Then) > 0 {
 		s.rev++
+		defer s.ring()
 	}
 	for _, op := range t.Then {
 		if op.Delete != "" {
@@ -168,7 +223,7 @@
 	return len(out)
 }
 
-// ServeHTTP speaks the state service's protocol. Watches answer at once.
+// ServeHTTP speaks the state service's protocol.
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	answer := func(status int, body any) {
 		raw, err := protocol.Encode(body)
@@ -178,7 +233,8 @@
 		w.WriteHeader(status)
 		_, _ = w.Write(raw)
 	}
-	if s.Down {
+	host := HostOf(r.RemoteAddr)
+	if !s.serves(host) {
 		answer(http.StatusServiceUnavailable, protocol.Problem{Error: "down"})
 		return
 	}
@@ -211,7 +267,23 @@
 			answer(http.StatusBadRequest, protocol.Problem{Error: err.Error()})
 			return
 		}
+		fate := Fate{Answer: true}
+		if s.Fate != nil {
+			fate = s.Fate(host, &t)
+		}
+		if !fate.Answer {
+			if fate.Late > 0 {
+				time.AfterFunc(fate.Late, func() { s.Txn(t) })
+			} else {
+				s.Txn(t)
+			}
+			<-r.Context().Done()
+			return
+		}
 		rev, failed, noLease := s.Txn(t)
+		if fate.Late > 0 {
+			time.Sleep(fate.Late)
+		}
 		switch {
 		case noLease:
 			answer(http.StatusBadRequest, protocol.Problem{Error: "no such lease"})
@@ -233,9 +305,61 @@
 			answer(http.StatusBadRequest, protocol.Problem{Error: err.Error()})
 			return
 		}
-		ev, now := s.Since(q.Get("prefix"), rev)
+		block, err := strconv.Atoi(q.Get("block_ms"))
+		if err != nil {
+			block = 0
+		}
+		ev, now := s.wait(r, host, q.Get("prefix"), rev, time.Duration(block)*time.Millisecond)
 		answer(http.StatusOK, protocol.Events{Revision: now, Events: ev})
+	case strings.HasPrefix(r.URL.Path, "/grants/"):
+		num, extend := strings.CutSuffix(strings.TrimPrefix(r.URL.Path, "/grants/"), "/extend")
+		id, err := strconv.ParseUint(num, 10, 64)
+		if err != nil || !s.renew(id, extend) {
+			answer(http.StatusNotFound, protocol.Problem{Error: "no such lease"})
+			return
+		}
+		answer(http.StatusOK, protocol.LeaseResult{Lease: id})
 	default:
 		answer(http.StatusNotFound, protocol.Problem{Error: "no such path"})
 	}
 }
+
+// renew extends or ends a lease, and says whether it was there.
+func (s *State) renew(id uint64, extend bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return false
+	}
+	if extend {
+		l.end = s.now + l.ttl
+	} else {
+		s.end(id)
+	}
+	return true
+}
+
+// wait is a watch: it ends when something has changed or the time is up, and stays
+// open while the host is not served.
+func (s *State) wait(r *http.Request, host, prefix string, rev uint64, block time.Duration) ([]protocol.Event, uint64) {
+	end := time.NewTimer(block)
+	defer end.Stop()
+	over := block == 0
+	for {
+		s.mu.Lock()
+		bell := s.bell
+		s.mu.Unlock()
+		ev, now := s.Since(prefix, rev)
+		if (len(ev) > 0 || over) && s.serves(host) {
+			return ev, now
+		}
+		select {
+		case <-bell:
+		case <-end.C:
+			over = true
+		case <-r.Context().Done():
+			return nil, now
+		}
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -33,6 +33,8 @@
 	answered         time.Duration // when the last answered report was sent
 	// Sick makes every task fail as it starts.
 	Sick bool
+	// Hung machines execute nothing, and may go on later.
+	Hung bool
 	// Changed says that a report is due for a change.
 	Changed bool
 	// World knows the jobs.
@@ -52,7 +54,10 @@
 	Fetch     time.Duration
 	RunTime   time.Duration
 	Starts    int
-	Broken    []string
+	// LateStarts counts starts after the cancellation was confirmed, which the page
+	// asks for not to happen and the bench counts.
+	LateStarts int
+	Broken     []string
 }
 
 // NewWorld returns a world without machines or jobs.
@@ -190,6 +195,9 @@
 // Advance lets time pass on all machines, and checks the rules at each start.
 func (w *World) Advance(now time.Duration) {
 	for _, m := range w.sorted() {
+		if m.Hung {
+			continue
+		}
 		if now-m.answered > m.Lease {
 			m.Session++
 			m.Seq, m.answered, m.Changed = 0, now, true
@@ -296,6 +304,9 @@
 	}
 	zones := map[string]int{m.Zone: 1}
 	used := [2]float64{j.CPUs, j.GPUs}
+	if at, ok := w.Cancelled[j.ID]; ok && now > at {
+		w.LateStarts++
+	}
 	for _, o := range w.Workers {
 		for _, u := range o.Tasks {
 			if !u.On() || u == t {
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -71,7 +71,7 @@
 
 // NewClient returns a client. The limits of the service are shared between
 // the controllers; within a controller no use can starve one before it.
-func NewClient(d *config.Deployment, addr string, timeout time.Duration) *Client {
+func NewClient(network transport.Network, d *config.Deployment, addr string, timeout time.Duration) *Client {
 	// A read or write beyond a second's share waits; the service's own 429
 	// corrects where several controllers are busy at once.
 	share := func(limit, part float64) *rate.Limiter {
@@ -82,9 +82,9 @@
 	perHost := max(4, d.Quota.MaxSockets/socketsState)
 	return &Client{
 		base:    "http://" + addr,
-		calls:   transport.NewClient(perHost, perHost, config.Seconds(d.Workers.LeaseS)),
-		urgent:  transport.NewClient(4, 4, config.Seconds(d.Workers.LeaseS)),
-		watches: transport.NewClient(4, 4, config.Seconds(d.Workers.LeaseS)),
+		calls:   transport.NewClient(network, perHost, perHost, config.Seconds(d.Workers.LeaseS)),
+		urgent:  transport.NewClient(network, 4, 4, config.Seconds(d.Workers.LeaseS)),
+		watches: transport.NewClient(network, 4, 4, config.Seconds(d.Workers.LeaseS)),
 		timeout: timeout,
 		reads: map[Use]*rate.Limiter{
 			Decide: share(d.State.RPS, 0.5), Accept: share(d.State.RPS, 1/n),
@@ -246,9 +246,9 @@
 	return r.Revision, status == http.StatusOK, r.Failed, nil
 }
 
-// slow is when an answer is later than usual: five times the 10 ms that the
+// Slow is when an answer is later than usual: five times the 10 ms that the
 // protocol calls usual. Now and then one takes a few hundred.
-const slow = 50 * time.Millisecond
+const Slow = 50 * time.Millisecond
 
 // TxnTwice tries a transaction, and a second time when the answer is slow and the
 // budget has room, and returns the first outcome that is certain. It must be harmless
@@ -267,7 +267,7 @@
 		done <- outcome{ok, err}
 	}
 	go try()
-	timer := time.NewTimer(slow)
+	timer := time.NewTimer(Slow)
 	defer timer.Stop()
 	under := 1
 	for {
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -20,6 +20,7 @@
 	"pinebay/internal/standin"
 	"pinebay/internal/storage"
 	"pinebay/internal/testkit"
+	"pinebay/internal/transport"
 )
 
 func TestMain(m *testing.M) { testkit.Main(m) }
@@ -29,7 +30,7 @@
 	t.Cleanup(srv.Close)
 	d := &config.Deployment{Nodes: 1, State: config.State{RPS: 1e6, WriteRPS: 1e6, TxnOps: 16},
 		Workers: config.Workers{LeaseS: 10}, Quota: config.Quota{MaxSockets: 500}}
-	return storage.NewClient(d, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
+	return storage.NewClient(transport.TCP{}, d, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
 }
 
 func encode(t *testing.T, v any) []byte {
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -34,10 +34,10 @@
 }
 
 // Listen opens addr with room for max connections.
-func Listen(addr string, max int) (*Listener, error) {
-	l, err := net.Listen("tcp", addr)
+func Listen(network Network, addr string, max int) (*Listener, error) {
+	l, err := network.Listen(addr)
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+		return nil, err
 	}
 	return &Listener{Listener: l, max: max, idle: list.New()}, nil
 }
@@ -164,10 +164,12 @@
 
 // NewClient returns a client that has at most total requests under way at a time,
 // and perHost to one host; it keeps as many idle connections, no longer than idle.
-func NewClient(perHost, total int, idle time.Duration) *Client {
+func NewClient(network Network, perHost, total int, idle time.Duration) *Client {
 	return &Client{slots: semaphore.NewWeighted(int64(total)), http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{KeepAlive: -1}).DialContext,
+			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+				return network.Dial(ctx, addr)
+			},
 			MaxConnsPerHost:     perHost,
 			MaxIdleConnsPerHost: perHost,
 			MaxIdleConns:        total,
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -49,6 +49,7 @@
 // Mesh connects the controllers. Every pair holds one connection a direction;
 // requests go out on the own one and are answered there.
 type Mesh struct {
+	network Network
 	self    string
 	timeout time.Duration
 	log     *slog.Logger
@@ -59,9 +60,9 @@
 
 // NewMesh returns a mesh of self with the named peers. handle answers a
 // peer's request; lost is told when a peer's connection to us ends.
-func NewMesh(self string, peers map[string]string, timeout time.Duration, log *slog.Logger,
+func NewMesh(network Network, self string, peers map[string]string, timeout time.Duration, log *slog.Logger,
 	handle func(*protocol.MeshMessage) *protocol.MeshMessage, lost func(string)) *Mesh {
-	m := &Mesh{self: self, timeout: timeout, log: log, handle: handle, lost: lost, peers: map[string]*peer{}}
+	m := &Mesh{network: network, self: self, timeout: timeout, log: log, handle: handle, lost: lost, peers: map[string]*peer{}}
 	for node, addr := range peers {
 		m.peers[node] = &peer{addr: addr, waiting: map[uint64]chan *protocol.MeshMessage{}}
 	}
@@ -157,7 +158,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.timeout)
 	defer cancel()
-	if err := p.connect(ctx); err != nil {
+	if err := p.connect(ctx, m.network); err != nil {
 		return nil, err
 	}
 	answer := make(chan *protocol.MeshMessage, 1)
@@ -199,7 +200,7 @@
 	}
 }
 
-func (p *peer) connect(ctx context.Context) error {
+func (p *peer) connect(ctx context.Context, network Network) error {
 	p.mu.Lock()
 	if p.conn != nil {
 		p.mu.Unlock()
@@ -211,7 +212,7 @@
 	}
 	p.dialing = true
 	p.mu.Unlock()
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.addr)
+	c, err := network.Dial(ctx, p.addr)
 	p.mu.Lock()
 	p.dialing = false
 	if err == nil {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -65,14 +65,14 @@
 		t.Fatal(err)
 	}
 	lost := make(chan string, 1)
-	server := NewMesh("b", map[string]string{"a": "127.0.0.1:1"}, time.Minute, quiet(), func(m *protocol.MeshMessage) *protocol.MeshMessage {
+	server := NewMesh(TCP{}, "b", map[string]string{"a": "127.0.0.1:1"}, time.Minute, quiet(), func(m *protocol.MeshMessage) *protocol.MeshMessage {
 		return &protocol.MeshMessage{Kind: protocol.MeshReply, Term: m.Term + 1}
 	}, func(n string) { lost <- n })
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(ctx, l) }()
 
-	a := NewMesh("a", map[string]string{"b": l.Addr().String()}, time.Minute, quiet(), nil, nil)
+	a := NewMesh(TCP{}, "a", map[string]string{"b": l.Addr().String()}, time.Minute, quiet(), nil, nil)
 	r, err := a.Call(ctx, "b", protocol.MeshMessage{Kind: protocol.MeshBeat, Term: 4})
 	if err != nil || r.Term != 5 || r.From != "b" {
 		t.Fatalf("%+v %v", r, err)
@@ -81,7 +81,7 @@
 	if n := <-lost; n != "a" {
 		t.Errorf("lost %q", n)
 	}
-	stranger := NewMesh("x", map[string]string{"b": l.Addr().String()}, time.Minute, quiet(), nil, nil)
+	stranger := NewMesh(TCP{}, "x", map[string]string{"b": l.Addr().String()}, time.Minute, quiet(), nil, nil)
 	if r, err := stranger.Call(ctx, "b", protocol.MeshMessage{Kind: protocol.MeshBeat}); err == nil {
 		t.Errorf("a stranger was answered: %+v", r)
 	}
@@ -105,7 +105,7 @@
 // idle, which then makes way, the longest idle one first; and room that is given
 // back is used again.
 func TestSocketBudget(t *testing.T) {
-	l, err := Listen("127.0.0.1:0", 2)
+	l, err := Listen(TCP{}, "127.0.0.1:0", 2)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -173,7 +173,7 @@
 		under.Add(-1)
 	}))
 	defer srv.Close()
-	c := NewClient(8, 3, time.Minute)
+	c := NewClient(TCP{}, 8, 3, time.Minute)
 	done := make(chan error)
 	const n = 12
 	for range n {
