Fence silent machines with cancelled tasks in time; every meeting as a scenario

Cause: machines that hang with cancelled tasks count as possibly running them. Now a silent machine that may still have one is fenced after half of that time, whatever else is silent, and by a new leader as soon as it has been silent for a while in its own term.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -188,7 +188,7 @@
 // back later than the others, since workers that lost their controller need
 // until about then to find a way round, and each that is fenced is a healthy one.
 func (f *Fleet) silent(now time.Duration, p *part.Part) {
-	lease, patience := config.Seconds(f.workers.LeaseS), f.patience()
+	lease, patience := config.Seconds(f.workers.LeaseS), f.Patience()
 	// That a zone falls silent must be plain before the first of its machines
 	// would be fenced.
 	late := min(p.Silent(), patience-config.Seconds(f.workers.ReportS))
@@ -202,7 +202,12 @@
 		if now-m.Heard > late {
 			quiet[m.Zone]++
 		}
-		if now-m.Heard > patience {
+		switch {
+		case now-m.Heard > p.Silent() && m.Doomed(now):
+			// Its zone may be dark, and it may have ended its tasks by itself; but users
+			// were told that they are gone.
+			m.Condemned = true
+		case now-m.Heard > patience:
 			dead = append(dead, m)
 		}
 	})
@@ -223,10 +228,10 @@
 	}
 }
 
-// patience is how long a machine may be silent before it is fenced: as long as a
+// Patience is how long a machine may be silent before it is fenced: as long as a
 // worker takes that reports at its slowest, waits for an answer in vain and goes
 // on to the next controller, and no longer than most of a lease.
-func (f *Fleet) patience() time.Duration {
+func (f *Fleet) Patience() time.Duration {
 	report := config.Seconds(f.workers.ReportS)
 	return min(config.Seconds(f.workers.LeaseS)*3/4, report*3/2+protocol.ReportPatience+protocol.ReportPause)
 }
--- a/internal/coordination/part/part.go
+++ b/internal/coordination/part/part.go
@@ -74,6 +74,9 @@
 
 	Stopping bool
 	GraceS   float64
+	// GoneBy is when the machine is to be fenced if it is silent, since the job was
+	// cancelled; 0: at no set time.
+	GoneBy time.Duration
 
 	sent     bool   // a run has left for the machine
 	runToken uint64 // with this token, the last time
@@ -159,6 +162,17 @@
 	return m.Reserved == job && now < m.ReservedUntil
 }
 
+// Doomed says whether a cancelled task may still be there when it must not be any
+// more: a machine that hangs may go on with it at any time.
+func (m *Machine) Doomed(now time.Duration) bool {
+	for _, p := range m.placements {
+		if p.GoneBy > 0 && now >= p.GoneBy {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns how many tasks may be on the machine.
 func (m *Machine) Count() int { return len(m.placements) }
 
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -195,6 +195,8 @@
 			c.stopGang(now, j)
 		}
 		if j.over {
+			// It ended under another leader, who knows when.
+			c.doom(j, now+c.fleet.Patience())
 			c.stopJob(now, j)
 		}
 	}
@@ -671,6 +673,7 @@
 		return
 	}
 	c.log.Debug("withdrawn", "job", e.ID)
+	c.doom(j, c.goneBy(now))
 	if j.spec.Shape == protocol.Gang {
 		c.stopGang(now, j)
 		return
@@ -680,6 +683,22 @@
 	}
 }
 
+// goneBy is when machines must be fenced that may still have tasks of a job which is
+// cancelled now: with half of the time left, for a release takes some, and so does
+// another leader, should we end.
+func (c *Core) goneBy(now time.Duration) time.Duration {
+	return now + config.Seconds(c.cfg.Workers.CancelS/2)
+}
+
+// doom says by when a job's tasks must be gone.
+func (c *Core) doom(j *job, by time.Duration) {
+	for _, pl := range j.places {
+		if pl.GoneBy == 0 {
+			pl.GoneBy = by
+		}
+	}
+}
+
 // sighted lets jobs run again that live although the time is over in which their
 // cancellation could have been confirmed.
 func (c *Core) sighted(at time.Duration) {
@@ -709,6 +728,9 @@
 func (c *Core) end(now time.Duration, j *job) {
 	j.over, j.stamp = true, 0
 	c.due = true
+	if j.counts[done] < len(j.tasks) {
+		c.doom(j, c.goneBy(now))
+	}
 	c.stopJob(now, j)
 }
 
--- a/internal/standin/live_test.go
+++ b/internal/standin/live_test.go
@@ -56,6 +56,7 @@
 	reports  func(r *protocol.Report) // sees every report that is sent
 	cuts     map[string]int           // "from>to" to how often it is cut
 	jobs     []string
+	looks    bool
 	happened map[string]int // what the troubles have come to
 }
 
@@ -84,7 +85,7 @@
 		t: t, start: time.Now(), net: NewNetwork(seed), state: NewState(), rng: rand.New(rand.NewPCG(seed, 11)),
 		cfg: config.Deployment{
 			Nodes: controllers, Zones: []string{"a", "b"}, ClockOffMS: 250,
-			Teams:   []config.Team{{Name: "red", GPUsMax: 40}, {Name: "blue", GPUs: 8}},
+			Teams:   []config.Team{{Name: "red", GPUsMax: 40}, {Name: "blue", GPUs: 8, GPUsMax: 24}},
 			Workers: w, State: config.State{RPS: 150, WriteRPS: 40, ValueKB: 8, TxnOps: 16},
 			Cloud:      config.Cloud{RPS: 2, ListLagS: 4},
 			Quota:      config.Quota{CoreShare: 0.1, RAMMB: 70, MaxSockets: 500},
@@ -97,7 +98,7 @@
 	}
 	l.ctx, l.stop = context.WithCancel(t.Context())
 	l.world = NewWorld(config.Seconds(w.CancelS), time.Second, 80*time.Second)
-	l.world.Limits["red"] = [2]float64{0, 40}
+	l.world.Limits["red"], l.world.Limits["blue"] = [2]float64{0, 40}, [2]float64{0, 24}
 	l.boot = func() time.Duration { return 4*time.Second + l.upTo(6*time.Second) }
 	l.ledger = NewLedger(l.allDone, l.toldCancelled)
 	level := slog.LevelInfo
@@ -614,8 +615,8 @@
 	l.happened["cancelled"]++
 }
 
-// call sends a user's request to a controller, and the ledger hears the answer.
-func (l *live) call(n *controller, kind, id string) (int, protocol.JobStatus) {
+// request sends a user's request to a controller, and the ledger hears the answer.
+func (l *live) request(n *controller, kind, id string) (int, protocol.JobStatus) {
 	method, path, patience := http.MethodGet, "/submissions/"+id, 2*time.Second
 	var body any
 	switch kind {
@@ -643,6 +644,29 @@
 	return status, st
 }
 
+// call is a user's request; with looks, all controllers are asked about the job at
+// once and again within milliseconds after it was accepted, ended or cancelled, and
+// the submission is repeated there.
+func (l *live) call(n *controller, kind, id string) (int, protocol.JobStatus) {
+	status, st := l.request(n, kind, id)
+	l.mu.Lock()
+	looks := l.looks && (kind != Asks || st.Standing.Final()) && (status == 200 || status == 201)
+	l.mu.Unlock()
+	if looks {
+		l.note("looks")
+		for _, o := range l.nodes {
+			for i := range 3 {
+				l.go_(func() {
+					time.Sleep(time.Duration(i) * 3 * ms)
+					l.request(o, Asks, id)
+				})
+			}
+			l.go_(func() { l.request(o, Submits, id) })
+		}
+	}
+	return status, st
+}
+
 // any returns a controller that a load balancer would choose.
 func (l *live) any() *controller { return l.nodes[l.draw(len(l.nodes))] }
 
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pinebay/internal/config"
+	"pinebay/internal/testkit"
 )
 
 // settle starts a crew of jobs and waits until they run.
@@ -165,7 +166,7 @@
 
 // TestDrawnGaps plays gaps with drawn details.
 func TestDrawnGaps(t *testing.T) {
-	for seed := uint64(1); seed <= 6; seed++ {
+	for seed := testkit.Seed(); seed < testkit.Seed()+6; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 5))
@@ -175,3 +176,145 @@
 		})
 	}
 }
+
+// step is what happens at a time after the jobs have settled.
+type step struct {
+	at time.Duration
+	do func(l *live)
+}
+
+const s = time.Second
+
+// meetings are what the operators have seen break rules, each brought about on real
+// controllers. happened names what must have come to pass, or the scenario shows nothing.
+var meetings = []struct {
+	name     string
+	w        config.Workers
+	steps    []step
+	happened []string
+}{
+	{"close looks", brisk, []step{{0, during(60*s, closeLooks)}, {1 * s, storm(40 * s)}, {2 * s, atEnd(6)},
+		{5 * s, cancels(4, 0)}, {20 * s, cancels(2, 0)}}, []string{"looks", "cancelled"}},
+	{"only the answer is lost", brisk, []step{{0, during(50*s, closeLooks)}, {0, during(50*s, lostAnswers(0.3))},
+		{1 * s, storm(40 * s)}, {3 * s, cancels(4, 0)}, {30 * s, crashLeader(5 * s)}}, []string{"write", "looks", "cancelled"}},
+	{"teams at their limits, cut and hung machines, a new leader", brisk, []step{{0, crowd(16)}, {20 * s, cancels(6, 60*s)},
+		{20500 * ms, during(50*s, deaf(3))}, {21 * s, crashLeader(6 * s)}, {40 * s, cancels(4, 0)}}, []string{"hang", "deaf", "crash", "cancelled"}},
+	{"the same, slowly", slow, []step{{0, crowd(16)}, {20 * s, cancels(6, 100*s)},
+		{21 * s, during(80*s, deaf(3))}, {22 * s, crashLeader(6 * s)}, {50 * s, cancels(4, 0)}}, []string{"hang", "deaf", "crash", "cancelled"}},
+	{"cancelled while work changes hands", brisk, []step{{0, cancels(2, 0)}, {50 * ms, crashLeader(300 * ms)}, {300 * ms, cancels(3, 0)},
+		{10 * s, during(8*s, leaderApart)}, {10500 * ms, cancels(3, 0)}, {13 * s, cancels(3, 0)}}, []string{"crash", "apart", "cancelled"}},
+	{"quick machines, late writes, the leader ends", brisk, []step{{0, during(60*s, quickBoots)}, {0, during(40*s, lateWrites(0.25))},
+		{1 * s, crowd(9)}, {4 * s, crashLeader(5 * s)}, {16 * s, crashLeader(300 * ms)}}, []string{"write", "crash"}},
+	{"old reports for the next leader", brisk, []step{{0, during(90*s, forNext(0.3, 0))}, {0, apartEnds(6)}, {10 * s, crashLeader(5 * s)},
+		{14 * s, cancels(3, 0)}, {30 * s, crashLeader(5 * s)}, {45 * s, crashAll(2 * s)}}, []string{"late report", "crash", "cancelled"}},
+	{"a report held back until the next leader has acted", brisk, []step{{0, during(90*s, forNext(0.3, 4*s))}, {0, apartEnds(6)},
+		{10 * s, crashLeader(5 * s)}, {30 * s, crashLeader(300 * ms)}}, []string{"late report taken", "crash"}},
+	{"one-task jobs come fast", brisk, []step{{0, storm(150 * s)}}, []string{"cancelled"}},
+	{"old reports after newer ones", slow, []step{{0, during(90*s, lateReports(0.2))}, {0, apartEnds(6)}, {5 * s, during(40*s, deaf(2))},
+		{20 * s, lose(1)}, {30 * s, cancels(3, 0)}}, []string{"late report taken", "cancelled"}},
+	{"the leader ends while machines are out of reach", brisk, []step{{0, during(30*s, mute(2))}, {0, during(30*s, deaf(2))},
+		{1 * s, crashLeader(6 * s)}, {4 * s, cancels(4, 0)}}, []string{"mute", "deaf", "crash", "cancelled"}},
+	{"all controllers are away for longer than a lease", brisk, []step{{0, cancels(2, 0)}, {200 * ms, crashAll(14 * s)}, {60 * s, crashAll(300 * ms)}},
+		[]string{"crash", "cancelled"}},
+	{"transactions come late", brisk, []step{{0, during(60*s, lateWrites(0.25))}, {0, storm(30 * s)}, {0, apartEnds(4)}, {5 * s, cancels(4, 0)},
+		{20 * s, crashLeader(5 * s)}, {25 * s, cancels(3, 0)}}, []string{"write", "cancelled"}},
+	{"a zone is cut off", brisk, []step{{0, during(30*s, zoneCut)}, {3 * s, cancels(4, 0)}, {40 * s, cancels(2, 0)}}, []string{"zone", "cancelled"}},
+	{"a leader without service and peers", brisk, []step{{0, during(40*s, leaderApart)}, {1 * s, cancels(3, 0)}, {6 * s, cancels(3, 0)}},
+		[]string{"apart", "cancelled"}},
+	{"a slow service, then refused, then out", brisk, []step{{0, during(30*s, slowWrites(0.5, 800*ms))}, {0, during(100*s, closeLooks)}, {2 * s, cancels(3, 0)},
+		{20 * s, during(40*s, refuseLeader)}, {20 * s, cancels(3, 0)}, {22 * s, during(50*s, outage)}, {30 * s, cancels(2, 0)}},
+		[]string{"refused", "outage", "looks", "cancelled"}},
+	{"jobs of one zone lose machines", brisk, []step{{0, crowd(12)}, {12 * s, lose(2)}, {20 * s, during(20*s, zoneCut)}, {50 * s, lose(2)}}, []string{"lost", "zone"}},
+	{"ends far apart, and new leaders", brisk, []step{{0, apartEnds(8)}, {10 * s, crashLeader(5 * s)}, {22 * s, crashLeader(5 * s)}, {34 * s, cancels(2, 0)},
+		{35 * s, crashLeader(5 * s)}}, []string{"crash", "cancelled"}},
+	{"everything at the end of a job", brisk, []step{{0, during(60*s, closeLooks)}, {0, atEnd(12)}, {20 * s, atEnd(12)}}, []string{"at end", "looks"}},
+	{"ten leaders in two minutes", brisk, []step{{0, apartEnds(6)}, {0, crashLeader(5 * s)}, {12 * s, crashLeader(5 * s)}, {20 * s, cancels(3, 40*s)},
+		{24 * s, crashLeader(5 * s)}, {36 * s, crashLeader(5 * s)}, {48 * s, during(15*s, outage)}, {50 * s, crashLeader(5 * s)}, {60 * s, crashLeader(5 * s)},
+		{72 * s, crashLeader(5 * s)}, {84 * s, crashLeader(5 * s)}, {96 * s, crashLeader(5 * s)}, {108 * s, crashLeader(5 * s)}},
+		[]string{"crash", "outage", "cancelled"}},
+	{"commands are held up", brisk, []step{{0, during(9*s, deaf(3))}, {0, cancels(4, 0)}, {20 * s, hang(3, 7*s)}, {21 * s, cancels(3, 0)},
+		{26 * s, crashLeader(5 * s)}}, []string{"deaf", "hang", "cancelled"}},
+	{"more work than room", brisk, []step{{0, crowd(24)}, {30 * s, cancels(3, 0)}}, []string{"cancelled"}},
+	{"handed over and back", brisk, []step{{0, crashLeader(300 * ms)}, {3 * s, crashLeader(300 * ms)}, {6 * s, crashLeader(300 * ms)},
+		{12 * s, crashAll(500 * ms)}, {20 * s, crashAll(5 * s)}, {21 * s, cancels(3, 0)}}, []string{"crash", "cancelled"}},
+}
+
+// TestMeetings plays every meeting on three controllers.
+func TestMeetings(t *testing.T) {
+	for i, m := range meetings {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			play(t, uint64(100+i), 3, m.w, func(l *live) { l.meet(m.steps, m.happened) })
+		})
+	}
+}
+
+// meet carries out the steps of a scenario, and demands that all is well once it is
+// calm.
+func (l *live) meet(steps []step, happened []string) {
+	l.settle(12)
+	from := l.now()
+	for _, st := range steps {
+		time.Sleep(from + st.at - l.now())
+		st.do(l)
+	}
+	time.Sleep(2*config.Seconds(l.cfg.Workers.CancelS) + 6*time.Minute)
+	l.calm()
+	for _, h := range happened {
+		if l.count(h) == 0 {
+			l.t.Errorf("%s did not happen", h)
+		}
+	}
+}
+
+// drawMeeting makes up a meeting of three to six troubles within a minute.
+func drawMeeting(rng *rand.Rand) (steps []step, names []string) {
+	lasts := func(least, most int) time.Duration {
+		return time.Duration(least*1000+rng.IntN((most-least)*1000)) * ms
+	}
+	back := []time.Duration{200 * ms, 5 * s, 14 * s}[rng.IntN(3)]
+	vocabulary := []struct {
+		name string
+		do   func(l *live)
+	}{
+		{"refuse the leader", during(lasts(2, 40), refuseLeader)}, {"outage", during(lasts(2, 60), outage)},
+		{"leader apart", during(lasts(2, 40), leaderApart)}, {"crash the leader", crashLeader(back)}, {"crash all", crashAll(back)},
+		{"zone cut", during(lasts(3, 40), zoneCut)}, {"mute", during(lasts(3, 40), mute(3))}, {"deaf", during(lasts(3, 40), deaf(3))},
+		{"hang", hang(3, lasts(3, 60))}, {"late writes", during(lasts(5, 50), lateWrites(0.25))},
+		{"lost answers", during(lasts(5, 50), lostAnswers(0.3))}, {"slow writes", during(lasts(5, 50), slowWrites(0.5, s))},
+		{"late reports", during(lasts(10, 60), lateReports(0.2))}, {"for the next", during(lasts(20, 60), forNext(0.3, 0))},
+		{"close looks", during(lasts(20, 60), closeLooks)}, {"cancels", cancels(4, 0)}, {"cancels and hang", cancels(4, lasts(10, 60))},
+		{"storm", storm(lasts(10, 40))}, {"ends far apart", apartEnds(5)}, {"at end", atEnd(5)}, {"crowd", crowd(10)}, {"lose", lose(2)},
+		{"quick boots", during(lasts(20, 60), quickBoots)},
+	}
+	at := time.Duration(0)
+	for range 4 + rng.IntN(4) {
+		v := vocabulary[rng.IntN(len(vocabulary))]
+		if at > 0 && rng.IntN(2) == 0 {
+			at += time.Duration(rng.IntN(1500)) * ms
+		} else {
+			at += time.Duration(rng.IntN(12000)) * ms
+		}
+		steps = append(steps, step{at, v.do})
+		names = append(names, fmt.Sprintf("%v %s", at, v.name))
+		if rng.IntN(3) == 0 {
+			after := at + time.Duration(rng.IntN(2500))*ms
+			steps = append(steps, step{after, cancels(2, 0)})
+			at = after
+		}
+	}
+	return steps, names
+}
+
+// TestDrawnMeetings plays meetings that nobody named.
+func TestDrawnMeetings(t *testing.T) {
+	for seed := testkit.Seed(); seed < testkit.Seed()+10; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 9))
+			steps, names := drawMeeting(rng)
+			t.Log(names)
+			play(t, seed, []int{3, 3, 3, 5}[rng.IntN(4)], []config.Workers{brisk, brisk, slow}[rng.IntN(3)], func(l *live) { l.meet(steps, nil) })
+		})
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -37,10 +37,9 @@
 	MaxValue int
 	// Oversized counts values that were refused for their size.
 	Oversized int
-	// Fate, if set, decides what becomes of a transaction that a host sends.
-	Fate    func(host string, t *protocol.Txn) Fate
-	refused map[string]bool // hosts that alone get no service
-	bell    chan struct{}   // closed when something has changed
+	fate      func(host string, t *protocol.Txn) Fate
+	refused   map[string]bool // hosts that alone get no service
+	bell      chan struct{}   // closed when something has changed
 }
 
 // Fate is what becomes of a transaction.
@@ -268,8 +267,11 @@
 			return
 		}
 		fate := Fate{Answer: true}
-		if s.Fate != nil {
-			fate = s.Fate(host, &t)
+		s.mu.Lock()
+		decide := s.fate
+		s.mu.Unlock()
+		if decide != nil {
+			fate = decide(host, &t)
 		}
 		if !fate.Answer {
 			if fate.Late > 0 {
@@ -363,3 +365,10 @@
 		}
 	}
 }
+
+// SetFate replaces what decides on transactions; nil carries all of them out.
+func (s *State) SetFate(f func(host string, t *protocol.Txn) Fate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fate = f
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -53,9 +53,10 @@
 	Limits    map[string][2]float64 // CPUs and GPUs of a team, 0: none
 	Fetch     time.Duration
 	RunTime   time.Duration
+	RunTimes  map[string]time.Duration // of jobs that take another time
 	Starts    int
-	// LateStarts counts starts after the cancellation was confirmed, which the page
-	// asks for not to happen and the bench counts.
+	// LateStarts counts commands to start that were executed after the cancellation
+	// was confirmed.
 	LateStarts int
 	Broken     []string
 }
@@ -65,6 +66,7 @@
 	return &World{
 		Jobs: map[string]*protocol.Job{}, Workers: map[string]*Worker{}, Done: map[protocol.TaskID]bool{},
 		Cancelled: map[string]time.Duration{}, CancelS: cancel, Limits: map[string][2]float64{}, Fetch: fetch, RunTime: run,
+		RunTimes: map[string]time.Duration{},
 	}
 }
 
@@ -169,6 +171,9 @@
 	t := &Task{ID: id, Attempt: attempt, State: protocol.Fetching, Since: now}
 	m.Changed = true
 	j := m.World.Jobs[id.Job]
+	if at, ok := m.World.Cancelled[id.Job]; ok && now > at {
+		m.World.LateStarts++
+	}
 	if old != nil && old.State != protocol.Exited {
 		return // refused as busy; the entry of the other attempt stays
 	}
@@ -242,7 +247,7 @@
 			m.exit(now, t, protocol.CausePeers)
 			return
 		}
-		if j.Shape != protocol.Service && now-t.Since >= w.RunTime {
+		if j.Shape != protocol.Service && now-t.Since >= w.runTime(t.ID) {
 			if j.Shape == protocol.Gang {
 				for i := range j.Tasks {
 					w.Done[protocol.TaskID{Job: j.ID, Task: i}] = true
@@ -261,6 +266,14 @@
 	}
 }
 
+// runTime is how long a task runs: those of a job end one after the other.
+func (w *World) runTime(id protocol.TaskID) time.Duration {
+	if d, ok := w.RunTimes[id.Job]; ok {
+		return d * time.Duration(1+id.Task)
+	}
+	return w.RunTime
+}
+
 // together says whether all tasks of a gang's attempt are waiting or running.
 func (w *World) together(job string, tasks int, attempt uint64, now time.Duration) bool {
 	n := 0
@@ -304,9 +317,6 @@
 	}
 	zones := map[string]int{m.Zone: 1}
 	used := [2]float64{j.CPUs, j.GPUs}
-	if at, ok := w.Cancelled[j.ID]; ok && now > at {
-		w.LateStarts++
-	}
 	for _, o := range w.Workers {
 		for _, u := range o.Tasks {
 			if !u.On() || u == t {
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"os"
+	"strconv"
 	"testing"
 
 	// Its flags must exist before the seed is set.
@@ -17,12 +18,16 @@
 	os.Exit(m.Run())
 }
 
-func fixSeed() {
-	seed := os.Getenv("PINEBAY_SEED")
-	if seed == "" {
-		seed = "20261"
+// Seed is where generated inputs begin.
+func Seed() uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("PINEBAY_SEED"), 10, 64); err == nil {
+		return n
 	}
-	for name, v := range map[string]string{"rapid.seed": seed, "rapid.nofailfile": "true"} {
+	return 20261
+}
+
+func fixSeed() {
+	for name, v := range map[string]string{"rapid.seed": strconv.FormatUint(Seed(), 10), "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, v); err != nil {
 			panic(err) // a flag that the library no longer has
 		}
