--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -203,6 +203,33 @@
 	}
 }
 
+// TestCancelledTasksAreFencedInADarkZone: when most of a zone is silent it is given
+// time, but not those machines that may still have a cancelled task beyond its day.
+func TestCancelledTasksAreFencedInADarkZone(t *testing.T) {
+	f, p := setup()
+	f.Listed(1*s, 0, p, nil)
+	for i := range 9 {
+		p.Report(10*s, &protocol.Report{Machine: fmt.Sprintf("m%d", i), Addr: "x", Type: "g8", Zone: "a", Session: 1, Seq: 1})
+	}
+	pl := &part.Placement{Task: protocol.TaskID{Job: "j-1"}, Attempt: 1, Machine: "m3", Job: &protocol.Job{ID: "j-1"}}
+	if !p.Grant(10*s, []*part.Placement{pl}) {
+		t.Fatal("no room")
+	}
+	pl.GoneBy = 20 * s
+	for now := 11 * s; now < 30*s; now += s {
+		got := released(f.Plan(now, p, nil))
+		if (now < 20*s) != (len(got) == 0) {
+			t.Fatalf("%v returned at %v", got, now)
+		}
+		if len(got) > 0 {
+			if len(got) != 1 || got[0] != "m3" {
+				t.Errorf("returned %v", got)
+			}
+			return
+		}
+	}
+}
+
 // TestReturnedMachinesAreForgotten: the memory of returned machines is bounded.
 func TestReturnedMachinesAreForgotten(t *testing.T) {
 	f, _ := setup()
--- /dev/null
+++ b/internal/coordination/scheduler/withdraw_test.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"testing"
+
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+)
+
+// TestWithdrawnJobs: a notice stops a job of any shape at once and keeps it from
+// starting, also one that is accepted after the notice came. The job runs again only
+// once the state service has shown that it lives when nobody can confirm the
+// cancellation any more; if it is cancelled, that is the end.
+func TestWithdrawnJobs(t *testing.T) {
+	for _, shape := range []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service} {
+		b := newBench(nil, "a")
+		b.machine("m1", "a", false)
+		b.job(spec("j-1", shape, "normal", 2, 1))
+		b.cycle()
+		if n := b.started("j-1"); n != 2 {
+			t.Fatalf("%s: %d started", shape, n)
+		}
+		ids := []protocol.TaskID{{Job: "j-1"}, {Job: "j-1", Task: 1}}
+		attempts := []uint64{b.runs[ids[0]].Attempt, b.runs[ids[1]].Attempt}
+		b.machine("m1", "a", false, running(ids[0], attempts[0]), running(ids[1], attempts[1]))
+		until := b.now + 3*Cycle
+		b.do(Withdrawn{ID: "j-1", Until: until})
+		b.do(Withdrawn{ID: "j-2", Until: until})
+		b.job(spec("j-2", shape, "normal", 1, 1))
+		b.cycle()
+		for i, id := range ids {
+			if grace, ok := b.stops[id]; !ok || grace != 0 {
+				t.Errorf("%s: %v was not stopped", shape, id)
+			}
+			b.machine("m1", "a", false, protocol.TaskReport{Name: id.String(), Attempt: attempts[i], State: protocol.Exited, Cause: protocol.CauseStopped})
+		}
+		clear(b.runs)
+		for range 6 {
+			b.machine("m1", "a", false)
+			b.cycle()
+		}
+		b.do(Sighted{At: until}) // it may just have been confirmed
+		b.cycle()
+		if len(b.runs) > 0 {
+			t.Fatalf("%s: %v started while users may be told that it is cancelled", shape, b.runs)
+		}
+		b.do(JobDropped{ID: "j-2"})
+		b.do(Sighted{At: until + 1})
+		b.machine("m2", "a", false) // the first still has its exited entries
+		b.cycle()
+		if b.started("j-1") != 2 || b.started("j-2") != 0 {
+			t.Errorf("%s: %v run when one lives and the other does not", shape, b.runs)
+		}
+		if len(b.c.withdrawn) > 0 {
+			t.Errorf("%s: %v are remembered", shape, b.c.withdrawn)
+		}
+	}
+}
+
+// TestCancelledTasksHaveADay: the machines of cancelled jobs are to be fenced, if they
+// are silent, well before the tasks must be gone; those of jobs that are done, or that
+// are stopped for other reasons, are not.
+func TestCancelledTasksHaveADay(t *testing.T) {
+	b := newBench(nil, "a")
+	b.machine("m1", "a", false)
+	for _, id := range []string{"j-1", "j-2", "j-3"} {
+		b.job(spec(id, protocol.Array, "normal", 1, 1))
+	}
+	b.cycle()
+	b.do(Withdrawn{ID: "j-1", Until: b.now})
+	b.do(JobDropped{ID: "j-2"})
+	doomed := map[string]bool{}
+	by := b.c.goneBy(b.now)
+	b.c.part.Machine("m1").Placements(func(pl *part.Placement) {
+		if pl.GoneBy == by {
+			doomed[pl.Task.Job] = true
+		}
+	})
+	if !doomed["j-1"] || !doomed["j-2"] || doomed["j-3"] {
+		t.Errorf("to be gone by %v: %v", by, doomed)
+	}
+	if m := b.c.part.Machine("m1"); m.Doomed(by-1) || !m.Doomed(by) {
+		t.Error("its day is not the one")
+	}
+}
