Renew leases up to a horizon beyond the last knowledge of cancellations

A leader that loses its majority's memory, since peers ended and began anew in an outage, gave up within Hold; its peers' word had counted for both whether it leads and whether it knows. Now following keeps the leadership, and knowledge allows leases to be renewed until cancel time less an eighth less a lease after it, so that they end in time. Whoever began anew has to wait longer accordingly.

--- a/internal/coordination/election/caretaker.go
+++ b/internal/coordination/election/caretaker.go
@@ -4,11 +4,12 @@
 
 // Peer is what a peer last said of itself, in answer to a message sent At.
 type Peer struct {
-	At       time.Duration
-	StateOK  bool   // it reaches the state service
-	Leader   string // whom it takes for the leader
-	Complete bool   // we hold all notices that it holds
-	Whole    bool   // it has forgotten none that may still matter
+	At      time.Duration
+	StateOK bool   // it reaches the state service
+	Leader  string // whom it takes for the leader
+	// Known is when a message was last sent whose answer brought all its notices, of
+	// which it had forgotten none that may still matter; 0: never.
+	Known time.Duration
 }
 
 // Caretake says whether this controller may renew workers' leases although
@@ -16,27 +17,31 @@
 // no other can be chosen, and all tasks would be killed by their leases.
 //
 // It takes a majority, with this controller, of those that have just said that
-// they reach neither the state service nor a leader. Before a user is told that a
-// job is cancelled, a majority holds a notice of it; so one of those who speak
-// here does, and has handed it on, unless it has forgotten it. The notices of all
-// of them together tell what has to be stopped. A controller that began lately
-// counts for nothing: until every task has ended whose lease was last renewed
-// without knowing what it forgot. No other command is given, and a lease is
+// they reach neither the state service nor a leader: nobody could do better. And it
+// takes one that has handed on all its notices not long ago. Before a user is told that
+// a job is cancelled, a majority holds a notice of it; so one of those did, and the
+// notices of all of them together tell what has to be stopped. Leases may be renewed on
+// the strength of that within the Horizon. A controller that began lately has forgotten
+// its notices and counts for nothing: until every task has ended whose lease was last
+// renewed without knowing what it forgot. No other command is given, and a lease is
 // never a proof that a task is gone.
 func Caretake(now time.Duration, t Times, v View, stateOK, whole bool, peers []string, heard map[string]Peer) bool {
 	if v.Leading || v.Leader != "" || stateOK || !whole || len(peers) == 0 {
 		return false
 	}
-	n := 1
+	agree, known := 1, 1
 	for _, name := range peers {
 		p, ok := heard[name]
+		if ok && p.Known > 0 && now-p.Known <= t.Horizon {
+			known++
+		}
 		switch {
 		case !ok || now-p.At > t.Silent/2:
 		case p.StateOK || p.Leader != "":
 			return false // it will lead, or knows who does
-		case p.Complete && p.Whole:
-			n++
+		default:
+			agree++
 		}
 	}
-	return 2*n > len(peers)+1
+	return 2*agree > len(peers)+1 && 2*known > len(peers)+1
 }
--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -27,6 +27,9 @@
 	Silent time.Duration // a leader that is silent so long may be replaced
 	TTL    time.Duration // of the leader's lease
 	Hold   time.Duration // a leader without any confirmation goes on so long
+	// Horizon is for how long whoever knew of every cancellation up to some time may
+	// still renew leases: the leases must be over before the tasks have to be gone.
+	Horizon time.Duration
 	// Confirm is within what time of its notice a cancellation is confirmed, or
 	// else not without another notice.
 	Confirm time.Duration
@@ -128,14 +131,15 @@
 	began  time.Duration
 	won    time.Duration            // when the claim of our term was sent
 	sight  time.Duration            // up to when we know the state service's changes; 0: not at all
-	acks   map[string]time.Duration // when the last beat was sent that was acknowledged with all notices
+	acks   map[string]time.Duration // when the last beat was sent that was acknowledged
+	full   map[string]time.Duration // and with all notices
 	out    []any
 }
 
 // New returns a follower that knows nothing.
 func New(now time.Duration, self string, peers []string, t Times) *Machine {
 	return &Machine{self: self, peers: peers, times: t, heard: now, began: now,
-		peerAt: map[string]time.Duration{}, acks: map[string]time.Duration{}}
+		peerAt: map[string]time.Duration{}, acks: map[string]time.Duration{}, full: map[string]time.Duration{}}
 }
 
 // View is what others may know of the machine.
@@ -156,7 +160,7 @@
 	case v.Leading:
 		v.Until = m.confirmed(now)
 		if at := m.aware(now); at > 0 {
-			v.Aware = at + m.times.Hold
+			v.Aware = at + m.times.Horizon
 		}
 	case m.leader == m.self || now-m.heard > m.times.Silent:
 		v.Leader = ""
@@ -280,11 +284,12 @@
 	return 2*n > len(m.peers)+1
 }
 
-// confirmed is until when the leadership counts as confirmed. That its lease is
-// renewed does not count: the key may be ours while a cancellation that another
-// controller confirmed has not reached us.
+// confirmed is until when the leadership counts as confirmed, by sight of the state
+// service or by a majority that follows. That its lease is renewed does not count: the
+// key may be ours while a cancellation that another controller confirmed has not
+// reached us.
 func (m *Machine) confirmed(now time.Duration) time.Duration {
-	return max(m.won, m.aware(now)) + m.times.Hold
+	return max(m.won, m.sight, m.majority(now, m.acks)) + m.times.Hold
 }
 
 // aware is up to when we surely know of every cancellation that users were told
@@ -296,14 +301,19 @@
 	if now < m.began+m.times.Amnesia && !m.outlived(m.began) {
 		return m.sight // our own part of a majority may be forgotten
 	}
-	need := (len(m.peers) + 1) / 2 // with us a majority
+	return max(m.sight, m.majority(now, m.full))
+}
+
+// majority is the latest time since which a majority, with us, has spoken.
+func (m *Machine) majority(now time.Duration, spoke map[string]time.Duration) time.Duration {
+	need := (len(m.peers) + 1) / 2
 	if need == 0 {
 		return now // nobody else tells users anything
 	}
-	if acks := slices.Sorted(maps.Values(m.acks)); len(acks) >= need {
-		return max(m.sight, acks[len(acks)-need])
+	if at := slices.Sorted(maps.Values(spoke)); len(at) >= need {
+		return at[len(at)-need]
 	}
-	return m.sight
+	return 0
 }
 
 // outlived says whether the state service has shown us all that a process which
@@ -337,8 +347,11 @@
 	if e.Term > m.term {
 		m.higher(now, e.Term, e.Leader)
 	}
-	if m.role == Leading && e.Reply && e.Term == m.term && e.Leader == m.self && e.Complete && (e.Whole || m.outlived(e.LifeAt)) {
+	if m.role == Leading && e.Reply && e.Term == m.term && e.Leader == m.self {
 		m.acks[e.From] = max(m.acks[e.From], e.Sent)
+		if e.Complete && (e.Whole || m.outlived(e.LifeAt)) {
+			m.full[e.From] = max(m.full[e.From], e.Sent)
+		}
 	}
 	if m.role != Leading && !e.Reply && e.Term == m.term && e.Leader == e.From {
 		m.leader, m.heard = e.From, now
@@ -364,6 +377,7 @@
 	m.role, m.lease, m.asking = Following, 0, false
 	m.heard = now
 	clear(m.acks)
+	clear(m.full)
 }
 
 func (m *Machine) claimed(now time.Duration, e Claimed) {
@@ -384,6 +398,7 @@
 	m.keyGone, m.keyTerm = false, e.Term
 	m.claimAt = 0
 	clear(m.acks)
+	clear(m.full)
 	m.out = append(m.out, Lead{e.Term, e.Stamp})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,10 +67,11 @@
 		Beat: base / 40, Silent: base / 5, TTL: max(3*base/10, 100*time.Millisecond),
 		Hold: base / 2, Step: base / 50, Confirm: intake.Confirm,
 	}
-	// Whoever does not know of a cancellation renews a lease for the last time within
-	// Hold of its confirmation, and the task must be gone within the cancel time.
 	t.Hold = min(t.Hold, max((cancel-lease)/4, 4*t.Beat))
-	t.Amnesia = lease + t.Hold + t.Silent
+	// Whoever does not know of a cancellation renews a lease for the last time within
+	// the Horizon of its confirmation, and the task must be gone within the cancel time.
+	t.Horizon = max(t.Hold, cancel-cancel/8-lease)
+	t.Amnesia = lease + t.Horizon + t.Silent
 	return t
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -167,7 +167,11 @@
 	c.heardPeer(r)
 	t := c.takeNotices(r, true)
 	c.peersMu.Lock()
-	c.peers[r.From] = election.Peer{At: sent, StateOK: r.StateOK, Leader: r.Leader, Complete: t.Complete, Whole: t.Whole}
+	p := election.Peer{At: sent, StateOK: r.StateOK, Leader: r.Leader, Known: c.peers[r.From].Known}
+	if t.Complete && t.Whole {
+		p.Known = sent
+	}
+	c.peers[r.From] = p
 	c.peersMu.Unlock()
 	c.box.Send(election.Beat{From: r.From, Term: r.Term, Leader: r.Leader, Reply: true, Sent: sent,
 		Complete: t.Complete, Whole: t.Whole, LifeAt: t.LifeAt})
--- /dev/null
+++ b/internal/daemon/times_test.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+// TestTimesFitTheCancelTime: whatever the settings, a lease that was renewed without
+// knowing of a cancellation ends before the task must be gone, with an eighth of the
+// time left; and nobody who has forgotten notices counts before that.
+func TestTimesFitTheCancelTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var d config.Deployment
+		d.Workers.LeaseS = rapid.Float64Range(1, 60).Draw(t, "lease")
+		d.Workers.CancelS = d.Workers.LeaseS * rapid.Float64Range(1.5, 10).Draw(t, "cancel")
+		x := Times(&d)
+		lease, cancel := config.Seconds(d.Workers.LeaseS), config.Seconds(d.Workers.CancelS)
+		switch {
+		case x.Horizon+lease > cancel-cancel/8+time.Millisecond:
+			t.Errorf("horizon %v and lease %v in %v", x.Horizon, lease, cancel)
+		case x.Hold > x.Horizon, x.Hold < 4*x.Beat-time.Millisecond:
+			t.Errorf("hold %v, horizon %v, beat %v", x.Hold, x.Horizon, x.Beat)
+		case x.Amnesia < lease+x.Horizon+x.Silent:
+			t.Errorf("amnesia %v", x.Amnesia)
+		case keepNotices(&d, x) < cancel+x.Amnesia:
+			t.Errorf("notices are kept for %v", keepNotices(&d, x))
+		}
+	})
+}
