Refuse at once a cancellation that no majority can know of

It had waited for a tenth of a lease for acknowledgements that could not come. A scenario cuts a controller from the others: 503 within 0.1 s of simulated time, the others cancel, and together again it tells the same.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -36,6 +36,9 @@
 // the notice was made.
 func (c *Controller) announce(ctx context.Context, job string) (time.Time, error) {
 	now := c.now()
+	if !c.inCompany(now) {
+		return time.Time{}, errUnsafe // the user is told at once when to come back
+	}
 	own, err := c.notices.Announce(now, intake.Confirm/4, job)
 	if err != nil {
 		return time.Time{}, err
@@ -64,6 +67,20 @@
 	}
 }
 
+// inCompany says whether a majority of the controllers, with this one, has answered
+// lately.
+func (c *Controller) inCompany(now time.Duration) bool {
+	c.peersMu.Lock()
+	defer c.peersMu.Unlock()
+	n := 1
+	for _, p := range c.peers {
+		if now-p.At <= c.times.Silent {
+			n++
+		}
+	}
+	return 2*n > len(c.wakes)+1
+}
+
 // takeNotices takes in the notices that a peer's message brings.
 func (c *Controller) takeNotices(m *protocol.MeshMessage, reply bool) notice.Taken {
 	now := c.now()
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pinebay/internal/config"
+	"pinebay/internal/protocol"
 	"pinebay/internal/testkit"
 )
 
@@ -328,6 +329,32 @@
 	}
 }
 
+// TestCancellationThatIsNotSafeIsRefusedAtOnce: a controller that reaches the service but
+// none of the others tells users of cancellations when to come back, without holding them.
+func TestCancellationThatIsNotSafeIsRefusedAtOnce(t *testing.T) {
+	play(t, 10, 3, brisk, func(l *live) {
+		l.settle(6)
+		n := l.others(l.leader())[0]
+		heal := l.apart(n, l.others(n)...)
+		time.Sleep(4 * s)
+		id, sent := l.running()[0], l.now()
+		if status, _ := l.request(n, Cancels, id); status != 503 || l.now()-sent > 100*ms {
+			t.Errorf("%d after %v", status, l.now()-sent)
+		}
+		if !l.cancel(id, l.others(n), 2*s) {
+			t.Error("the others could not cancel it")
+		}
+		if status, _ := l.request(n, Asks, id); status != 503 {
+			t.Errorf("news of it, alone: %d", status)
+		}
+		heal()
+		time.Sleep(4 * s)
+		if status, st := l.request(n, Cancels, id); status != 200 || st.Standing != protocol.Cancelled {
+			t.Errorf("together again: %d %v", status, st)
+		}
+	})
+}
+
 // TestForgottenNotices: the leader, out of reach of the service, cannot be told of a
 // cancellation; whoever confirmed it ends, and the only other holder of its notice
 // begins anew and is in contact with the leader again. By its word the leader must not
