Say a majority in one place; drop fields that nobody reads any more

No change of behaviour. What a renewal brought but the end of its lease had not been read since sight took the place of renewed keys; when the live keys were asked for served one line. Five places had the test for a majority. In the stand-ins cuts wake the network in one place, and the scenarios' end of an outage is said once.

--- a/internal/coordination/election/caretaker.go
+++ b/internal/coordination/election/caretaker.go
@@ -43,5 +43,5 @@
 			agree++
 		}
 	}
-	return 2*agree > len(peers)+1 && 2*known > len(peers)+1
+	return Majority(agree, len(peers)) && Majority(known, len(peers))
 }
--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -73,11 +73,10 @@
 		Lease uint64
 		Sent  time.Duration
 	}
-	// Renewed is the outcome of a renewal.
+	// Renewed is the outcome of a renewal; NoLease says that the lease is over.
 	Renewed struct {
-		OK, NoLease bool
-		Term        uint64
-		Sent        time.Duration
+		NoLease bool
+		Term    uint64
 	}
 	// Sight says that the leader of the term knows every change of the accepted
 	// jobs up to At.
@@ -281,9 +280,13 @@
 			n++
 		}
 	}
-	return 2*n > len(m.peers)+1
+	return Majority(n, len(m.peers))
 }
 
+// Majority says whether so many controllers are one, in a group of one with so many
+// peers.
+func Majority(n, peers int) bool { return 2*n > peers+1 }
+
 // confirmed is until when the leadership counts as confirmed, by sight of the state
 // service or by a majority that follows. That its lease is renewed does not count: the
 // key may be ours while a cancellation that another controller confirmed has not
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -68,7 +68,7 @@
 			if ok {
 				g.expires = g.now + times.TTL
 			}
-			g.step(name, Renewed{OK: ok, NoLease: !ok && !g.down[name], Term: o.Term, Sent: g.now})
+			g.step(name, Renewed{NoLease: !ok && !g.down[name], Term: o.Term})
 		case Lead:
 			if other, ok := g.leads[o.Term]; ok {
 				g.t.Fatalf("term %d is led by %s and %s", o.Term, other, name)
@@ -312,7 +312,7 @@
 		began time.Duration
 		want  time.Duration
 	}{
-		{"renewed only", Renewed{OK: true, Term: 1, Sent: 11 * time.Second}, -time.Hour, 0},
+		{"renewed only", Renewed{Term: 1}, -time.Hour, 0},
 		{"saw the changes", Sight{Term: 1, At: 11 * time.Second}, -time.Hour, 15 * time.Second},
 		{"saw them in another term", Sight{Term: 2, At: 11 * time.Second}, -time.Hour, 0},
 		{"a majority's notices", beat(true, true, 0, 11*time.Second), -time.Hour, 15 * time.Second},
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -122,7 +122,6 @@
 	types       []protocol.MachineType
 	live, pages []protocol.Pair
 	warm        []protocol.Pair
-	at          time.Duration // when live was asked for
 }
 
 func (l *Leader) run() {
@@ -224,10 +223,10 @@
 	for l.ctx.Err() == nil {
 		var err error
 		if !watching {
-			got.at = l.Now()
+			asked := l.Now()
 			if got.live, rev, err = l.Store.List(l.ctx, storage.LivePrefix); err == nil {
 				watching = true
-				l.sighted(got.at)
+				l.sighted(asked)
 				go l.watch(rev)
 			}
 		}
--- a/internal/daemon/lead.go
+++ b/internal/daemon/lead.go
@@ -35,9 +35,8 @@
 		go func() { c.box.Send(c.claim(ctx, e)) }()
 	case election.Renew:
 		go func() {
-			sent := c.now()
 			err := c.store.Renew(ctx, e.Lease)
-			c.box.Send(election.Renewed{OK: err == nil, NoLease: errors.Is(err, storage.ErrNoLease), Term: e.Term, Sent: sent})
+			c.box.Send(election.Renewed{NoLease: errors.Is(err, storage.ErrNoLease), Term: e.Term})
 		}()
 	case election.Lead:
 		l := leader.Start(ctx, leader.Deps{
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -56,7 +56,7 @@
 	defer cancel()
 	for {
 		held, news := c.notices.Holders(own.Seq)
-		if 2*held > len(c.wakes)+1 {
+		if election.Majority(held, len(c.wakes)) {
 			return c.start.Add(own.At), nil
 		}
 		select {
@@ -78,7 +78,7 @@
 			n++
 		}
 	}
-	return 2*n > len(c.wakes)+1
+	return election.Majority(n, len(c.wakes))
 }
 
 // takeNotices takes in the notices that a peer's message brings.
--- a/internal/standin/live_test.go
+++ b/internal/standin/live_test.go
@@ -284,10 +284,7 @@
 		l.mu.Lock()
 		l.cuts[from+">"+to] += by
 		l.mu.Unlock()
-		l.net.mu.Lock()
-		close(l.net.changed)
-		l.net.changed = make(chan struct{})
-		l.net.mu.Unlock()
+		l.net.Changed()
 	}
 	change(1)
 	return func() {
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,6 +74,7 @@
 	}
 	time.Sleep(g.before / 2)
 	told := l.cancelRunning(6, others, g.before/2)
+	var deaf []*rig
 	l.mu.Lock()
 	for id := range l.world.Cancelled {
 		rigs := l.on(id)
@@ -88,11 +90,13 @@
 			r.mute = true
 			time.AfterFunc(cancel*3/2, func() { l.mu.Lock(); r.mute = false; l.mu.Unlock() })
 		case "deaf":
-			l.cuts["*>"+r.ip]++
-			time.AfterFunc(cancel*3/2, func() { l.cut("*", r.ip)(); l.mu.Lock(); l.cuts["*>"+r.ip]--; l.mu.Unlock() })
+			deaf = append(deaf, r)
 		}
 	}
 	l.mu.Unlock()
+	for _, r := range deaf {
+		time.AfterFunc(cancel*3/2, l.cut("*", r.ip))
+	}
 	l.state.Outage(true)
 	switch g.after {
 	case "killed":
@@ -355,6 +359,14 @@
 	})
 }
 
+// outlast ends an outage, and demands that all is well some minutes later.
+func (l *live) outlast() {
+	l.t.Helper()
+	l.state.Outage(false)
+	time.Sleep(4 * time.Minute)
+	l.calm()
+}
+
 // TestForgottenNotices: the leader, out of reach of the service, cannot be told of a
 // cancellation; whoever confirmed it ends, and the only other holder of its notice
 // begins anew and is in contact with the leader again. By its word the leader must not
@@ -375,9 +387,7 @@
 		time.Sleep(500 * ms)
 		heal()
 		time.Sleep(60 * s)
-		l.state.Outage(false)
-		time.Sleep(4 * time.Minute)
-		l.calm()
+		l.outlast()
 	})
 }
 
@@ -402,9 +412,7 @@
 		if n := len(l.running()); n == 0 {
 			t.Error("nothing was kept alive: the scenario shows nothing")
 		}
-		l.state.Outage(false)
-		time.Sleep(4 * time.Minute)
-		l.calm()
+		l.outlast()
 	})
 }
 
@@ -427,10 +435,8 @@
 		time.Sleep(late - 2*s) // the notices are over for the leader; the jobs run again
 		again := 0
 		for _, id := range l.running() {
-			for _, c := range ids {
-				if id == c {
-					again++
-				}
+			if slices.Contains(ids, id) {
+				again++
 			}
 		}
 		if again == 0 {
@@ -446,10 +452,8 @@
 		}
 		l.state.Outage(true)
 		time.Sleep(60 * s)
-		l.state.Outage(false)
 		l.state.Refuse(old.ip, false)
-		time.Sleep(4 * time.Minute)
-		l.calm()
+		l.outlast()
 	})
 }
 
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -33,8 +33,15 @@
 // Cut replaces the rule that says which hosts cannot send to which.
 func (n *Network) Cut(cut func(from, to string) bool) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.cut = cut
+	n.mu.Unlock()
+	n.Changed()
+}
+
+// Changed has what is held back look again at the rule.
+func (n *Network) Changed() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
