Lower work of other teams makes room as well

Now lower work of any team yields, but for what runs within its guarantee; a guarantee in one resource no longer counts as borrowed for the other.

--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -682,7 +682,7 @@
 		case pl.Stopping:
 			room = room.Plus(pl.Need)
 			out = append(out, pl)
-		case pl.Rank >= rank && pl.Team == j.spec.Team, c.borrows(pl) && pl.Team != j.spec.Team && c.owed(j):
+		case c.mayPreempt(j, pl, rank):
 			lower = append(lower, pl)
 		}
 	})
@@ -719,6 +719,18 @@
 	return out, cost, len(out) > 0 && j.need.Fits(room)
 }
 
+// mayPreempt says whether a placement may be stopped to make room for a job: work of at
+// least the given rank, and work of any rank that another team runs beyond its
+// guarantee, for a team within its own. What a team runs within its guarantee need not
+// yield to another team. Lower work of other teams had been spared altogether: a guest's
+// idle-time batch then kept whole machines while urgent gangs waited for minutes.
+func (c *Core) mayPreempt(j *job, pl *part.Placement, rank int) bool {
+	if pl.Team == j.spec.Team {
+		return pl.Rank >= rank
+	}
+	return c.borrows(pl) && (pl.Rank >= rank || c.owed(j))
+}
+
 // age is how long the job of a placement has been known.
 func (c *Core) age(now time.Duration, pl *part.Placement) time.Duration {
 	if j := c.jobs[pl.Task.Job]; j != nil {
@@ -729,20 +741,22 @@
 
 // borrows says whether a placement's team uses more than its guarantee.
 func (c *Core) borrows(pl *part.Placement) bool {
-	t := c.cfg.Team(pl.Team)
-	u := c.part.Usage(pl.Team)
-	return t == nil || u.CPUs > t.CPUs || u.GPUs > t.GPUs
+	return !withinGuarantee(c.cfg.Team(pl.Team), c.part.Usage(pl.Team))
 }
 
 // owed says whether a job's team is still within its guarantee with one more
 // of its tasks.
 func (c *Core) owed(j *job) bool {
-	t := c.cfg.Team(j.spec.Team)
+	return withinGuarantee(c.cfg.Team(j.spec.Team), c.part.Usage(j.spec.Team).Plus(j.need))
+}
+
+// withinGuarantee says whether a team that uses so much has a guarantee and fits into
+// it. A resource that no guarantee names does not count.
+func withinGuarantee(t *config.Team, used part.Need) bool {
 	if t == nil || t.CPUs == 0 && t.GPUs == 0 {
 		return false
 	}
-	u := c.part.Usage(j.spec.Team).Plus(j.need)
-	return (t.CPUs == 0 || u.CPUs <= t.CPUs) && (t.GPUs == 0 || u.GPUs <= t.GPUs)
+	return (t.CPUs == 0 || used.CPUs <= t.CPUs) && (t.GPUs == 0 || used.GPUs <= t.GPUs)
 }
 
 // demand lists the room that is wanted: for tasks that wait, and then for the
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -342,6 +342,40 @@
 	}
 }
 
+// TestPreemptionAcrossTeams: lower work of another team makes room as well, but for what
+// that team runs within its guarantee; and equal work does so for a guarantee alone.
+func TestPreemptionAcrossTeams(t *testing.T) {
+	for _, x := range []struct {
+		name       string
+		red, guest config.Team
+		prio       protocol.Priority
+		stops      int
+	}{
+		{"lower work of a guest", config.Team{}, config.Team{}, "urgent", 1},
+		{"equal work of a guest", config.Team{}, config.Team{}, "best_effort", 0},
+		{"equal work of a guest, for a guarantee", config.Team{GPUs: 8}, config.Team{}, "best_effort", 1},
+		{"lower work within its guarantee", config.Team{}, config.Team{GPUs: 8}, "urgent", 0},
+		{"lower work beyond its guarantee", config.Team{}, config.Team{GPUs: 4}, "urgent", 1},
+	} {
+		x.red.Name, x.guest.Name = "red", "guest"
+		b := newBench([]config.Team{x.red, x.guest}, "a")
+		b.machine("m1", "a", false)
+		low := spec("j-1", protocol.Array, "best_effort", 1, 8)
+		low.Team = "guest"
+		b.job(low)
+		b.cycle()
+		id := protocol.TaskID{Job: "j-1"}
+		b.job(spec("j-2", protocol.Gang, x.prio, 1, 8))
+		for range 4 {
+			b.machine("m1", "a", false, running(id, 1))
+			b.cycle()
+		}
+		if len(b.stops) != x.stops {
+			t.Errorf("%s: stopped %v", x.name, b.stops)
+		}
+	}
+}
+
 // TestClearedRoomIsTaken: room that was cleared for a task for want of any is
 // taken when it is free, although its fetch now lasts longer than what is left
 // of the aim on waiting. Waiting on for room with the image, which nobody was
