Test network: ask whether a host is cut off without holding the network's lock

The cut takes the scenario's lock, whose holder opens listeners and so waits for the network's: a model of 180 machines stopped for good.

--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -54,9 +54,11 @@
 func (n *Network) passable(from, to string, stop <-chan struct{}) bool {
 	for {
 		n.mu.Lock()
-		cut, changed := n.cut(from, to), n.changed
+		cut, changed := n.cut, n.changed
 		n.mu.Unlock()
-		if !cut {
+		// The cut is asked without the lock: it takes one of its own, whose holder may be
+		// waiting for this one.
+		if !cut(from, to) {
 			return true
 		}
 		select {
