Leases outlive restarts in an outage; frames through a buffer; machines inspected in turn

Controllers that had just begun claimed for a second to reach the service, since none had refused them yet; connections to them hung for as long as a heartbeat may take; and workers went round from one controller to the next. Now a process that the service has never answered does not claim it, a connection is given up after a quarter of a heartbeat's time, and workers are sent to the controller that renews leases.

Stand-in workers go where a 421 names a controller within half a second, as the protocol says.

--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -156,7 +156,7 @@
 	prior     map[string]float64         // what the last leader counted
 	warm      map[string]string          // images records as written
 	warming   bool
-	inspected bool // the machines that were there before us
+	inspector inspector
 	lastWarm  time.Duration
 }
 
@@ -398,7 +398,7 @@
 			c.fleet.ListFailed()
 			break
 		}
-		c.inspect(e.Machines)
+		c.inspectListed(now, e.Machines)
 		for _, name := range c.fleet.Listed(now, e.Asked, c.part, e.Machines) {
 			c.log.Info("machine has left the list", "machine", name)
 			c.facts(now, c.part.Lost(now, name))
@@ -490,22 +490,6 @@
 	return m, newer
 }
 
-// inspect asks the machines that have not been heard in this term how they stand,
-// once the first list tells their addresses. Their workers may still be waiting
-// for the last leader's answer, for most of a lease if it fell silent; until they
-// are heard nothing can be placed there.
-func (c *Core) inspect(list []protocol.ListedMachine) {
-	if c.inspected {
-		return
-	}
-	c.inspected = true
-	for i := range list {
-		if l := &list[i]; l.State == protocol.MachineRunning && l.Addr != "" && !c.part.Up(l.Name) && !c.fleet.Gone(l.Name) {
-			c.emit(Inspect{l.Name, l.Addr})
-		}
-	}
-}
-
 // judgeMachine sets a machine aside that fails the tasks of several jobs.
 func (c *Core) judgeMachine(m *part.Machine) {
 	if len(m.Errors) >= 2 && !m.Sick {
@@ -927,6 +911,7 @@
 // cycle, and had planning waited for a cycle without, nothing would have been
 // rented, returned or fenced for minutes.
 func (c *Core) tick(now time.Duration) {
+	c.inspectSome(now)
 	full := now-c.lastPlan >= Cycle
 	if full || c.due && now-c.lastCycle >= Eager*time.Duration(1+len(c.jobs)/crowd) {
 		c.lastCycle, c.due = now, false
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -38,7 +38,7 @@
 func newBench(teams []config.Team, zones ...string) *bench {
 	cfg := &config.Deployment{
 		Nodes: 3, Teams: teams, Workers: config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 40, GangPeerS: 4, CancelS: 40},
-		State: config.State{RPS: 100, WriteRPS: 30, ValueKB: 8, TxnOps: 16}, Cloud: config.Cloud{RPS: 2, ListLagS: 5},
+		State: config.State{RPS: 100, WriteRPS: 30, ValueKB: 8, TxnOps: 16}, Cloud: config.Cloud{RPS: 2, ListLagS: 5}, Quota: config.Quota{CoreShare: 0.1},
 	}
 	types := []protocol.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, CacheGB: 100, FetchGBPerS: 1, Price: 4, SpotPrice: 1, BootS: 30, Zones: zones}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -1012,3 +1012,43 @@
 		t.Errorf("%d of 16 tasks started on two machines", n)
 	}
 }
+
+// TestSmallLeaderInspectsInTurn: a leader with a small share of a core asks a few
+// machines a second, and none that has reported meanwhile.
+func TestSmallLeaderInspectsInTurn(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Quota.CoreShare = 0.02
+	const machines = 100
+	perSecond := int(inspectsPerCore * b.c.cfg.Quota.CoreShare)
+	var list []protocol.ListedMachine
+	for i := range machines {
+		list = append(list, protocol.ListedMachine{Name: fmt.Sprintf("m%03d", i), Addr: "x", Type: "g8", Zone: "a", State: protocol.MachineRunning})
+	}
+	asked := map[string]int{}
+	count := func(effects []any) (n int) {
+		for _, e := range effects {
+			if i, ok := e.(Inspect); ok {
+				asked[i.Machine]++
+				n++
+			}
+		}
+		return n
+	}
+	if n := count(b.c.Step(b.now, Listed{Asked: b.now, Machines: list})); n != perSecond {
+		t.Errorf("%d inspections at once, want %d", n, perSecond)
+	}
+	for i := machines / 2; i < machines; i++ {
+		b.machine(list[i].Name, "a", false)
+	}
+	for range machines / perSecond {
+		b.now += Cycle
+		if n := count(b.c.Step(b.now, Tick{})); n > perSecond {
+			t.Errorf("%d inspections in a second, want %d at most", n, perSecond)
+		}
+	}
+	for i := range machines {
+		if want := 1 - i/(machines/2); asked[list[i].Name] != want {
+			t.Errorf("%s was asked %d times, want %d", list[i].Name, asked[list[i].Name], want)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,7 @@
 	wakes     map[string]chan struct{} // make the beat to a peer leave at once
 	peersMu   sync.Mutex
 	peers     map[string]election.Peer // what each last answered of itself
+	renewers  map[string]time.Duration // peers that renew leases without a leader, and when they last said so
 	turned    *Turned
 	peersOK   atomic.Int64 // steady time when a peer last had the state service
 	peerHeard atomic.Int64 // steady time when a peer was last heard
@@ -83,7 +84,7 @@
 	d := &cfg.Deploy
 	c := &Controller{network: network, cfg: cfg, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[any](),
 		fenceBox: actor.NewMailbox[fencing.Event](), fencing: fencing.New(fenceTimes(d)),
-		peers: map[string]election.Peer{}, wakes: map[string]chan struct{}{}, turned: NewTurned(config.Seconds(d.Workers.LeaseS))}
+		peers: map[string]election.Peer{}, renewers: map[string]time.Duration{}, wakes: map[string]chan struct{}{}, turned: NewTurned(config.Seconds(d.Workers.LeaseS))}
 	c.store = storage.NewClient(network, d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
 	c.cloud = leader.NewCloud(network, cfg.Outside.Cloud, d.Cloud)
 	c.workers = transport.NewClient(network, 1, max(1, int(float64(d.Quota.MaxSockets)*socketsCommands)), config.Seconds(d.Workers.LeaseS))
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -128,7 +128,7 @@
 		if m.Leader == m.From && m.Term >= v.Term {
 			reply.Term, reply.Leader = m.Term, m.From // what we shall have taken in
 		}
-		reply.StateOK = c.stateOK()
+		reply.StateOK, reply.Renews = c.stateOK(), c.renews()
 		c.notices.Fill(c.now(), m.From, m.Life, reply)
 	case protocol.MeshStatus:
 		if l := c.leading.Load(); l != nil {
@@ -151,13 +151,40 @@
 	return reply
 }
 
-func (c *Controller) stateOK() bool { return c.store.SilentFor() < c.times.Silent/2 }
+// stateOK says whether the state service has answered just now. A process that has begun
+// in an outage must not claim that: its peers would stop renewing leases for it.
+func (c *Controller) stateOK() bool {
+	return c.store.Answered() && c.store.SilentFor() < c.times.Silent/2
+}
 
 func (c *Controller) heardPeer(m *protocol.MeshMessage) {
 	c.peerHeard.Store(int64(c.now()))
 	if m.StateOK {
 		c.peersOK.Store(int64(c.now()))
 	}
+	c.peersMu.Lock()
+	defer c.peersMu.Unlock()
+	if m.Renews {
+		c.renewers[m.From] = c.now()
+	} else {
+		delete(c.renewers, m.From)
+	}
+}
+
+// renews says whether this controller renews leases although nobody leads.
+func (c *Controller) renews() bool { return c.leading.Load() == nil && c.caretaker() }
+
+// renewer returns a peer that renews leases although nobody leads, or "".
+func (c *Controller) renewer() string {
+	c.peersMu.Lock()
+	defer c.peersMu.Unlock()
+	best, latest := "", c.now()-c.times.Silent/2
+	for node, at := range c.renewers {
+		if at > latest {
+			best, latest = node, at
+		}
+	}
+	return best
 }
 
 // beat tells one peer regularly who leads, and hears what it knows.
@@ -167,7 +194,7 @@
 	for ctx.Err() == nil {
 		v := c.view.Load()
 		sent := c.now()
-		m := protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK()}
+		m := protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK(), Renews: c.renews()}
 		c.notices.Fill(sent, peer, 0, &m)
 		r, err := c.mesh.Call(ctx, peer, m)
 		if err == nil {
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -19,7 +19,7 @@
 	care := l == nil && c.caretaker()
 	nobody := l == nil && (leader == "" || leader == c.cfg.Node)
 	if nobody && !care && c.stateOK() {
-		c.redirect(w, "")
+		c.redirect(w, c.renewer())
 		return
 	}
 	raw, err := transport.ReadBody(w, r)
@@ -37,7 +37,8 @@
 		c.fenceBox.Send(fencing.Heard{Report: rep})
 	}
 	if nobody && !care {
-		c.redirect(w, "")
+		// Its lease may be about to end: it should not have to try every controller.
+		c.redirect(w, c.renewer())
 		return
 	}
 	if care {
--- a/internal/protocol/mesh.go
+++ b/internal/protocol/mesh.go
@@ -17,15 +17,17 @@
 // MeshMessage is a frame between controllers. Numbers name its fields, so that
 // a beat stays small.
 type MeshMessage struct {
-	Version int        `cbor:"1,keyasint"`
-	Kind    int        `cbor:"2,keyasint"`
-	ID      uint64     `cbor:"3,keyasint"`
-	From    string     `cbor:"4,keyasint"`
-	Term    uint64     `cbor:"5,keyasint,omitempty"`
-	Leader  string     `cbor:"6,keyasint,omitempty"`
-	StateOK bool       `cbor:"7,keyasint,omitempty"`
-	Job     string     `cbor:"8,keyasint,omitempty"`
-	Status  *JobStatus `cbor:"9,keyasint,omitempty"`
+	Version int    `cbor:"1,keyasint"`
+	Kind    int    `cbor:"2,keyasint"`
+	ID      uint64 `cbor:"3,keyasint"`
+	From    string `cbor:"4,keyasint"`
+	Term    uint64 `cbor:"5,keyasint,omitempty"`
+	Leader  string `cbor:"6,keyasint,omitempty"`
+	StateOK bool   `cbor:"7,keyasint,omitempty"`
+	// Renews says that the sender renews workers' leases although nobody leads.
+	Renews bool       `cbor:"22,keyasint,omitempty"`
+	Job    string     `cbor:"8,keyasint,omitempty"`
+	Status *JobStatus `cbor:"9,keyasint,omitempty"`
 	// Jobs asks about several, and Statuses answers.
 	Jobs     []string    `cbor:"19,keyasint,omitempty"`
 	Statuses []JobStatus `cbor:"20,keyasint,omitempty"`
--- a/internal/standin/live_test.go
+++ b/internal/standin/live_test.go
@@ -532,15 +532,25 @@
 				break
 			}
 		}
-		at = r.send(at)
+		redirected := true
+		for redirected && r.ctx.Err() == nil {
+			if at, redirected = r.send(at); redirected {
+				l.mu.Lock()
+				pause := l.upTo(500 * ms)
+				l.mu.Unlock()
+				time.Sleep(pause)
+			}
+		}
 	}
 }
 
-// send sends a report to a controller, and returns the one to report to next.
-func (r *rig) send(at int) int {
+// send sends a report to a controller, and returns the one to report to next, and
+// whether that one was named by the answer: then the worker goes there without waiting
+// for its next report.
+func (r *rig) send(at int) (int, bool) {
 	l := r.l
 	if !r.awake() {
-		return at
+		return at, false
 	}
 	rep := r.report()
 	sent, session, mute := l.now(), r.w.Session, r.mute
@@ -548,9 +558,9 @@
 		l.reports(rep)
 	}
 	l.mu.Unlock()
-	next := func() int {
+	next := func() (int, bool) {
 		time.Sleep(protocol.ReportPause)
-		return (at + 1) % len(l.nodes)
+		return (at + 1) % len(l.nodes), false
 	}
 	if mute {
 		l.note("mute")
@@ -566,10 +576,10 @@
 		var a protocol.ReportAnswer
 		if err := protocol.Decode(raw, &a); err != nil {
 			l.t.Error(err)
-			return at
+			return at, false
 		}
 		if !r.awake() {
-			return at
+			return at, false
 		}
 		defer l.mu.Unlock()
 		if l.now()-sent <= protocol.ReportPatience {
@@ -577,7 +587,7 @@
 			r.w.Answer(l.now(), sent, session, a)
 			r.w.Changed = r.w.Changed || r.w.Token != old
 		}
-		return at
+		return at, false
 	case http.StatusMisdirectedRequest:
 		var to protocol.Redirect
 		if err := protocol.Decode(raw, &to); err != nil {
@@ -585,7 +595,7 @@
 		}
 		for i, n := range l.nodes {
 			if n.name == to.Leader && i != at {
-				return i
+				return i, true
 			}
 		}
 	}
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -465,3 +465,35 @@
 	g := gap{before: 1700 * ms, outage: 1.5, crash: true, after: "killed", worker: "hung"}
 	play(t, 5054, 3, slow, g.play)
 }
+
+// TestLeasesOutliveRestartsInAnOutage: in an outage of the state service the leader and
+// another controller end and come back. The third one renews the leases, and workers
+// find it in time, wherever they go first. Leases ended when the others, just begun,
+// claimed for a moment to reach the service, when connections to them hung for as long as
+// a heartbeat may take, and when workers went round from one to the next.
+func TestLeasesOutliveRestartsInAnOutage(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		play(t, seed, 3, brisk, func(l *live) {
+			l.settle(12)
+			old := l.leader()
+			l.state.Outage(true)
+			time.Sleep(4 * s)
+			l.crash(old, 6*s)
+			l.crash(l.others(old)[0], 6*s)
+			time.Sleep(20 * s)
+			l.mu.Lock()
+			ended := 0
+			for _, r := range l.rigs {
+				if r.w.Session > 1 {
+					ended++
+				}
+			}
+			l.mu.Unlock()
+			if ended > 0 {
+				t.Errorf("seed %d: leases of %d of %d machines ended", seed, ended, len(l.rigs))
+			}
+			l.state.Outage(false)
+			l.outlast()
+		})
+	}
+}
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -103,6 +103,9 @@
 	return time.Since(c.start) - time.Duration(c.lastOK.Load())
 }
 
+// Answered says whether the service has ever answered this process.
+func (c *Client) Answered() bool { return c.lastOK.Load() > 0 }
+
 // Queue is how long a user's request may wait for its turn: no longer than the
 // pause after which a user who was refused asks again.
 const Queue = time.Second
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -192,3 +192,20 @@
 		t.Errorf("written at %d", p.Version)
 	}
 }
+
+// TestNoAnswerYet: a client that no answer has ever reached does not pass for one whose
+// service has just answered.
+func TestNoAnswerYet(t *testing.T) {
+	status := http.StatusServiceUnavailable
+	c := client(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+	if c.Answered() {
+		t.Error("an answer is claimed before there was any")
+	}
+	if _, err := c.Get(context.Background(), storage.Urgent, "k"); !errors.Is(err, storage.ErrUnavailable) || c.Answered() {
+		t.Errorf("a refusal is taken for an answer: %v", err)
+	}
+	status = http.StatusNotFound
+	if _, err := c.Get(context.Background(), storage.Urgent, "k"); err != nil || !c.Answered() {
+		t.Errorf("an answer is not noted: %v", err)
+	}
+}
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -18,6 +19,14 @@
 // what goes around it.
 const maxFrame = protocol.MaxBody + 4<<10
 
+// dialShare is the part of a call's time, as its inverse, that opening a connection may
+// take.
+const dialShare = 4
+
+// frameBuffer is the read buffer of a connection between controllers: a heartbeat comes
+// in one system call instead of two, its head and its body.
+const frameBuffer = 1 << 10
+
 // ErrNoPeer says that a peer cannot be reached.
 var ErrNoPeer = errors.New("peer not reachable")
 
@@ -99,8 +108,9 @@
 	defer stop()
 	from := ""
 	var wmu sync.Mutex
+	r := bufio.NewReaderSize(c, frameBuffer)
 	for {
-		raw, err := ReadFrame(c)
+		raw, err := ReadFrame(r)
 		if err != nil {
 			if from != "" && !errors.Is(err, protocol.ErrMalformed) {
 				m.lost(from)
@@ -158,7 +168,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.timeout)
 	defer cancel()
-	if err := p.connect(ctx, m.network); err != nil {
+	if err := p.connect(ctx, m.network, m.timeout/dialShare); err != nil {
 		return nil, err
 	}
 	answer := make(chan *protocol.MeshMessage, 1)
@@ -200,7 +210,7 @@
 	}
 }
 
-func (p *peer) connect(ctx context.Context, network Network) error {
+func (p *peer) connect(ctx context.Context, network Network, timeout time.Duration) error {
 	p.mu.Lock()
 	if p.conn != nil {
 		p.mu.Unlock()
@@ -212,7 +222,11 @@
 	}
 	p.dialing = true
 	p.mu.Unlock()
-	c, err := network.Dial(ctx, p.addr)
+	// A connection to a controller that is down hangs. Given up soon, the next attempt
+	// finds the controller as soon as it is back.
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := network.Dial(dialCtx, p.addr)
 	p.mu.Lock()
 	p.dialing = false
 	if err == nil {
@@ -228,8 +242,9 @@
 
 func (p *peer) read(c net.Conn) {
 	defer p.drop(c)
+	r := bufio.NewReaderSize(c, frameBuffer)
 	for {
-		raw, err := ReadFrame(c)
+		raw, err := ReadFrame(r)
 		if err != nil {
 			return
 		}
