Followers send heartbeats half as often while they have a leader

It hears the leader's and answers them; its own only keep followers in contact.

Kept for the idle time, which is what a small machine has to spare when a crowd comes.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -189,10 +189,15 @@
 
 // beat tells one peer regularly who leads, and hears what it knows.
 func (c *Controller) beat(ctx context.Context, peer string) {
-	t := time.NewTicker(c.times.Beat)
+	interval := c.times.Beat
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for ctx.Err() == nil {
 		v := c.view.Load()
+		if pace := c.beatInterval(v); pace != interval {
+			interval = pace
+			t.Reset(interval)
+		}
 		sent := c.now()
 		m := protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK(), Renews: c.renews()}
 		c.notices.Fill(sent, peer, 0, &m)
@@ -208,6 +213,20 @@
 	}
 }
 
+// followerPace is how many times as seldom a follower sends heartbeats as the leader. It
+// hears the leader's and answers those; its own only keep followers in contact, which
+// hear each other in both directions, and new notices don't wait for them.
+const followerPace = 2
+
+// beatInterval is the time between two heartbeats to a peer. Without a leader all send
+// them as often as a leader, so that the next one is found as soon.
+func (c *Controller) beatInterval(v *election.View) time.Duration {
+	if !v.Leading && v.Leader != "" {
+		return followerPace * c.times.Beat
+	}
+	return c.times.Beat
+}
+
 // answeredBeat takes in a peer's answer to a beat that was sent at the given time.
 func (c *Controller) answeredBeat(r *protocol.MeshMessage, sent time.Duration) {
 	c.heardPeer(r)
--- a/internal/daemon/times_test.go
+++ b/internal/daemon/times_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"pinebay/internal/config"
+	"pinebay/internal/coordination/election"
 	"pinebay/internal/testkit"
 )
 
@@ -34,3 +35,25 @@
 		}
 	})
 }
+
+// TestHeartbeatPace: a follower that has a leader sends fewer heartbeats; the leader, and
+// everybody while there is none, sends all. Even with one lost, peers hear of a follower
+// often enough to count it when they look for a majority.
+func TestHeartbeatPace(t *testing.T) {
+	c := &Controller{times: election.Times{Beat: 100 * time.Millisecond, Silent: 800 * time.Millisecond}}
+	for _, row := range []struct {
+		view election.View
+		want time.Duration
+	}{
+		{election.View{Leading: true, Leader: "n-0"}, c.times.Beat},
+		{election.View{}, c.times.Beat},
+		{election.View{Leader: "n-1"}, followerPace * c.times.Beat},
+	} {
+		if got := c.beatInterval(&row.view); got != row.want {
+			t.Errorf("%+v: a heartbeat every %v, want %v", row.view, got, row.want)
+		}
+	}
+	if 2*followerPace*c.times.Beat > c.times.Silent/2 {
+		t.Error("a lost heartbeat makes a follower look silent")
+	}
+}
