--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -73,7 +73,8 @@
 
 // Place is one placement. It is stored as a list, for values are small.
 type Place struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
 	Task     int
 	Machine  string
 	Session  uint64
@@ -151,7 +152,8 @@
 
 // ClassArrivals is what a leader remembers of a class's arrivals.
 type ClassArrivals struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
 	Class    string
 	Jobs     float64
 	Tasks    float64 // of a job, in the mean
@@ -159,7 +161,8 @@
 
 // WarmMachine is a machine with its images, as indices.
 type WarmMachine struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
 	Images   []int
 }
