--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -40,6 +40,9 @@
 	Step    time.Duration // between candidates that wake at the same time
 }
 
+// Event is what a step takes.
+type Event interface{ event() }
+
 // Events.
 type (
 	// Tick lets time pass.
@@ -94,6 +97,9 @@
 	}
 )
 
+// Effect is what a step asks for.
+type Effect interface{ effect() }
+
 // Effects.
 type (
 	// Claim asks for the leadership, over a leader of at most the given term.
@@ -106,6 +112,21 @@
 	Yield struct{ Term, Lease uint64 }
 )
 
+func (Tick) event()    {}
+func (Key) event()     {}
+func (Beat) event()    {}
+func (Lost) event()    {}
+func (Claimed) event() {}
+func (Renewed) event() {}
+func (Sight) event()   {}
+func (Higher) event()  {}
+func (Resign) event()  {}
+
+func (Claim) effect() {}
+func (Renew) effect() {}
+func (Lead) effect()  {}
+func (Yield) effect() {}
+
 // Machine is the state machine of one controller.
 type Machine struct {
 	self  string
@@ -132,7 +153,7 @@
 	sight  time.Duration            // up to when we know the state service's changes; 0: not at all
 	acks   map[string]time.Duration // when the last beat was sent that was acknowledged
 	full   map[string]time.Duration // and with all notices
-	out    []any
+	out    []Effect
 }
 
 // New returns a follower that knows nothing.
@@ -168,7 +189,7 @@
 }
 
 // Step takes an event and returns what is to be done.
-func (m *Machine) Step(now time.Duration, event any) []any {
+func (m *Machine) Step(now time.Duration, event Event) []Effect {
 	m.out = nil
 	switch e := event.(type) {
 	case Tick:
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -57,7 +57,7 @@
 	g.began[name] = g.now
 }
 
-func (g *group) step(name string, e any) {
+func (g *group) step(name string, e Event) {
 	m := g.nodes[name]
 	for _, out := range m.Step(g.now, e) {
 		switch o := out.(type) {
@@ -308,7 +308,7 @@
 	at := 12 * time.Second
 	for _, c := range []struct {
 		name  string
-		event any
+		event Event
 		began time.Duration
 		want  time.Duration
 	}{
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -25,6 +25,9 @@
 	Quick bool            // spare that must be free: there is no time to clear arrays off it
 }
 
+// Effect is what the fleet asks of the cloud: Rent, Release or List.
+type Effect interface{ effect() }
+
 // Rent asks for machines.
 type Rent struct{ Rental protocol.Rental }
 
@@ -34,6 +37,10 @@
 // List asks the cloud for its list.
 type List struct{}
 
+func (Rent) effect()    {}
+func (Release) effect() {}
+func (List) effect()    {}
+
 // memoryCancels is how long a returned machine is remembered, in times that a
 // cancellation may take. Messages come minutes late; one that came later still
 // would bring up a machine that is silent, and so returned once more.
@@ -237,7 +244,7 @@
 }
 
 // Plan compares what is wanted with what there is.
-func (f *Fleet) Plan(now time.Duration, p *part.Part, units []Unit) (effects []any) {
+func (f *Fleet) Plan(now time.Duration, p *part.Part, units []Unit) (effects []Effect) {
 	if !f.listing && now-f.listedAt >= config.Seconds(f.cloud.ListLagS/2) {
 		f.listing, f.listedAt = true, now
 		effects = append(effects, List{})
@@ -245,7 +252,7 @@
 	f.silent(now, p)
 	used := map[string]bool{}
 	if f.Known() {
-		var rents []any
+		var rents []Effect
 		rents, used = f.rent(now, p, units)
 		effects = append(effects, rents...)
 	}
@@ -276,7 +283,7 @@
 	return n
 }
 
-func (f *Fleet) rent(now time.Duration, p *part.Part, units []Unit) (effects []any, used map[string]bool) {
+func (f *Fleet) rent(now time.Duration, p *part.Part, units []Unit) (effects []Effect, used map[string]bool) {
 	var rooms []*room
 	perZone := map[string]int{}
 	used = map[string]bool{}
@@ -412,7 +419,7 @@
 	return best, !math.IsInf(bestCost, 1)
 }
 
-func (f *Fleet) release(now time.Duration, p *part.Part, used map[string]bool) (effects []any) {
+func (f *Fleet) release(now time.Duration, p *part.Part, used map[string]bool) (effects []Effect) {
 	var names []string
 	p.Each(func(m *part.Machine) {
 		if f.releasing[m.Name] || len(names) >= protocol.MaxRelease {
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -23,7 +23,7 @@
 	return f, p
 }
 
-func rentals(effects []any) (out []protocol.Rental) {
+func rentals(effects []Effect) (out []protocol.Rental) {
 	for _, e := range effects {
 		if r, ok := e.(Rent); ok {
 			out = append(out, r.Rental)
@@ -32,7 +32,7 @@
 	return out
 }
 
-func released(effects []any) (out []string) {
+func released(effects []Effect) (out []string) {
 	for _, e := range effects {
 		if r, ok := e.(Release); ok {
 			out = append(out, r.Names...)
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -53,7 +53,7 @@
 type Leader struct {
 	Deps
 	term, stamp uint64
-	box         *actor.Mailbox[any]
+	box         *actor.Mailbox[any] // of scheduler.Event, query and loaded
 	ctx         context.Context
 	cancel      context.CancelFunc
 	inspects    *semaphore.Weighted
@@ -136,24 +136,19 @@
 	go l.recover()
 	var core *scheduler.Core
 	early := map[string]scheduler.Reported{}
-	var changes []any // of the accepted jobs, since they were read
+	var changes []scheduler.Event // of the accepted jobs, since they were read
 	step := func(e any) {
 		if !l.stands() {
 			return
 		}
 		now := l.Now()
 		if core != nil {
-			if q, ok := e.(query); ok {
-				var known []protocol.JobStatus
-				for _, id := range q.ids {
-					if s, ok := core.Status(id); ok {
-						known = append(known, s)
-					}
-				}
-				q.reply <- known
-				return
+			switch e := e.(type) {
+			case query:
+				e.reply <- core.Statuses(e.ids)
+			case scheduler.Event:
+				l.do(core.Step(now, e))
 			}
-			l.do(core.Step(now, e))
 			return
 		}
 		// Until the records are read, workers get answers that renew their
@@ -185,7 +180,11 @@
 				l.do(core.Step(now, r))
 			}
 			go l.refreshTypes()
-		case scheduler.JobSet, scheduler.JobDropped, scheduler.Sighted:
+		case scheduler.JobSet:
+			changes = append(changes, e)
+		case scheduler.JobDropped:
+			changes = append(changes, e)
+		case scheduler.Sighted:
 			changes = append(changes, e)
 		}
 	}
@@ -307,7 +306,7 @@
 
 // do carries out effects. Whatever waits runs on its own goroutine and comes
 // back as an event.
-func (l *Leader) do(effects []any) {
+func (l *Leader) do(effects []scheduler.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case scheduler.Answer:
@@ -323,18 +322,24 @@
 			go l.order(e)
 		case scheduler.Inspect:
 			go l.inspect(e)
-		case fleet.Rent:
-			go l.rent(e)
-		case fleet.Release:
-			go l.release(e)
-		case fleet.List:
-			go l.list()
-		default:
-			l.Log.Error("unknown effect", "effect", fmt.Sprintf("%T", e))
+		case scheduler.Fleet:
+			l.callCloud(e.Effect)
 		}
 	}
 }
 
+// callCloud carries out what the fleet asks of the cloud.
+func (l *Leader) callCloud(effect fleet.Effect) {
+	switch e := effect.(type) {
+	case fleet.Rent:
+		go l.rent(e)
+	case fleet.Release:
+		go l.release(e)
+	case fleet.List:
+		go l.list()
+	}
+}
+
 // write tries a transaction until its outcome is known. After a try without an
 // answer, a failed condition may be the work of that very try: the record that
 // names the write tells.
--- /dev/null
+++ b/internal/coordination/scheduler/demand.go
@@ -0,0 +1,210 @@
+package scheduler
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/fleet"
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+)
+
+// demand lists the room that is wanted: for tasks that wait, and then for the
+// jobs that are likely to come before a machine rented now would be up.
+func (c *Core) demand(now time.Duration, jobs []*job) []fleet.Unit {
+	var units []fleet.Unit
+	for _, j := range jobs {
+		n := min(j.counts[pending], c.allowance(j))
+		if n == 0 || c.held(j) {
+			continue
+		}
+		if j.suspect() {
+			// Its tasks fail everywhere. It still gets room, or it could never
+			// show that the machines were at fault, but just for one attempt.
+			if now < j.notBefore {
+				continue
+			}
+			if j.spec.Shape != protocol.Gang {
+				n = 1
+			}
+		}
+		l := c.limits(j)
+		if j.spec.SameZone && l.zone == "" && n > 1 {
+			l.zone = c.likelyZone(now, j)
+		}
+		if !j.spec.Spread || l.zone != "" {
+			units = append(units, fleet.Unit{Job: &j.spec, Zone: l.zone, Count: n, Avoid: j.avoids()})
+			continue
+		}
+		for _, u := range c.spreadUnits(&j.spec, l, n) {
+			u.Avoid = j.avoids()
+			units = append(units, u)
+		}
+	}
+	c.spareNow = c.spare(now)
+	return append(units, c.spareNow...)
+}
+
+// likelyZone picks the zone in which room for a job that must be in one is
+// gathered. Without it, machines in several zones could look like enough room
+// while no zone has it, and the job would wait for ever.
+func (c *Core) likelyZone(now time.Duration, j *job) string {
+	room := map[string]int{}
+	c.part.Each(func(m *part.Machine) {
+		t := c.part.Type(m.Type)
+		if t == nil || !t.Allows(&j.spec) || m.Condemned || m.Notice || m.Sick || m.Spot && !j.spec.Spot {
+			return
+		}
+		free := c.part.Free(m)
+		for n := 0; n < j.spec.Tasks && j.need.Fits(free); n++ {
+			free = free.Minus(j.need)
+			room[m.Zone]++
+		}
+	})
+	best, bestRoom := "", -1
+	for _, z := range c.zones(&j.spec) {
+		n := room[z]
+		if n < j.spec.Tasks && c.fleet.CanRent(now, c.part, &j.spec, z) {
+			n += j.spec.Tasks
+		}
+		if n > bestRoom {
+			best, bestRoom = z, n
+		}
+	}
+	return best
+}
+
+// zones lists the zones that a job allows, in order.
+func (c *Core) zones(spec *protocol.Job) []string {
+	zones := map[string]bool{}
+	for _, t := range c.part.Types() {
+		if t.Allows(spec) {
+			for _, z := range t.Zones {
+				if spec.Zone == "" || spec.Zone == z {
+					zones[z] = true
+				}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(zones))
+}
+
+// spreadUnits deals tasks to zones as the job's spread demands.
+func (c *Core) spreadUnits(spec *protocol.Job, l *limits, n int) []fleet.Unit {
+	names := c.zones(spec)
+	counts := map[string]int{}
+	for ; n > 0; n-- {
+		best := ""
+		for _, z := range names {
+			if l.perZone[z]+counts[z] < l.most && (best == "" || l.perZone[z]+counts[z] < l.perZone[best]+counts[best]) {
+				best = z
+			}
+		}
+		if best == "" {
+			break
+		}
+		counts[best]++
+	}
+	var units []fleet.Unit
+	for _, z := range names {
+		if counts[z] > 0 {
+			units = append(units, fleet.Unit{Job: spec, Zone: z, Count: counts[z]})
+		}
+	}
+	return units
+}
+
+// spare is the room kept for classes whose aim on waiting is shorter than a
+// machine takes to come up with their image.
+func (c *Core) spare(now time.Duration) []fleet.Unit {
+	var units []fleet.Unit
+	for _, class := range slices.Sorted(maps.Keys(c.sample)) {
+		spec := c.sample[class]
+		within := c.waitAim(class)
+		boot, ready := 0.0, math.Inf(1)
+		for _, t := range c.part.Types() {
+			if t.Allows(spec) && t.Fits(spec) > 0 && t.FetchGBPerS > 0 {
+				if r := t.BootS + spec.ImageGB/t.FetchGBPerS; r < ready {
+					boot, ready = t.BootS, r
+				}
+			}
+		}
+		if within >= ready || math.IsInf(ready, 1) {
+			continue
+		}
+		mean := c.expected(now, class, config.Seconds(boot))
+		if mean < 0.1 {
+			continue
+		}
+		// Where a fetch that takes a third longer outlasts the aim, no time is
+		// left to clear room first.
+		quick := within < (ready-boot)*part.SlowFetch
+		jobs := mean + c.margin(class)*math.Sqrt(mean)
+		tasks := int(math.Round(jobs * c.sizes[class]))
+		if tasks == 0 {
+			continue
+		}
+		if spec.Spread {
+			l := &limits{perZone: map[string]int{}, most: (tasks + 1) / 2}
+			for _, u := range c.spreadUnits(spec, l, tasks) {
+				u.Spare, u.Quick = true, quick
+				units = append(units, u)
+			}
+			continue
+		}
+		units = append(units, fleet.Unit{Job: spec, Count: tasks, Spare: true, Quick: quick})
+	}
+	return units
+}
+
+// margin is how many deviations above the expected arrivals are met by the
+// share of starts in time that a class's aims ask for.
+func (c *Core) margin(class string) float64 {
+	share := 0.5
+	for _, o := range c.cfg.Objectives {
+		if o.Kind == "wait" && o.Class == class {
+			share = max(share, min(o.Share, 0.999))
+		}
+	}
+	return math.Sqrt2 * math.Erfinv(2*share-1)
+}
+
+// expected is how many jobs of a class are likely to come in one boot time,
+// with something added for a swing. Arrivals count for less as they age.
+func (c *Core) expected(now time.Duration, class string, boot time.Duration) float64 {
+	memory := memoryBoots * boot
+	as := c.arrivals[class]
+	for len(as) > 0 && as[0] < now-4*memory {
+		as = as[1:]
+	}
+	c.arrivals[class] = as
+	prior := c.prior[class] * math.Exp(-(now-c.began).Seconds()/memory.Seconds())
+	if len(as) == 0 && prior == 0 {
+		return 0
+	}
+	// A crowd that comes at once, as when a fleet is opened, tells little of
+	// the rate: no short while counts for more than two.
+	sum, crowd, first := 0.0, 0, time.Duration(math.MinInt64/2)
+	for _, a := range as {
+		if a-first > boot/8 {
+			first, crowd = a, 0
+		}
+		if crowd++; crowd <= 2 {
+			sum += math.Exp(-(now - a).Seconds() / memory.Seconds())
+		}
+	}
+	// What came in so short a time that it could not yet have aged counts as if
+	// it had come in a boot time or two.
+	c.counted[class] = sum + prior
+	if prior > 0 {
+		return 1.2 * (sum + prior) * boot.Seconds() / memory.Seconds()
+	}
+	seen := 1 - math.Exp(-max(now-as[0], 2*boot).Seconds()/memory.Seconds())
+	return 1.2 * sum * boot.Seconds() / memory.Seconds() / seen
+}
+
+// memoryBoots is the memory of the arrival rate, in boot times.
+const memoryBoots = 3
--- /dev/null
+++ b/internal/coordination/scheduler/events.go
@@ -0,0 +1,134 @@
+package scheduler
+
+import (
+	"time"
+
+	"pinebay/internal/coordination/fleet"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// Event is what a step takes.
+type Event interface{ event() }
+
+// Events.
+type (
+	// Tick lets time pass.
+	Tick struct{}
+	// Reported is a worker's report; Tag comes back with the answer. Relayed
+	// says that another controller passed it on.
+	Reported struct {
+		Tag     any
+		Report  *protocol.Report
+		Relayed bool
+	}
+	// JobSet is an accepted job.
+	JobSet struct {
+		Record storage.LiveRecord
+		Stamp  uint64
+	}
+	// JobDropped says that a job's live record is gone: it is over.
+	JobDropped struct{ ID string }
+	// Withdrawn says that a user may be about to be told that a job is cancelled, by
+	// the given time or else not before another Withdrawn.
+	Withdrawn struct {
+		ID    string
+		Until time.Duration
+	}
+	// Sighted says that all changes of the accepted jobs up to At have been told.
+	Sighted struct{ At time.Duration }
+	// Written is the outcome of a Write. Failed names the conditions that did
+	// not hold.
+	Written struct {
+		Write  uint64
+		OK     bool
+		Rev    uint64
+		Failed []string
+	}
+	// OrdersDone is the outcome of an Order. Report is nil without an answer.
+	OrdersDone struct {
+		Machine string
+		OK      bool
+		Report  *protocol.Report
+	}
+	// Inspected is a machine's answer to an Inspect.
+	Inspected struct{ Report *protocol.Report }
+	// Types is the cloud's price list.
+	Types struct{ Types []protocol.MachineType }
+	// Listed is the cloud's list; Failed says that it did not come.
+	Listed struct {
+		Asked    time.Duration
+		Machines []protocol.ListedMachine
+		Failed   bool
+	}
+	// Rented is the outcome of a rental.
+	Rented struct {
+		Request string
+		Asked   time.Duration
+		Names   []string
+		Refused bool
+	}
+	// Released is the outcome of a release.
+	Released struct {
+		Names []string
+		OK    bool
+	}
+)
+
+// Effect is what a step asks for.
+type Effect interface{ effect() }
+
+// Effects.
+type (
+	// Fleet is what the fleet asks of the cloud.
+	Fleet struct{ Effect fleet.Effect }
+	// Answer goes back to a worker.
+	Answer struct {
+		Tag  any
+		Body protocol.ReportAnswer
+	}
+	// Write is a conditional transaction; it is tried until its outcome is
+	// known. Verify is a key whose record names the write.
+	Write struct {
+		ID     uint64
+		Txn    protocol.Txn
+		Verify string
+		Name   string
+		Bulk   bool
+	}
+	// Order is a command that goes straight to a machine.
+	Order struct {
+		Machine, Addr string
+		Orders        protocol.Orders
+	}
+	// Inspect asks a machine how it stands; no answer means nothing.
+	Inspect struct{ Machine, Addr string }
+	// Depose says that this leader's time is over; Term is a later one, if one
+	// was seen.
+	Depose struct {
+		Term   uint64
+		Reason string
+		Away   bool // another controller should lead
+	}
+)
+
+func (Tick) event()       {}
+func (Reported) event()   {}
+func (JobSet) event()     {}
+func (JobDropped) event() {}
+func (Withdrawn) event()  {}
+func (Sighted) event()    {}
+func (Written) event()    {}
+func (OrdersDone) event() {}
+func (Inspected) event()  {}
+func (Types) event()      {}
+func (Listed) event()     {}
+func (Rented) event()     {}
+func (Released) event()   {}
+
+func (Answer) effect()  {}
+func (Write) effect()   {}
+func (Order) effect()   {}
+func (Inspect) effect() {}
+func (Depose) effect()  {}
+func (Fleet) effect()   {}
--- /dev/null
+++ b/internal/coordination/scheduler/fleetlog.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"pinebay/internal/coordination/fleet"
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+)
+
+// logFleet tells how the machines are used.
+func (c *Core) logFleet(now time.Duration, units []fleet.Unit) {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	var up, empty, booting, silent int
+	var free, soft float64 // in machines
+	var ordinary, ordinaryFree float64
+	kept := map[string]float64{} // ordinary machines by class
+	c.part.Each(func(m *part.Machine) {
+		t := c.part.Type(m.Type)
+		switch {
+		case t == nil || !m.Up:
+			booting++
+			return
+		case m.Count() == 0:
+			empty++
+		case now-m.Heard > c.part.Silent():
+			silent++
+		}
+		up++
+		cap := part.CapacityOf(t)
+		unused := 1 - cap.Minus(c.part.Free(m)).Share(cap)
+		free += unused
+		if !m.Spot {
+			ordinary++
+			ordinaryFree += unused
+		}
+		m.Placements(func(pl *part.Placement) {
+			share := pl.Need.Share(cap)
+			if pl.Job.Shape == protocol.Array {
+				soft += share
+			}
+			if !m.Spot {
+				kept[pl.Job.Class] += share
+			}
+		})
+	})
+	want := map[string]int{}
+	for _, u := range units {
+		if u.Spare {
+			want["spare "+u.Job.Class] += u.Count
+		} else {
+			want[u.Job.Class] += u.Count
+		}
+	}
+	c.log.Debug("fleet", "up", up, "empty", empty, "booting", booting, "silent", silent, "free", free, "arrays", soft,
+		"ordinary", ordinary, "unused", ordinaryFree, "used", kept, "wanted", want)
+}
--- /dev/null
+++ b/internal/coordination/scheduler/images.go
@@ -0,0 +1,113 @@
+package scheduler
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// recoverWarm takes over what earlier leaders knew of the machines' images.
+func (c *Core) recoverWarm(pairs []protocol.Pair) {
+	for _, p := range pairs {
+		var rec storage.WarmRecord
+		if err := protocol.Decode(p.Value, &rec); err != nil || len(rec.Images) != len(rec.SizesGB) {
+			c.log.Error("images record out of form", "key", p.Key, "err", err)
+			continue
+		}
+		for _, m := range rec.Machines {
+			var copies []part.Copy
+			for _, i := range m.Images {
+				if i >= 0 && i < len(rec.Images) {
+					copies = append(copies, part.Copy{Image: rec.Images[i], SizeGB: rec.SizesGB[i]})
+				}
+			}
+			c.part.Hint(m.Name, copies)
+		}
+		for _, a := range rec.Arrivals {
+			c.prior[a.Class], c.sizes[a.Class] = a.Jobs, a.Tasks
+		}
+		c.warm[p.Key] = "" // to be written anew, or else dropped
+	}
+}
+
+// writeWarm writes down the machines' images, a page at a time and not often:
+// it is a help for the next leader, and must not stand in anybody's way.
+func (c *Core) writeWarm(now time.Duration) {
+	if c.warming || now-c.lastWarm < warmPause {
+		return
+	}
+	c.lastWarm = now
+	copies := c.part.Copies()
+	names := slices.Sorted(maps.Keys(copies))
+	per := storage.WarmMachines(c.cfg.State.ValueKB)
+	pages := map[string][]byte{}
+	for page := 0; page*per < len(names); page++ {
+		var rec storage.WarmRecord
+		index := map[string]int{}
+		for _, n := range names[page*per : min((page+1)*per, len(names))] {
+			m := storage.WarmMachine{Name: n}
+			for _, cp := range copies[n] {
+				i, ok := index[cp.Image]
+				if !ok {
+					i = len(rec.Images)
+					index[cp.Image] = i
+					rec.Images = append(rec.Images, cp.Image)
+					rec.SizesGB = append(rec.SizesGB, cp.SizeGB)
+				}
+				m.Images = append(m.Images, i)
+			}
+			rec.Machines = append(rec.Machines, m)
+		}
+		if page == 0 {
+			for class, jobs := range c.counted {
+				// Two digits are enough, and a quiet fleet writes nothing.
+				rec.Arrivals = append(rec.Arrivals, storage.ClassArrivals{Class: class, Jobs: math.Round(jobs*4) / 4, Tasks: c.sizes[class]})
+			}
+			sort.Slice(rec.Arrivals, func(a, b int) bool { return rec.Arrivals[a].Class < rec.Arrivals[b].Class })
+		}
+		raw, err := protocol.Encode(rec)
+		if err != nil || float64(len(raw)) > c.cfg.State.ValueKB*1024/2 {
+			continue // too many names for a hint
+		}
+		pages[storage.WarmKey(page)] = raw
+	}
+	t := protocol.Txn{If: []protocol.Cond{{Key: storage.TermKey, Version: c.termStamp}}}
+	var changed []string
+	for key := range c.warm {
+		if pages[key] == nil {
+			t.Then = append(t.Then, protocol.Op{Delete: key})
+			changed = append(changed, key)
+		}
+	}
+	for key, raw := range pages {
+		if c.warm[key] != string(raw) && len(t.Then) < c.cfg.State.TxnOps/2 {
+			t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
+			changed = append(changed, key)
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	c.warming = true
+	id, _ := c.name()
+	c.writes[id] = func(_ time.Duration, w Written) {
+		c.warming = false
+		for _, key := range changed {
+			if pages[key] == nil {
+				delete(c.warm, key)
+			} else {
+				c.warm[key] = string(pages[key])
+			}
+		}
+	}
+	c.emit(Write{ID: id, Txn: t, Bulk: true, Verify: storage.TermKey, Name: "-"})
+}
+
+// warmPause is the time between two writes of the images.
+const warmPause = 10 * Cycle
--- /dev/null
+++ b/internal/coordination/scheduler/lifecycle.go
@@ -0,0 +1,230 @@
+package scheduler
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+func (c *Core) accept(now, since time.Duration, rec storage.LiveRecord, stamp uint64) {
+	id := rec.Job.ID
+	if j := c.jobs[id]; j != nil {
+		if !j.over {
+			j.stamp = stamp
+		}
+		return
+	}
+	j := newJob(rec.Job, stamp, rec.AtMS, since, c.perPage)
+	c.jobs[id] = j
+	class := rec.Job.Class
+	c.arrivals[class] = append(c.arrivals[class], since)
+	c.sample[class] = &j.spec
+	if old := c.sizes[class]; old > 0 {
+		c.sizes[class] = old + (float64(rec.Job.Tasks)-old)/8
+	} else {
+		c.sizes[class] = float64(rec.Job.Tasks)
+	}
+	c.due = true
+}
+
+// facts takes in what became of placements.
+func (c *Core) facts(now time.Duration, facts []part.Fact) {
+	for _, f := range facts {
+		pl := f.Placement
+		j := c.jobs[pl.Task.Job]
+		if j == nil || j.places[pl.Task.Task] != pl {
+			continue
+		}
+		if !pl.Gone {
+			if pl.State == protocol.TaskRunning && pl.Since == now {
+				j.runAt = now
+				if j.spec.Shape == protocol.Service {
+					j.ran[pl.Task.Task] = true
+				}
+				j.failures = max(0, j.failures-1)
+				c.log.Debug("running", "task", pl.Task, "class", j.spec.Class, "attempt", pl.Attempt, "machine", pl.Machine,
+					"waited", now-j.known, "placed", now-pl.Granted, "image", j.spec.Image)
+			}
+			continue
+		}
+		c.gone(now, j, pl, f.Lost)
+	}
+}
+
+// gone takes in that a placement is proven gone.
+func (c *Core) gone(now time.Duration, j *job, pl *part.Placement, lost bool) {
+	c.due = true
+	task := pl.Task.Task
+	delete(j.places, task)
+	pg := j.pageOf(task)
+	pg.exits = append(pg.exits, pl)
+	if lost {
+		c.log.Info("task lost with its machine", "task", pl.Task, "attempt", pl.Attempt, "machine", pl.Machine)
+	}
+	switch {
+	case j.over:
+		j.set(task, done)
+		c.sweep(now, j)
+		return
+	case j.tasks[task] == done:
+		return
+	case !lost && pl.Cause == protocol.CauseDone:
+		j.set(task, done)
+		j.touch(task, now)
+		if j.spec.Shape == protocol.Gang {
+			// A gang completes together.
+			for t := range j.tasks {
+				if j.tasks[t] != done {
+					j.set(t, done)
+					j.touch(t, now)
+				}
+			}
+		}
+		if j.counts[done] == len(j.tasks) {
+			c.finish(now, j)
+		}
+		return
+	}
+	j.begun = j.begun || j.runAt > 0 && now-j.runAt >= settled
+	j.runAt = 0
+	j.set(task, pending)
+	j.touch(task, now) // or its exited entry could never be forgotten
+	if !lost {
+		c.failed(now, j, pl)
+	}
+	if j.spec.Shape == protocol.Gang {
+		c.stopGang(now, j)
+		if len(j.places) == 0 {
+			j.stopping = false
+		}
+	}
+}
+
+// failed draws the conclusions from an exit that was not asked for.
+func (c *Core) failed(now time.Duration, j *job, pl *part.Placement) {
+	switch pl.Cause {
+	case protocol.CauseStopped, protocol.CausePeers, protocol.CauseDone:
+		return
+	}
+	c.log.Info("task failed", "task", pl.Task, "attempt", pl.Attempt, "machine", pl.Machine, "cause", pl.Cause)
+	m := c.part.Machine(pl.Machine)
+	switch pl.Cause {
+	case protocol.CauseError:
+		j.failures++
+		j.failedOn[pl.Machine] = true
+		if j.suspect() {
+			// It fails everywhere: the job is at fault, not the machines. Back
+			// off, so that it spoils neither machines nor our verdict on them.
+			j.notBefore = now + min(Cycle<<min(j.failures, 6), config.Seconds(2*c.cfg.Workers.CancelS))
+			for name := range j.failedOn {
+				if o := c.part.Machine(name); o != nil {
+					delete(o.Errors, j.spec.ID)
+				}
+			}
+		}
+	case protocol.CauseNoRoom, protocol.CauseBusy:
+		// The machine holds something that we don't know of.
+		if m != nil {
+			m.MutedUntil = max(m.MutedUntil, now+config.Seconds(2*c.cfg.Workers.ReportS))
+		}
+		j.notBefore = now + Cycle/4
+	case protocol.CauseUnknown:
+		j.failures++
+		j.notBefore = now + Cycle<<min(j.failures, 5)
+	default:
+		j.notBefore = now + Cycle/4
+	}
+}
+
+// stopGang stops all of a gang that has lost a task: below minAvailable it is
+// requeued as a whole, from its checkpoint.
+func (c *Core) stopGang(now time.Duration, j *job) {
+	for _, pl := range placements(j) {
+		if !pl.Stopping || pl.GraceS > 0 {
+			c.stop(now, j, pl, 0)
+		}
+	}
+	j.stopping = len(j.places) > 0
+}
+
+func placements(j *job) []*part.Placement {
+	list := make([]*part.Placement, 0, len(j.places))
+	for _, pl := range j.places {
+		list = append(list, pl)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Task.Task < list[b].Task.Task })
+	return list
+}
+
+// stop asks a placement to end, and takes in when that needs no proof.
+func (c *Core) stop(now time.Duration, j *job, pl *part.Placement, graceS float64) {
+	if c.part.Stop(now, pl, graceS) && !pl.Written && j.writing {
+		// Its record may be written at this moment; it names a placement that
+		// was never started, which a later write replaces.
+		c.log.Debug("placement withdrawn before its record", "task", pl.Task)
+	}
+	if pl.Gone && j.places[pl.Task.Task] == pl {
+		c.gone(now, j, pl, true)
+	}
+}
+
+// stopJob stops everything of a job that is over.
+func (c *Core) stopJob(now time.Duration, j *job) {
+	for _, pl := range placements(j) {
+		c.stop(now, j, pl, 0)
+	}
+	c.sweep(now, j)
+}
+
+// end takes in that a job is over.
+func (c *Core) end(now time.Duration, j *job) {
+	j.over, j.stamp = true, 0
+	c.due = true
+	if j.counts[done] < len(j.tasks) {
+		c.doom(j, c.goneBy(now))
+	}
+	c.stopJob(now, j)
+}
+
+// notices takes work off machines that the cloud is about to take away: saved
+// if that can be done in time.
+func (c *Core) notices(now time.Duration) {
+	c.part.Each(func(m *part.Machine) {
+		if !m.Notice {
+			return
+		}
+		m.Placements(func(pl *part.Placement) {
+			if !pl.Stopping {
+				c.stopOrderly(now, pl, math.MaxInt64)
+			}
+		})
+	})
+}
+
+// stopOrderly stops a placement, with all of its gang if it has one, so that
+// its progress is saved if there is time for that.
+func (c *Core) stopOrderly(now time.Duration, pl *part.Placement, within time.Duration) {
+	j := c.jobs[pl.Task.Job]
+	if j == nil {
+		return
+	}
+	grace := 0.0
+	if j.spec.CheckpointS > 0 && config.Seconds(j.spec.SaveS+c.cfg.Workers.ReportS) < within {
+		grace = j.spec.SaveS + c.cfg.Workers.GangPeerS
+	}
+	if j.spec.Shape != protocol.Gang {
+		c.stop(now, j, pl, grace)
+		return
+	}
+	j.stopping = true
+	for _, o := range placements(j) {
+		if !o.Stopping {
+			c.stop(now, j, o, grace)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/scheduler/preempt.go
@@ -0,0 +1,177 @@
+package scheduler
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+)
+
+// displace says whether a task should rather wait a moment for room on a
+// machine that has its image, because the fetch on the machine at hand would
+// last longer than the class's aim on waiting. It clears such room of work
+// that is at least two steps lower in priority. Free room is no reason to make
+// a critical replica wait for a fetch of most of a minute.
+func (c *Core) displace(now time.Duration, j *job, task int, x *candidate, cands []*candidate, l *limits) bool {
+	within := c.waitAim(j.spec.Class)
+	if math.IsInf(within, 1) {
+		return false
+	}
+	left := config.Seconds(within) - (now - j.known)
+	if left <= 0 && j.ran[task] {
+		left = config.Seconds(within) // a replica that was lost should be back as soon
+	}
+	if left <= 0 || c.part.WarmWithout(now, x.m, &j.spec, c.fetchesYield(j)) <= left {
+		return false
+	}
+	for _, y := range cands {
+		// Room that is free by now is no longer waited for: had it been the
+		// better one, the task would have got it.
+		if y.m.ReservedFor(now, j.spec.ID) && !y.taken && l.allow(y.m.Zone) && !j.need.Fits(y.free) {
+			y.taken = true // being cleared for one task of the job already
+			l.perZone[y.m.Zone]++
+			return true
+		}
+	}
+	return c.clear(now, j, cands, l, left, j.rank+2)
+}
+
+// preempt stops work of lower priority to make room for up to n tasks, on the
+// machines where least is lost, and reserves the room.
+func (c *Core) preempt(now time.Duration, j *job, cands []*candidate, l *limits, n int) {
+	if j.short < 2 {
+		return
+	}
+	for _, x := range cands {
+		if x.m.ReservedFor(now, j.spec.ID) {
+			n-- // cleared already, and not yet free
+		}
+	}
+	for ; n > 0 && c.clear(now, j, cands, l, math.MaxInt64, j.rank+1); n-- {
+	}
+}
+
+// clear makes room for one task on the machine where that costs least, among
+// those where the task could run within the given time, and reserves it. Only
+// work of at least the given rank leaves.
+func (c *Core) clear(now time.Duration, j *job, cands []*candidate, l *limits, within time.Duration, rank int) bool {
+	var best *candidate
+	var bestVictims []*part.Placement
+	bestCost := math.Inf(1)
+	for _, x := range cands {
+		if !c.fits(now, j, x, l) || x.m.ReservedFor(now, j.spec.ID) || !j.need.Fits(part.CapacityOf(x.kind)) {
+			continue
+		}
+		warm := c.part.Warm(now, x.m, &j.spec)
+		if warm > within {
+			continue
+		}
+		victims, cost, ok := c.victims(now, j, x, rank)
+		cost += warm.Seconds()
+		if ok && cost < bestCost {
+			best, bestVictims, bestCost = x, victims, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	wait := 0.0
+	patience := c.patience(now, j, c.part.Warm(now, best.m, &j.spec))
+	for _, v := range bestVictims {
+		if !v.Stopping {
+			c.log.Info("preempted", "task", v.Task, "for", j.spec.ID, "machine", v.Machine)
+			left := patience
+			if v.Job != nil && v.Job.SaveS >= v.Job.CheckpointS/2 {
+				left = 0 // to save takes as long as what is lost without, and the room is wanted
+			}
+			c.stopOrderly(now, v, left)
+		}
+		wait = max(wait, v.GraceS)
+	}
+	best.taken = true
+	l.perZone[best.m.Zone]++
+	best.m.Reserved = j.spec.ID
+	best.m.ReservedUntil = now + config.Seconds(wait+3*c.cfg.Workers.ReportS) + Cycle
+	return true
+}
+
+// patience is how long a job can wait for work to be saved and still start in
+// the time that its class's aim asks for. One that will be late anyhow, or has
+// no such aim, waits as long as it takes.
+func (c *Core) patience(now time.Duration, j *job, warm time.Duration) time.Duration {
+	within := c.waitAim(j.spec.Class)
+	if left := config.Seconds(within) - (now - j.known) - warm; !math.IsInf(within, 1) && left > 0 {
+		return left
+	}
+	return math.MaxInt64
+}
+
+// victims chooses the work that would have to leave a machine. Its cost is in
+// seconds of work lost or moved.
+func (c *Core) victims(now time.Duration, j *job, x *candidate, rank int) (out []*part.Placement, cost float64, ok bool) {
+	room := x.free // less what this cycle has given away already
+	var lower []*part.Placement
+	x.m.Placements(func(pl *part.Placement) {
+		switch {
+		case pl.Stopping:
+			room = room.Plus(pl.Need)
+			out = append(out, pl)
+		case c.mayPreempt(j, pl, rank):
+			lower = append(lower, pl)
+		}
+	})
+	sort.Slice(lower, func(a, b int) bool {
+		if lower[a].Rank != lower[b].Rank {
+			return lower[a].Rank > lower[b].Rank
+		}
+		if ja, jb := c.age(now, lower[a]), c.age(now, lower[b]); ja != jb {
+			return ja < jb
+		}
+		if lower[a].Since != lower[b].Since {
+			return lower[a].Since > lower[b].Since
+		}
+		return lower[a].Task.String() < lower[b].Task.String()
+	})
+	for _, pl := range lower {
+		if j.need.Fits(room) {
+			break
+		}
+		room = room.Plus(pl.Need)
+		out = append(out, pl)
+		lost := (now - pl.Since).Seconds()
+		if pl.Job != nil && pl.Job.CheckpointS > 0 {
+			lost = pl.Job.SaveS
+		}
+		// An old job has been passed over or stopped before, and is the more
+		// likely to be late for it.
+		cost += 1 + lost*pl.Need.Share(part.CapacityOf(x.kind)) + c.age(now, pl).Seconds()/10
+		if pl.Job != nil && pl.Job.Shape == protocol.Gang {
+			// All of it has to find room, and often its image, again.
+			cost += float64(pl.Job.Tasks) * x.kind.BootS
+		}
+	}
+	return out, cost, len(out) > 0 && j.need.Fits(room)
+}
+
+// mayPreempt says whether a placement may be stopped to make room for a job: work of at
+// least the given rank, and work of any rank that another team runs beyond its
+// guarantee, for a team within its own. What a team runs within its guarantee need not
+// yield to another team. Lower work of other teams had been spared altogether: a guest's
+// idle-time batch then kept whole machines while urgent gangs waited for minutes.
+func (c *Core) mayPreempt(j *job, pl *part.Placement, rank int) bool {
+	if pl.Team == j.spec.Team {
+		return pl.Rank >= rank
+	}
+	return c.borrows(pl) && (pl.Rank >= rank || c.owed(j))
+}
+
+// age is how long the job of a placement has been known.
+func (c *Core) age(now time.Duration, pl *part.Placement) time.Duration {
+	if j := c.jobs[pl.Task.Job]; j != nil {
+		return now - j.known
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/coordination/scheduler/queue.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+)
+
+// manyAlike is after how many jobs of a kind that found no room the others of
+// the kind are not tried in the same cycle: thousands of jobs that wait must
+// not cost thousands of searches.
+const manyAlike = 16
+
+// kind is what the search for room depends on.
+type kind struct {
+	team, image, zone, types string
+	need                     part.Need
+	rank, placed             int
+	same, spread, spot       bool
+}
+
+func (j *job) kind() kind {
+	return kind{
+		team: j.spec.Team, image: j.spec.Image, zone: j.spec.Zone, types: strings.Join(j.spec.Types, " "), need: j.need,
+		rank: j.rank, placed: len(j.places), same: j.spec.SameZone, spread: j.spec.Spread, spot: j.spec.Spot,
+	}
+}
+
+// byHope reorders the gangs of each class among themselves, in a list sorted by
+// priority and age: first, by age, those that can still meet an aim. When more is
+// asked than can be done, age alone would spend all room on gangs that are late
+// whatever is done, until every gang is late.
+func (c *Core) byHope(now time.Duration, waiting []*job) {
+	type queue struct {
+		class, team string
+		rank        int
+	}
+	slots := map[queue][]int{}
+	for i, j := range waiting {
+		if j.spec.Shape == protocol.Gang {
+			q := queue{j.spec.Class, j.spec.Team, j.rank}
+			slots[q] = append(slots[q], i)
+		}
+	}
+	for _, at := range slots {
+		jobs := make([]*job, len(at))
+		for k, i := range at {
+			jobs[k] = waiting[i]
+		}
+		sort.SliceStable(jobs, func(a, b int) bool { return c.hope(now, jobs[a]) < c.hope(now, jobs[b]) })
+		for k, i := range at {
+			waiting[i] = jobs[k]
+		}
+	}
+}
+
+// hope orders a class's gangs: 0 for one that can still start in the time that an
+// aim asks for, 1 for one that can at least still be done in time, 2 for others.
+// A gang that has waited twice as long as its longest aim comes first again:
+// none waits for ever.
+func (c *Core) hope(now time.Duration, j *job) int {
+	waited := (now - j.known).Seconds()
+	hope, longest := 2, 0.0
+	for _, o := range c.cfg.Objectives {
+		if o.Class != j.spec.Class {
+			continue
+		}
+		longest = max(longest, o.WithinS)
+		switch {
+		case o.Kind == "wait" && !j.begun && waited <= o.WithinS:
+			hope = 0
+		case o.Kind == "finished" && waited+j.spec.EstimateS <= o.WithinS:
+			hope = min(hope, 1)
+		}
+	}
+	if longest == 0 || waited > 2*longest {
+		return 0
+	}
+	return hope
+}
+
+// waits says whether a job has tasks that may be placed now.
+func (c *Core) waits(now time.Duration, j *job) bool {
+	if j.counts[pending] == 0 || c.held(j) || j.writing || len(j.granted) > 0 || now < j.notBefore {
+		return false
+	}
+	return j.spec.Shape != protocol.Gang || len(j.places) == 0
+}
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -47,7 +47,7 @@
 		tasks: map[string]map[protocol.TaskID]protocol.TaskReport{}, token: map[string]uint64{}, zone: map[string]string{}, spot: map[string]bool{}}
 }
 
-func (b *bench) do(e any) {
+func (b *bench) do(e Event) {
 	for _, out := range b.c.Step(b.now, e) {
 		switch o := out.(type) {
 		case Write:
@@ -245,7 +245,7 @@
 		b.now += Eager
 		b.job(spec(fmt.Sprintf("j-%d", i), protocol.Array, "normal", 1, 1))
 		for _, e := range b.c.Step(b.now, Tick{}) {
-			if _, ok := e.(fleet.List); ok {
+			if f, ok := e.(Fleet); ok && f.Effect == (fleet.List{}) {
 				lists++
 				b.do(Listed{Asked: b.now})
 			}
@@ -1025,7 +1025,7 @@
 		list = append(list, protocol.ListedMachine{Name: fmt.Sprintf("m%03d", i), Addr: "x", Type: "g8", Zone: "a", State: protocol.MachineRunning})
 	}
 	asked := map[string]int{}
-	count := func(effects []any) (n int) {
+	count := func(effects []Effect) (n int) {
 		for _, e := range effects {
 			if i, ok := e.(Inspect); ok {
 				asked[i.Machine]++
--- /dev/null
+++ b/internal/coordination/scheduler/score.go
@@ -0,0 +1,152 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+)
+
+// limits are the places that are left to a job, given its other tasks.
+type limits struct {
+	zone    string // the only one, or ""
+	perZone map[string]int
+	most    int // tasks in one zone
+}
+
+func (c *Core) limits(j *job) *limits {
+	l := &limits{zone: j.spec.Zone, perZone: map[string]int{}, most: math.MaxInt}
+	for _, pl := range j.places {
+		l.perZone[pl.Zone]++
+		if j.spec.SameZone {
+			l.zone = pl.Zone
+		}
+	}
+	if j.spec.Spread {
+		l.most = (j.spec.Tasks + 1) / 2
+	}
+	return l
+}
+
+func (l *limits) allow(zone string) bool {
+	return (l.zone == "" || l.zone == zone) && l.perZone[zone] < l.most
+}
+
+// fits is the predicate: whether the job allows the machine at all.
+func (c *Core) fits(now time.Duration, j *job, x *candidate, l *limits) bool {
+	if x.m.Spot && !j.spec.Spot || !x.kind.Allows(&j.spec) || !l.allow(x.m.Zone) || j.avoids()[x.m.Name] {
+		return false
+	}
+	return !c.reserved(now, x.m, j.spec.ID)
+}
+
+// reserved says whether a machine's room is being cleared for another job that
+// goes before. A job that comes first may take it: did every gang keep what was
+// cleared for it, each could sit on a part of what one of them needs. And a job
+// that has found its room elsewhere keeps none.
+func (c *Core) reserved(now time.Duration, m *part.Machine, id string) bool {
+	if m.Reserved == "" || m.Reserved == id || now >= m.ReservedUntil {
+		return false
+	}
+	o := c.jobs[m.Reserved]
+	if o == nil || o.over || o.counts[pending] == 0 && !o.leaving() {
+		return false
+	}
+	return o.queued != c.cycles || o.served == c.cycles
+}
+
+// score orders machines that fit, lower is better, in seconds: the wait for
+// the image, then what packs tightly.
+func (c *Core) score(now time.Duration, j *job, x *candidate, l *limits) float64 {
+	yields := c.fetchesYield(j)
+	warm := c.part.WarmWithout(now, x.m, &j.spec, yields)
+	s := warm.Seconds() + c.part.SlowsWithout(now, x.m, &j.spec, yields).Seconds()
+	cap := part.CapacityOf(x.kind)
+	if warm > config.Seconds(max(c.waitAim(j.spec.Class), x.kind.BootS)) {
+		// The fetch outlasts the aim and a boot. The next of its kind will want
+		// to start here without one, so room beside it, free or held by arrays,
+		// is worth having: half the fetch at most, as a warm machine stays better.
+		s += 1 - warm.Seconds()/2*x.free.Minus(j.need).Plus(x.m.Arrays()).Share(cap)
+	} else if warm > 0 && warm.Seconds()*part.SlowFetch > c.waitAim(j.spec.Class) && x.m.Count() > 0 {
+		// The same for smaller fetches, but an empty machine is left to jobs that
+		// want a whole one.
+		s -= x.free.Minus(j.need).Plus(x.m.Arrays()).Share(cap)
+	} else {
+		s += x.free.Minus(j.need).Share(cap)
+	}
+	if j.spec.Spread && l.perZone != nil {
+		s += float64(l.perZone[x.m.Zone]) / float64(j.spec.Tasks)
+	}
+	if x.m.Spot {
+		if j.spec.CheckpointS > 0 {
+			s--
+		} else {
+			s += x.kind.BootS
+		}
+	}
+	if j.failedOn[x.m.Name] {
+		s += 10 * x.kind.BootS
+	}
+	return s + float64(len(x.m.Errors))*x.kind.BootS
+}
+
+// pick chooses the machine for a task. haunted says that one was passed over
+// just for this task's sake, so that another task may still have it.
+func (c *Core) pick(now time.Duration, j *job, task int, cands []*candidate, l *limits) (best *candidate, haunted bool) {
+	bestScore := 0.0
+	for _, x := range cands {
+		if !j.need.Fits(c.room(x, j)) || !c.fits(now, j, x, l) {
+			continue
+		}
+		if x.m.Haunted(protocol.TaskID{Job: j.spec.ID, Task: task}) {
+			haunted = true
+			continue
+		}
+		if s := c.score(now, j, x, l); best == nil || s < bestScore {
+			best, bestScore = x, s
+		}
+	}
+	return best, haunted
+}
+
+// fetchesYield names, for a job with an aim on waiting, tasks that it may drive
+// off a machine to have the whole rate for its fetch: those of arrays at least two
+// steps lower in priority that are fetching, and lose nothing but that. In a
+// crowd, as when a fleet is opened, arrays had come first, and replicas that shared
+// the rate with them took twice as long to be up.
+func (c *Core) fetchesYield(j *job) func(*part.Placement) bool {
+	if j.spec.Shape == protocol.Gang || math.IsInf(c.waitAim(j.spec.Class), 1) {
+		return nil
+	}
+	return func(pl *part.Placement) bool {
+		return pl.Rank >= j.rank+2 && pl.Job != nil && pl.Job.Shape == protocol.Array && pl.Job.Image != j.spec.Image &&
+			(!pl.Written || pl.State == protocol.Fetching) // one from an earlier term may run unseen
+	}
+}
+
+// hurry stops the fetches that yield to a task's.
+func (c *Core) hurry(now time.Duration, j *job, x *candidate) {
+	yields := c.fetchesYield(j)
+	if yields == nil || c.part.Warm(now, x.m, &j.spec) == c.part.WarmWithout(now, x.m, &j.spec, yields) {
+		return
+	}
+	for _, pl := range c.placementsOn(x.m) {
+		if o := c.jobs[pl.Task.Job]; o != nil && !pl.Stopping && yields(pl) {
+			c.log.Info("stopped fetching", "task", pl.Task, "for", j.spec.ID, "machine", pl.Machine)
+			c.stop(now, o, pl, 0)
+		}
+	}
+}
+
+// waitAim is the shortest wait that the objectives ask for a class, in seconds.
+func (c *Core) waitAim(class string) float64 {
+	within := math.Inf(1)
+	for _, o := range c.cfg.Objectives {
+		if o.Kind == "wait" && o.Class == class {
+			within = min(within, o.WithinS)
+		}
+	}
+	return within
+}
--- /dev/null
+++ b/internal/coordination/scheduler/teams.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"math"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/part"
+)
+
+// next picks the job to serve: teams within their guarantee first, then by
+// priority; among equals the team that has least for its share, and of its
+// queue the oldest. The list is sorted by priority and age.
+func (c *Core) next(waiting []*job) int {
+	best := 0
+	if len(c.cfg.Teams) < 2 {
+		return 0
+	}
+	for i, j := range waiting[1:] {
+		b := waiting[best]
+		if j.spec.Team == b.spec.Team {
+			continue // the older or higher one of a team stands first
+		}
+		switch jw, bw := c.owed(j), c.owed(b); {
+		case jw != bw:
+			if jw {
+				best = i + 1
+			}
+		case j.rank != b.rank:
+			if j.rank < b.rank {
+				best = i + 1
+			}
+		case c.teamShare(j.spec.Team) < c.teamShare(b.spec.Team):
+			best = i + 1
+		}
+	}
+	return best
+}
+
+// teamShare is what a team uses for its weight: its guarantee, or 1.
+func (c *Core) teamShare(team string) float64 {
+	u := c.part.Usage(team)
+	t := c.cfg.Team(team)
+	if t != nil && (t.GPUs > 0 || t.CPUs > 0) {
+		return u.Share(part.Need{CPUs: t.CPUs, GPUs: t.GPUs})
+	}
+	return u.GPUs + u.CPUs
+}
+
+// allowance is how many more tasks of the job its team's limit lets start.
+func (c *Core) allowance(j *job) int {
+	t := c.cfg.Team(j.spec.Team)
+	n := math.MaxInt32
+	if t == nil {
+		return n
+	}
+	u := c.part.Usage(j.spec.Team)
+	if t.CPUsMax > 0 && j.need.CPUs > 0 {
+		n = min(n, int((t.CPUsMax-u.CPUs)/j.need.CPUs+1e-9))
+	}
+	if t.GPUsMax > 0 && j.need.GPUs > 0 {
+		n = min(n, int((t.GPUsMax-u.GPUs)/j.need.GPUs+1e-9))
+	}
+	return max(0, n)
+}
+
+// borrows says whether a placement's team uses more than its guarantee.
+func (c *Core) borrows(pl *part.Placement) bool {
+	return !withinGuarantee(c.cfg.Team(pl.Team), c.part.Usage(pl.Team))
+}
+
+// owed says whether a job's team is still within its guarantee with one more
+// of its tasks.
+func (c *Core) owed(j *job) bool {
+	return withinGuarantee(c.cfg.Team(j.spec.Team), c.part.Usage(j.spec.Team).Plus(j.need))
+}
+
+// withinGuarantee says whether a team that uses so much has a guarantee and fits into
+// it. A resource that no guarantee names does not count.
+func withinGuarantee(t *config.Team, used part.Need) bool {
+	if t == nil || t.CPUs == 0 && t.GPUs == 0 {
+		return false
+	}
+	return (t.CPUs == 0 || used.CPUs <= t.CPUs) && (t.GPUs == 0 || used.GPUs <= t.GPUs)
+}
--- /dev/null
+++ b/internal/coordination/scheduler/workers.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/part"
+	"pinebay/internal/protocol"
+)
+
+func (c *Core) reported(now time.Duration, e Reported) {
+	r := e.Report
+	if c.outdated(r) {
+		return
+	}
+	answer := protocol.ReportAnswer{Token: protocol.Token(c.term, 0), Commands: []protocol.Command{}}
+	if c.fleet.Gone(r.Machine) {
+		c.emit(Answer{e.Tag, answer})
+		return
+	}
+	m, newer := c.heard(now, r)
+	if newer {
+		m.Relayed = e.Relayed
+		if cmds := c.part.Orders(now, m); cmds != nil {
+			answer.Commands = cmds
+		}
+	}
+	answer.Token = c.part.Token(m)
+	c.emit(Answer{e.Tag, answer})
+}
+
+func (c *Core) ordersDone(now time.Duration, e OrdersDone) {
+	m := c.part.Machine(e.Machine)
+	if m == nil {
+		return
+	}
+	if e.Report != nil && c.outdated(e.Report) {
+		return
+	}
+	if e.Report != nil && e.Report.Machine == e.Machine {
+		c.heard(now, e.Report)
+	}
+	c.part.Answered(now, m, e.OK || e.Report != nil)
+	if e.Report == nil {
+		// Its reports may arrive though commands don't: nothing new goes there
+		// until it has had time for another report.
+		m.MutedUntil = now + config.Seconds(2*c.cfg.Workers.ReportS)
+	}
+}
+
+// outdated says whether a worker has seen a later term, and if so ends ours.
+func (c *Core) outdated(r *protocol.Report) bool {
+	t := protocol.TermOf(r.Token)
+	if t > c.term {
+		c.emit(Depose{Term: t, Reason: "a worker has seen a later term"})
+	}
+	return t > c.term
+}
+
+// heard takes in what a machine says, in whichever way it came.
+func (c *Core) heard(now time.Duration, r *protocol.Report) (m *part.Machine, newer bool) {
+	if c.outdated(r) || c.fleet.Gone(r.Machine) {
+		return nil, false
+	}
+	up := c.part.Up(r.Machine)
+	m, facts, newer := c.part.Report(now, r)
+	c.due = c.due || !up
+	c.facts(now, facts)
+	c.judgeMachine(m)
+	return m, newer
+}
+
+// judgeMachine sets a machine aside that fails the tasks of several jobs.
+func (c *Core) judgeMachine(m *part.Machine) {
+	if len(m.Errors) >= 2 && !m.Sick {
+		m.Sick = true
+		c.log.Info("machine set aside: it fails tasks of several jobs", "machine", m.Name)
+	}
+}
+
+// send sends what is urgent straight to the machines.
+func (c *Core) send(now time.Duration) {
+	for _, m := range c.part.Urgent(now) {
+		cmds := c.part.Orders(now, m)
+		if len(cmds) == 0 {
+			continue
+		}
+		m.Busy = true
+		c.emit(Order{Machine: m.Name, Addr: m.Addr, Orders: protocol.Orders{Token: c.part.Token(m), Session: m.Session, Commands: cmds}})
+	}
+}
+
+// checkReach gives the leadership away when most machines can reach other
+// controllers only. Their reports are passed on here, but whoever they reach
+// would serve them better, and can command them directly.
+func (c *Core) checkReach(now time.Duration) {
+	half := config.Seconds(c.cfg.Workers.LeaseS / 2)
+	if now-c.began < half {
+		return
+	}
+	direct, relayed := 0, 0
+	c.part.Each(func(m *part.Machine) {
+		switch {
+		case !m.Up || now-m.Heard > c.part.Silent():
+		case m.Relayed:
+			relayed++
+		default:
+			direct++
+		}
+	})
+	if relayed > 2*direct && relayed > 2 {
+		c.emit(Depose{Reason: fmt.Sprintf("%d machines reach other controllers only", relayed), Away: true})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,7 +47,7 @@
 	mesh    *transport.Mesh
 	intake  *intake.Intake
 
-	box       *actor.Mailbox[any]
+	box       *actor.Mailbox[election.Event]
 	elect     *election.Machine
 	view      atomic.Pointer[election.View]
 	leading   atomic.Pointer[leader.Leader]
@@ -82,7 +82,7 @@
 // New returns a controller that is not running yet.
 func New(network transport.Network, cfg *config.Settings, log *slog.Logger) *Controller {
 	d := &cfg.Deploy
-	c := &Controller{network: network, cfg: cfg, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[any](),
+	c := &Controller{network: network, cfg: cfg, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[election.Event](),
 		fenceBox: actor.NewMailbox[fencing.Event](), fencing: fencing.New(fenceTimes(d)),
 		peers: map[string]election.Peer{}, renewers: map[string]time.Duration{}, wakes: map[string]chan struct{}{}, turned: NewTurned(config.Seconds(d.Workers.LeaseS))}
 	c.store = storage.NewClient(network, d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
--- a/internal/daemon/lead.go
+++ b/internal/daemon/lead.go
@@ -16,7 +16,7 @@
 
 // runElection is the election's actor.
 func (c *Controller) runElection(ctx context.Context) {
-	step := func(e any) {
+	step := func(e election.Event) {
 		effects := c.elect.Step(c.now(), e)
 		c.publish()
 		for _, e := range effects {
@@ -29,7 +29,7 @@
 	}
 }
 
-func (c *Controller) carryOut(ctx context.Context, effect any) {
+func (c *Controller) carryOut(ctx context.Context, effect election.Effect) {
 	switch e := effect.(type) {
 	case election.Claim:
 		go func() { c.box.Send(c.claim(ctx, e)) }()
--- a/internal/standin/system_test.go
+++ b/internal/standin/system_test.go
@@ -160,7 +160,7 @@
 	s.after(100*ms, func() { s.tickLeader(l) })
 }
 
-func (s *system) step(l *leading, e any) {
+func (s *system) step(l *leading, e scheduler.Event) {
 	if l.dead {
 		return
 	}
@@ -169,7 +169,7 @@
 	}
 }
 
-func (s *system) carryOut(l *leading, e any) {
+func (s *system) carryOut(l *leading, e scheduler.Effect) {
 	switch e := e.(type) {
 	case scheduler.Answer:
 		if f, ok := e.Tag.(func(protocol.ReportAnswer)); ok {
@@ -189,6 +189,16 @@
 			r := m.Report()
 			s.after(s.upTo(3*time.Second), func() { s.step(l, scheduler.Inspected{Report: r}) })
 		}
+	case scheduler.Fleet:
+		s.callCloud(l, e.Effect)
+	default:
+		s.t.Fatalf("unknown effect %T", e)
+	}
+}
+
+// callCloud carries out what the fleet asks of the cloud.
+func (s *system) callCloud(l *leading, e fleet.Effect) {
+	switch e := e.(type) {
 	case fleet.List:
 		asked := s.now
 		list := s.list()
