--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/api/api.go
@@ -1,6 +1,6 @@
-// Package intake serves users: it accepts, answers for and cancels jobs. Any
+// Package api serves users: it accepts, answers for and cancels jobs. Any
 // controller does so, leader or not, since the state service decides.
-package intake
+package api
 
 import (
 	"context"
@@ -20,8 +20,8 @@
 	"pinebay/internal/transport"
 )
 
-// Intake answers users.
-type Intake struct {
+// Server answers users.
+type Server struct {
 	cfg    *config.Deployment
 	store  *storage.Client
 	log    *slog.Logger
@@ -41,24 +41,24 @@
 // for so long, and may then take it that it lives, if they see so.
 const Confirm = submitPatience
 
-// New returns an intake.
-func New(cfg *config.Deployment, store *storage.Client, log *slog.Logger, status Statuses, announce Announce) *Intake {
+// New returns a server that does not know the machine types yet.
+func New(cfg *config.Deployment, store *storage.Client, log *slog.Logger, status Statuses, announce Announce) *Server {
 	// Final states never change, so they may be kept: some hundred a MB.
-	return &Intake{cfg: cfg, store: store, log: log, announce: announce,
+	return &Server{cfg: cfg, store: store, log: log, announce: announce,
 		reader: newReader(store, log, status, int(cfg.Quota.RAMMB*100))}
 }
 
 // SetTypes tells which machine types there are.
-func (in *Intake) SetTypes(types []protocol.MachineType) { in.types.Store(&types) }
+func (s *Server) SetTypes(types []protocol.MachineType) { s.types.Store(&types) }
 
 // Ready says whether the machine types are known.
-func (in *Intake) Ready() bool { return in.types.Load() != nil }
+func (s *Server) Ready() bool { return s.types.Load() != nil }
 
 // Routes adds the users' paths to the router.
-func (in *Intake) Routes(r chi.Router) {
-	r.Post("/submissions", in.submit)
-	r.Get("/submissions/{id}", in.query)
-	r.Post("/submissions/{id}/withdraw", in.withdraw)
+func (s *Server) Routes(r chi.Router) {
+	r.Post("/submissions", s.submit)
+	r.Get("/submissions/{id}", s.query)
+	r.Post("/submissions/{id}/withdraw", s.withdraw)
 }
 
 // patience bounds how long a user is kept waiting, well inside the 2 s and 5 s
@@ -75,7 +75,7 @@
 	transport.Answer(w, status, protocol.Problem{Error: why})
 }
 
-func (in *Intake) submit(w http.ResponseWriter, r *http.Request) {
+func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
 	raw, err := transport.ReadBody(w, r)
 	if err != nil {
 		refuse(w, http.StatusBadRequest, err.Error())
@@ -86,12 +86,12 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	types := in.types.Load()
+	types := s.types.Load()
 	if types == nil {
 		refuse(w, http.StatusServiceUnavailable, "machine types are not known yet")
 		return
 	}
-	if why := Impossible(in.cfg, *types, job); why != "" {
+	if why := Impossible(s.cfg, *types, job); why != "" {
 		refuse(w, http.StatusUnprocessableEntity, why)
 		return
 	}
@@ -99,8 +99,8 @@
 	ctx, cancel := context.WithTimeout(r.Context(), submitPatience)
 	defer cancel()
 	began := time.Now()
-	status, st := in.accept(ctx, job)
-	in.log.Debug("submission", "job", job.ID, "status", status, "took", time.Since(began))
+	status, st := s.accept(ctx, job)
+	s.log.Debug("submission", "job", job.ID, "status", status, "took", time.Since(began))
 	if status >= 400 {
 		refuse(w, status, "the state service did not answer")
 		return
@@ -109,7 +109,7 @@
 }
 
 // accept records a job, unless it is known.
-func (in *Intake) accept(ctx context.Context, job *protocol.Job) (int, protocol.JobStatus) {
+func (s *Server) accept(ctx context.Context, job *protocol.Job) (int, protocol.JobStatus) {
 	value, err := protocol.Encode(storage.LiveRecord{Job: *job, AtMS: time.Now().UnixMilli()})
 	if err != nil {
 		return http.StatusServiceUnavailable, protocol.JobStatus{}
@@ -121,14 +121,14 @@
 	}
 	began := time.Now()
 	for {
-		ok, err := in.store.TxnTwice(ctx, storage.Accept, t)
+		ok, err := s.store.TxnTwice(ctx, storage.Accept, t)
 		switch {
 		case err == nil && ok && time.Since(began) < storage.Slow:
 			return http.StatusCreated, protocol.JobStatus{ID: job.ID, Standing: protocol.Queued}
 		case err == nil:
 			// The job was known, or the answer took so long that others may have read
 			// of the job meanwhile, and even cancelled it: look what has become of it.
-			st, found, err := in.lookup(ctx, job.ID)
+			st, found, err := s.lookup(ctx, job.ID)
 			if err != nil || !found {
 				return http.StatusServiceUnavailable, protocol.JobStatus{}
 			}
@@ -139,7 +139,7 @@
 		case ctx.Err() != nil || !again(err, began):
 			// An outage, a crowd, or no answer: the user is told at once when to come
 			// back. Should the job have been recorded, the retry will see it.
-			in.log.Debug("submission put off", "job", job.ID, "err", err)
+			s.log.Debug("submission put off", "job", job.ID, "err", err)
 			return http.StatusServiceUnavailable, protocol.JobStatus{}
 		}
 		storage.Pause(ctx, retryPause) // over the rate for the moment
@@ -156,18 +156,18 @@
 }
 
 // lookup tells a job's state, as it is at some moment after the call.
-func (in *Intake) lookup(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
-	st, found, err := in.reader.ask(ctx, id)
+func (s *Server) lookup(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
+	st, found, err := s.reader.ask(ctx, id)
 	if err != nil || !found || st.Standing != protocol.Cancelled {
 		return st, found, err
 	}
-	if f, ok := in.reader.final(id); !ok || !f.told {
+	if f, ok := s.reader.final(id); !ok || !f.told {
 		// Its transaction may have come late, when its notice was no longer taken
 		// seriously; whoever tells of it makes sure that it is known.
-		if err := in.confirm(ctx, id, time.Time{}); err != nil {
+		if err := s.confirm(ctx, id, time.Time{}); err != nil {
 			return protocol.JobStatus{}, false, err
 		}
-		in.reader.keep(st, true)
+		s.reader.keep(st, true)
 	}
 	return st, true, nil
 }
@@ -175,17 +175,17 @@
 // confirm makes sure that a notice is held by a majority and is fresh, at the moment
 // at which a user is told that the job is cancelled. noticed is when the last one
 // was made.
-func (in *Intake) confirm(ctx context.Context, id string, noticed time.Time) error {
+func (s *Server) confirm(ctx context.Context, id string, noticed time.Time) error {
 	for time.Since(noticed) > Confirm {
 		var err error
-		if noticed, err = in.announce(ctx, id); err != nil {
+		if noticed, err = s.announce(ctx, id); err != nil {
 			return fmt.Errorf("notice of %s: %w", id, err)
 		}
 	}
 	return nil
 }
 
-func (in *Intake) query(w http.ResponseWriter, r *http.Request) {
+func (s *Server) query(w http.ResponseWriter, r *http.Request) {
 	id := chi.URLParam(r, "id")
 	if !protocol.ValidJobID(id) {
 		refuse(w, http.StatusNotFound, "no such job")
@@ -193,7 +193,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), pollPatience)
 	defer cancel()
-	st, found, err := in.lookup(ctx, id)
+	st, found, err := s.lookup(ctx, id)
 	switch {
 	case err != nil:
 		refuse(w, http.StatusServiceUnavailable, "the state service did not answer")
@@ -204,7 +204,7 @@
 	}
 }
 
-func (in *Intake) withdraw(w http.ResponseWriter, r *http.Request) {
+func (s *Server) withdraw(w http.ResponseWriter, r *http.Request) {
 	id := chi.URLParam(r, "id")
 	if !protocol.ValidJobID(id) {
 		refuse(w, http.StatusNotFound, "no such job")
@@ -212,7 +212,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), submitPatience)
 	defer cancel()
-	status, st := in.cancel(ctx, id)
+	status, st := s.cancel(ctx, id)
 	switch status {
 	case http.StatusOK:
 		transport.Answer(w, status, st)
@@ -224,16 +224,16 @@
 }
 
 // cancel moves a live job to its final place, in one transaction.
-func (in *Intake) cancel(ctx context.Context, id string) (int, protocol.JobStatus) {
+func (s *Server) cancel(ctx context.Context, id string) (int, protocol.JobStatus) {
 	value, err := protocol.Encode(storage.EndedRecord{Standing: protocol.Cancelled})
 	if err != nil {
 		return http.StatusServiceUnavailable, protocol.JobStatus{}
 	}
 	began := time.Now()
 	for ctx.Err() == nil {
-		p, err := in.store.Get(ctx, storage.Accept, storage.LiveKey(id))
+		p, err := s.store.Get(ctx, storage.Accept, storage.LiveKey(id))
 		if err == nil && p.Version == 0 {
-			st, found, err := in.lookup(ctx, id)
+			st, found, err := s.lookup(ctx, id)
 			switch {
 			case err != nil || found && !st.Standing.Final():
 				return http.StatusServiceUnavailable, st
@@ -244,19 +244,19 @@
 		}
 		var noticed time.Time
 		if err == nil {
-			noticed, err = in.announce(ctx, id)
+			noticed, err = s.announce(ctx, id)
 		}
 		if err == nil {
-			_, ok, terr := in.store.Txn(ctx, storage.Accept, protocol.Txn{
+			_, ok, terr := s.store.Txn(ctx, storage.Accept, protocol.Txn{
 				If:   []protocol.Cond{{Key: storage.LiveKey(id), Version: p.Version}, {Key: storage.EndedKey(id)}},
 				Then: []protocol.Op{{Delete: storage.LiveKey(id)}, {Put: storage.EndedKey(id), Value: value}},
 			})
 			if terr == nil && ok {
-				if err := in.confirm(ctx, id, noticed); err != nil {
+				if err := s.confirm(ctx, id, noticed); err != nil {
 					break
 				}
 				st := protocol.JobStatus{ID: id, Standing: protocol.Cancelled}
-				in.reader.keep(st, true)
+				s.reader.keep(st, true)
 				return http.StatusOK, st
 			}
 			err = terr
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/api/api_test.go
@@ -1,4 +1,4 @@
-package intake
+package api
 
 import (
 	"bytes"
@@ -19,7 +19,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/protocol"
-	"pinebay/internal/standin"
+	"pinebay/internal/simulation"
 	"pinebay/internal/storage"
 	"pinebay/internal/testkit"
 	"pinebay/internal/transport"
@@ -29,7 +29,7 @@
 
 type site struct {
 	t     testing.TB
-	state *standin.State
+	state *simulation.State
 	nodes []http.Handler
 	// unsafe is what an announcement comes to.
 	unsafe error
@@ -42,7 +42,7 @@
 }
 
 func newSiteWith(t testing.TB, rates config.State) *site {
-	s := &site{t: t, state: standin.NewState()}
+	s := &site{t: t, state: simulation.NewState()}
 	srv := httptest.NewServer(s.state)
 	t.Cleanup(srv.Close)
 	cfg := &config.Deployment{Nodes: 2, Teams: []config.Team{{Name: "red", GPUsMax: 16}},
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"pinebay/internal/config"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -91,7 +91,7 @@
 // the machines that are proven gone: a list asked for later than twice the lag
 // after a machine was first seen listed describes a later moment than that, so
 // if the machine is missing there, it has left for good.
-func (f *Fleet) Listed(now, asked time.Duration, p *part.Part, list []protocol.ListedMachine) (gone []string) {
+func (f *Fleet) Listed(now, asked time.Duration, p *partition.Partition, list []protocol.ListedMachine) (gone []string) {
 	f.listing = false
 	seen := make(map[string]bool, len(list))
 	for i := range list {
@@ -148,7 +148,7 @@
 func (f *Fleet) ListFailed() { f.listing = false }
 
 // Rented takes in the outcome of a rental.
-func (f *Fleet) Rented(now, asked time.Duration, p *part.Part, request string, names []string, refused bool) {
+func (f *Fleet) Rented(now, asked time.Duration, p *partition.Partition, request string, names []string, refused bool) {
 	pl, ok := f.pending[request]
 	if !ok {
 		return
@@ -194,14 +194,14 @@
 // once, the network is the likelier cause, and we wait; also for those that come
 // back later than the others, since workers that lost their controller need
 // until about then to find a way round, and each that is fenced is a healthy one.
-func (f *Fleet) silent(now time.Duration, p *part.Part) {
+func (f *Fleet) silent(now time.Duration, p *partition.Partition) {
 	lease, patience := config.Seconds(f.workers.LeaseS), f.Patience()
 	// That a zone falls silent must be plain before the first of its machines
 	// would be fenced.
 	late := min(p.Silent(), patience-config.Seconds(f.workers.ReportS))
 	up, quiet := map[string]int{}, map[string]int{}
-	var dead []*part.Machine
-	p.Each(func(m *part.Machine) {
+	var dead []*partition.Machine
+	p.Each(func(m *partition.Machine) {
 		if !m.Up && m.Count() == 0 {
 			return
 		}
@@ -210,7 +210,7 @@
 			quiet[m.Zone]++
 		}
 		switch {
-		case now-m.Heard > p.Silent() && m.Doomed(now):
+		case now-m.Heard > p.Silent() && m.FencingDue(now):
 			// Its zone may be dark, and it may have ended its tasks by itself; but users
 			// were told that they are gone.
 			m.Condemned = true
@@ -244,7 +244,7 @@
 }
 
 // Plan compares what is wanted with what there is.
-func (f *Fleet) Plan(now time.Duration, p *part.Part, units []Unit) (effects []Effect) {
+func (f *Fleet) Plan(now time.Duration, p *partition.Partition, units []Unit) (effects []Effect) {
 	if !f.listing && now-f.listedAt >= config.Seconds(f.cloud.ListLagS/2) {
 		f.listing, f.listedAt = true, now
 		effects = append(effects, List{})
@@ -263,17 +263,17 @@
 type room struct {
 	name string
 	pool pool
-	free part.Need
+	free partition.Need
 	// soft is what work of each rank that can save takes: room that a job of higher
 	// priority could have at once, and so as good as free for one to come.
-	soft [Ranks]part.Need
+	soft [Ranks]partition.Need
 }
 
 // Ranks is the number of priorities.
 const Ranks = 4
 
 // open is the room for a unit.
-func (r *room) open(u *Unit) part.Need {
+func (r *room) open(u *Unit) partition.Need {
 	n := r.free
 	if u.Spare && !u.Quick {
 		for i := max(0, u.Job.Priority.Rank()) + 1; i < Ranks; i++ {
@@ -283,11 +283,11 @@
 	return n
 }
 
-func (f *Fleet) rent(now time.Duration, p *part.Part, units []Unit) (effects []Effect, used map[string]bool) {
+func (f *Fleet) rent(now time.Duration, p *partition.Partition, units []Unit) (effects []Effect, used map[string]bool) {
 	var rooms []*room
 	perZone := map[string]int{}
 	used = map[string]bool{}
-	p.Each(func(m *part.Machine) {
+	p.Each(func(m *partition.Machine) {
 		t := p.Type(m.Type)
 		if t == nil || m.Condemned || m.Notice || m.Sick {
 			return
@@ -297,7 +297,7 @@
 			return // not to be counted on, unless all of them are to come back
 		}
 		r := &room{name: m.Name, pool: pool{m.Type, m.Zone, m.Spot}, free: p.Free(m)}
-		m.Placements(func(pl *part.Placement) {
+		m.Placements(func(pl *partition.Placement) {
 			if pl.Job != nil && pl.Job.Shape != protocol.Service && pl.Job.CheckpointS > 0 {
 				r.soft[pl.Rank] = r.soft[pl.Rank].Plus(pl.Need)
 			}
@@ -308,14 +308,14 @@
 		if t := p.Type(pl.kind); t != nil {
 			for range f.counts[req] {
 				perZone[pl.zone]++
-				rooms = append(rooms, &room{pool: pl, free: part.CapacityOf(t)})
+				rooms = append(rooms, &room{pool: pl, free: partition.CapacityOf(t)})
 			}
 		}
 	}
 	wanted := map[pool]int{}
 	total := 0
 	for _, u := range units {
-		need := part.NeedOf(u.Job)
+		need := partition.NeedOf(u.Job)
 		left := u.Count
 		fits := func(r *room) bool {
 			t := p.Type(r.pool.kind)
@@ -334,7 +334,7 @@
 				if !ok || total >= protocol.MaxRental {
 					break
 				}
-				best = &room{pool: pl, free: part.CapacityOf(p.Type(pl.kind))}
+				best = &room{pool: pl, free: partition.CapacityOf(p.Type(pl.kind))}
 				if !need.Fits(best.free) {
 					break
 				}
@@ -347,7 +347,7 @@
 			for left > 0 && need.Fits(best.open(&u)) {
 				best.free = best.free.Minus(need)
 				left--
-				if need == (part.Need{}) {
+				if need == (partition.Need{}) {
 					left = 0
 				}
 			}
@@ -368,7 +368,7 @@
 	return effects, used
 }
 
-func tighter(a, b part.Need) bool {
+func tighter(a, b partition.Need) bool {
 	if a.GPUs != b.GPUs {
 		return a.GPUs < b.GPUs
 	}
@@ -377,14 +377,14 @@
 
 // CanRent says whether machines for the job may be had in the zone, as far as
 // the last refusals tell.
-func (f *Fleet) CanRent(now time.Duration, p *part.Part, j *protocol.Job, zone string) bool {
+func (f *Fleet) CanRent(now time.Duration, p *partition.Partition, j *protocol.Job, zone string) bool {
 	_, ok := f.choose(now, p, Unit{Job: j, Zone: zone}, nil)
 	return ok
 }
 
 // choose picks the pool to rent from: what the job allows, cheap first, then
 // the zone with fewer machines.
-func (f *Fleet) choose(now time.Duration, p *part.Part, u Unit, perZone map[string]int) (pool, bool) {
+func (f *Fleet) choose(now time.Duration, p *partition.Partition, u Unit, perZone map[string]int) (pool, bool) {
 	var best pool
 	bestCost := math.Inf(1)
 	for _, n := range slices.Sorted(maps.Keys(p.Types())) {
@@ -419,9 +419,9 @@
 	return best, !math.IsInf(bestCost, 1)
 }
 
-func (f *Fleet) release(now time.Duration, p *part.Part, used map[string]bool) (effects []Effect) {
+func (f *Fleet) release(now time.Duration, p *partition.Partition, used map[string]bool) (effects []Effect) {
 	var names []string
-	p.Each(func(m *part.Machine) {
+	p.Each(func(m *partition.Machine) {
 		if f.releasing[m.Name] || len(names) >= protocol.MaxRelease {
 			return
 		}
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pinebay/internal/config"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -16,8 +16,8 @@
 	cloud   = config.Cloud{RPS: 2, ListLagS: 5}
 )
 
-func setup() (*Fleet, *part.Part) {
-	p := part.New(3, workers)
+func setup() (*Fleet, *partition.Partition) {
+	p := partition.New(3, workers)
 	p.SetTypes([]protocol.MachineType{kind})
 	f := New(3, cloud, workers)
 	return f, p
@@ -179,7 +179,7 @@
 		{ReportS: 1, LeaseS: 10, CancelS: 40}, {ReportS: 5, LeaseS: 29, CancelS: 59}, {ReportS: 2.5, LeaseS: 15.25, CancelS: 45},
 		{ReportS: 3, LeaseS: 8, CancelS: 40},
 	} {
-		f, p := New(3, cloud, w), part.New(3, w)
+		f, p := New(3, cloud, w), partition.New(3, w)
 		p.SetTypes([]protocol.MachineType{kind})
 		f.Listed(1*s, 0, p, nil)
 		const n = 200
@@ -211,11 +211,11 @@
 	for i := range 9 {
 		p.Report(10*s, &protocol.Report{Machine: fmt.Sprintf("m%d", i), Addr: "x", Type: "g8", Zone: "a", Session: 1, Seq: 1})
 	}
-	pl := &part.Placement{Task: protocol.TaskID{Job: "j-1"}, Attempt: 1, Machine: "m3", Job: &protocol.Job{ID: "j-1"}}
-	if !p.Grant(10*s, []*part.Placement{pl}) {
+	pl := &partition.Placement{Task: protocol.TaskID{Job: "j-1"}, Attempt: 1, Machine: "m3", Job: &protocol.Job{ID: "j-1"}}
+	if !p.Grant(10*s, []*partition.Placement{pl}) {
 		t.Fatal("no room")
 	}
-	pl.GoneBy = 20 * s
+	pl.FenceAt = 20 * s
 	for now := 11 * s; now < 30*s; now += s {
 		got := released(f.Plan(now, p, nil))
 		if (now < 20*s) != (len(got) == 0) {
@@ -257,8 +257,8 @@
 		f.Listed(2*s, 1*s, p, nil)
 		p.Report(2*s, &protocol.Report{Machine: "m1", Addr: "a", Type: "g8", Zone: "a", Session: 1, Seq: 1})
 		low := &protocol.Job{ID: "j-1", Shape: x.shape, Priority: "normal", GPUs: 8, CheckpointS: x.checkpoint}
-		pl := &part.Placement{Task: protocol.TaskID{Job: "j-1"}, Attempt: 1, Machine: "m1", Need: part.NeedOf(low), Rank: low.Priority.Rank(), Job: low}
-		if !p.Grant(2*s, []*part.Placement{pl}) {
+		pl := &partition.Placement{Task: protocol.TaskID{Job: "j-1"}, Attempt: 1, Machine: "m1", Need: partition.NeedOf(low), Rank: low.Priority.Rank(), Job: low}
+		if !p.Grant(2*s, []*partition.Placement{pl}) {
 			t.Fatal("no room")
 		}
 		high := &protocol.Job{ID: "j-2", Shape: protocol.Service, Priority: "critical", GPUs: 8}
--- a/internal/coordination/leader/leader_test.go
+++ b/internal/coordination/leader/leader_test.go
@@ -13,7 +13,7 @@
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/protocol"
-	"pinebay/internal/standin"
+	"pinebay/internal/simulation"
 	"pinebay/internal/storage"
 	"pinebay/internal/testkit"
 	"pinebay/internal/transport"
@@ -25,7 +25,7 @@
 // answers no worker any more, renews no lease and gives the term up, for others may
 // lead by then. Until that is so, it answers.
 func TestStaleLeaderDoesNotAct(t *testing.T) {
-	srv := httptest.NewServer(standin.NewState())
+	srv := httptest.NewServer(simulation.NewState())
 	t.Cleanup(srv.Close)
 	cfg := &config.Deployment{
 		Nodes: 3, Teams: []config.Team{{Name: "red"}},
--- a/internal/coordination/part/part.go
+++ b/internal/coordination/partition/partition.go
@@ -1,8 +1,8 @@
-// Package part keeps what a controller knows of the machines that it owns:
+// Package partition keeps what a controller knows of the machines that it owns:
 // their reports, their room, the placements on them and the commands that are
 // due. It grants room, starts only what a written record names, and decides
 // when a task is proven gone. It does no I/O and reads no clock.
-package part
+package partition
 
 import (
 	"sort"
@@ -74,9 +74,9 @@
 
 	Stopping bool
 	GraceS   float64
-	// GoneBy is when the machine is to be fenced if it is silent, since the job was
+	// FenceAt is when the machine is to be fenced if it is silent, since the job was
 	// cancelled; 0: at no set time.
-	GoneBy time.Duration
+	FenceAt time.Duration
 
 	sent     bool   // a run has left for the machine
 	runToken uint64 // with this token, the last time
@@ -162,11 +162,11 @@
 	return m.Reserved == job && now < m.ReservedUntil
 }
 
-// Doomed says whether a cancelled task may still be there when it must not be any
+// FencingDue says whether a cancelled task may still be there when it must not be any
 // more: a machine that hangs may go on with it at any time.
-func (m *Machine) Doomed(now time.Duration) bool {
+func (m *Machine) FencingDue(now time.Duration) bool {
 	for _, p := range m.placements {
-		if p.GoneBy > 0 && now >= p.GoneBy {
+		if p.FenceAt > 0 && now >= p.FenceAt {
 			return true
 		}
 	}
@@ -187,8 +187,8 @@
 	return n
 }
 
-// Part is the set of machines that a controller owns.
-type Part struct {
+// Partition is the set of machines that a controller owns.
+type Partition struct {
 	term     uint64
 	workers  config.Workers
 	types    map[string]*protocol.MachineType
@@ -200,8 +200,8 @@
 }
 
 // New returns an empty part of the given term.
-func New(term uint64, w config.Workers) *Part {
-	return &Part{
+func New(term uint64, w config.Workers) *Partition {
+	return &Partition{
 		term: term, workers: w,
 		types: map[string]*protocol.MachineType{}, machines: map[string]*Machine{}, usage: map[string]Need{},
 		hints: map[string][]Copy{}, owed: map[string]*Machine{},
@@ -209,39 +209,39 @@
 }
 
 // SetTypes replaces the list of machine types.
-func (p *Part) SetTypes(types []protocol.MachineType) {
+func (p *Partition) SetTypes(types []protocol.MachineType) {
 	for i := range types {
 		p.types[types[i].Name] = &types[i]
 	}
 }
 
 // Type returns a machine type, or nil.
-func (p *Part) Type(name string) *protocol.MachineType { return p.types[name] }
+func (p *Partition) Type(name string) *protocol.MachineType { return p.types[name] }
 
 // Types returns the machine types by name.
-func (p *Part) Types() map[string]*protocol.MachineType { return p.types }
+func (p *Partition) Types() map[string]*protocol.MachineType { return p.types }
 
 // Machine returns a machine, or nil.
-func (p *Part) Machine(name string) *Machine { return p.machines[name] }
+func (p *Partition) Machine(name string) *Machine { return p.machines[name] }
 
 // Up says whether the machine's worker has been heard.
-func (p *Part) Up(name string) bool {
+func (p *Partition) Up(name string) bool {
 	m := p.machines[name]
 	return m != nil && m.Up
 }
 
 // Each calls f for every machine in name order.
-func (p *Part) Each(f func(*Machine)) {
+func (p *Partition) Each(f func(*Machine)) {
 	for _, n := range p.names {
 		f(p.machines[n])
 	}
 }
 
 // Usage returns what a team's tasks may be using.
-func (p *Part) Usage(team string) Need { return p.usage[team] }
+func (p *Partition) Usage(team string) Need { return p.usage[team] }
 
 // Ensure returns the machine of that name, making a blank one if need be.
-func (p *Part) Ensure(now time.Duration, name string) *Machine {
+func (p *Partition) Ensure(now time.Duration, name string) *Machine {
 	if m := p.machines[name]; m != nil {
 		return m
 	}
@@ -263,7 +263,7 @@
 }
 
 // Free returns the room on a machine that is not promised to anybody.
-func (p *Part) Free(m *Machine) Need {
+func (p *Partition) Free(m *Machine) Need {
 	t := p.types[m.Type]
 	if t == nil {
 		return Need{}
@@ -272,29 +272,29 @@
 }
 
 // Open says whether new tasks may go to the machine now.
-func (p *Part) Open(now time.Duration, m *Machine) bool {
+func (p *Partition) Open(now time.Duration, m *Machine) bool {
 	return m.Up && !m.Notice && !m.Condemned && !m.Sick && len(m.stray) == 0 &&
 		now >= m.MutedUntil && now-m.Heard < p.Silent()
 }
 
 // Silent is how long a machine may be silent before nothing new goes there.
-func (p *Part) Silent() time.Duration {
+func (p *Partition) Silent() time.Duration {
 	return config.Seconds(min(p.workers.LeaseS/2, 2.5*p.workers.ReportS))
 }
 
-// Haunted says whether an earlier attempt of the task is or was on the machine
+// HasAttempt says whether an earlier attempt of the task is or was on the machine
 // and its run may still come again, late. A new attempt there would replace
 // the exited entry that makes such a copy harmless, and the old attempt could
 // start once the new one has left.
-func (m *Machine) Haunted(task protocol.TaskID) bool {
+func (m *Machine) HasAttempt(task protocol.TaskID) bool {
 	return m.placements[task] != nil || m.exits[task] != nil
 }
 
 // Grant promises the named room to placements, all or none.
-func (p *Part) Grant(now time.Duration, ps []*Placement) bool {
+func (p *Partition) Grant(now time.Duration, ps []*Placement) bool {
 	for i, pl := range ps {
 		m := p.machines[pl.Machine]
-		if m == nil || !p.Open(now, m) || m.Haunted(pl.Task) || !pl.Need.Fits(p.Free(m)) {
+		if m == nil || !p.Open(now, m) || m.HasAttempt(pl.Task) || !pl.Need.Fits(p.Free(m)) {
 			for _, done := range ps[:i] {
 				p.Refuse(now, done)
 			}
@@ -308,7 +308,7 @@
 }
 
 // Adopt takes over a placement that a record names.
-func (p *Part) Adopt(now time.Duration, pl *Placement) {
+func (p *Partition) Adopt(now time.Duration, pl *Placement) {
 	m := p.Ensure(now, pl.Machine)
 	if m.Zone == "" {
 		m.Zone = pl.Zone
@@ -319,14 +319,14 @@
 	p.add(m, pl)
 }
 
-func (p *Part) add(m *Machine, pl *Placement) {
+func (p *Partition) add(m *Machine, pl *Placement) {
 	m.placements[pl.Task] = pl
 	m.used = m.used.Plus(pl.Need)
 	p.usage[pl.Team] = p.usage[pl.Team].Plus(pl.Need)
 }
 
 // remove takes a placement that is gone off the books.
-func (p *Part) remove(now time.Duration, m *Machine, pl *Placement) {
+func (p *Partition) remove(now time.Duration, m *Machine, pl *Placement) {
 	pl.Gone = true
 	if m.placements[pl.Task] != pl {
 		return
@@ -344,7 +344,7 @@
 }
 
 // Refuse gives granted room back. Nothing of it may have been started.
-func (p *Part) Refuse(now time.Duration, pl *Placement) {
+func (p *Partition) Refuse(now time.Duration, pl *Placement) {
 	if m := p.machines[pl.Machine]; m != nil {
 		p.remove(now, m, pl)
 		p.dropFetch(m, pl)
@@ -353,13 +353,13 @@
 
 // Start lets a placement's run go out, now that a record names it. The pause
 // after an earlier command is for repeats, not for what is new.
-func (p *Part) Start(pl *Placement) {
+func (p *Partition) Start(pl *Placement) {
 	pl.Written = true
-	p.hasten(pl)
+	p.expedite(pl)
 }
 
-// hasten lets the machine's next command go out without a pause.
-func (p *Part) hasten(pl *Placement) {
+// expedite lets the machine's next command go out without a pause.
+func (p *Partition) expedite(pl *Placement) {
 	if m := p.machines[pl.Machine]; m != nil {
 		m.RetryAt, m.fresh = 0, true
 		p.owed[m.Name] = m
@@ -368,7 +368,7 @@
 
 // Stop asks that a placement ends. A run that has never left for the machine
 // needs no proof: the placement is gone at once, and Stop returns true.
-func (p *Part) Stop(now time.Duration, pl *Placement, graceS float64) bool {
+func (p *Partition) Stop(now time.Duration, pl *Placement, graceS float64) bool {
 	if pl.Gone {
 		return false
 	}
@@ -376,7 +376,7 @@
 		pl.Stopping, pl.GraceS = true, graceS
 	}
 	pl.GraceS = min(pl.GraceS, graceS)
-	p.hasten(pl)
+	p.expedite(pl)
 	if !pl.sent {
 		p.Refuse(now, pl)
 		return true
@@ -385,7 +385,7 @@
 }
 
 // Settle says that the records no longer count on an exited placement.
-func (p *Part) Settle(pl *Placement) {
+func (p *Partition) Settle(pl *Placement) {
 	if m := p.machines[pl.Machine]; m != nil {
 		if e := m.exits[pl.Task]; e != nil && e.attempt == pl.Attempt {
 			e.settled = true
@@ -393,7 +393,7 @@
 	}
 }
 
-// Fact is something that a part learnt of a placement.
+// Fact is something that a partition learnt of a placement.
 type Fact struct {
 	Placement *Placement
 	Lost      bool // gone without having exited by itself
@@ -401,7 +401,7 @@
 
 // Report takes in a worker's message. It returns what changed; newer is false
 // for copies and latecomers, whose task lists prove nothing but exits.
-func (p *Part) Report(now time.Duration, r *protocol.Report) (m *Machine, facts []Fact, newer bool) {
+func (p *Partition) Report(now time.Duration, r *protocol.Report) (m *Machine, facts []Fact, newer bool) {
 	m = p.Ensure(now, r.Machine)
 	newer = r.Session > m.Session || r.Session == m.Session && r.Seq > m.Seq
 	if r.Session > m.Session {
@@ -454,7 +454,7 @@
 // when it reports a token above all those that a run of the attempt was sent
 // with, none can be executed any more, and an attempt that it does not list is
 // not there and will not be. Without the token, absence proves nothing.
-func (p *Part) absent(now time.Duration, m *Machine, token uint64, listed map[protocol.TaskID]uint64) (facts []Fact) {
+func (p *Partition) absent(now time.Duration, m *Machine, token uint64, listed map[protocol.TaskID]uint64) (facts []Fact) {
 	for _, pl := range sorted(m.placements) {
 		if !pl.Stopping || pl.Seen || pl.Session != m.Session || token <= pl.runToken || listed[pl.Task] == pl.Attempt {
 			continue
@@ -467,7 +467,7 @@
 }
 
 // task takes in one task of a report.
-func (p *Part) task(now time.Duration, m *Machine, id protocol.TaskID, t *protocol.TaskReport, newer bool) (Fact, bool) {
+func (p *Partition) task(now time.Duration, m *Machine, id protocol.TaskID, t *protocol.TaskReport, newer bool) (Fact, bool) {
 	pl := m.placements[id]
 	if pl == nil || pl.Attempt != t.Attempt || pl.Session != m.Session {
 		e := m.exits[id]
@@ -515,7 +515,7 @@
 }
 
 // Lost says that a machine is proven gone, with all that was on it.
-func (p *Part) Lost(now time.Duration, name string) []Fact {
+func (p *Partition) Lost(now time.Duration, name string) []Fact {
 	m := p.machines[name]
 	if m == nil {
 		return nil
@@ -547,7 +547,7 @@
 
 // Orders returns the commands that are due to a machine, and notes that they
 // are on their way. maxOrders keeps an answer inside the protocol's limit.
-func (p *Part) Orders(now time.Duration, m *Machine) []protocol.Command {
+func (p *Partition) Orders(now time.Duration, m *Machine) []protocol.Command {
 	const maxOrders = 400
 	p.turn(now, m)
 	m.fresh = false
@@ -597,18 +597,18 @@
 // forgettable says whether no run of an exited attempt can reach the machine
 // any more: after forget, a late copy would start the attempt again. Commands
 // with a token below the highest that the worker has seen are refused.
-func (p *Part) forgettable(m *Machine, e *exit) bool {
+func (p *Partition) forgettable(m *Machine, e *exit) bool {
 	return e.settled && e.runToken < m.Token
 }
 
 // Token is what commands to the machine carry now.
-func (p *Part) Token(m *Machine) uint64 { return protocol.Token(p.term, m.epoch) }
+func (p *Partition) Token(m *Machine) uint64 { return protocol.Token(p.term, m.epoch) }
 
 // turn raises the machine's epoch when exited entries wait for it, so that
 // late copies of their runs are refused and the entries can be forgotten, or
 // when a start without an answer is to be withdrawn. It waits for commands and
 // starts under way, which the change would only delay.
-func (p *Part) turn(now time.Duration, m *Machine) {
+func (p *Partition) turn(now time.Duration, m *Machine) {
 	pause := config.Seconds(p.workers.LeaseS / 2)
 	if m.Busy || m.epoch >= protocol.MaxEpoch {
 		return
@@ -646,7 +646,7 @@
 // Urgent returns the machines that should be sent commands directly, since
 // waiting for their next report would be noticed. Only those are looked at on
 // which something is due: this is asked with every message.
-func (p *Part) Urgent(now time.Duration) []*Machine {
+func (p *Partition) Urgent(now time.Duration) []*Machine {
 	var out []*Machine
 	for name, m := range p.owed {
 		if p.machines[name] != m {
@@ -671,7 +671,7 @@
 }
 
 // Answered notes the outcome of a direct command: ok when it was executed.
-func (p *Part) Answered(now time.Duration, m *Machine, ok bool) {
+func (p *Partition) Answered(now time.Duration, m *Machine, ok bool) {
 	m.Busy = false
 	if !ok {
 		// The next report is the natural time for another try; a machine that is
@@ -696,7 +696,7 @@
 }
 
 // Copies returns the images that machines have, as far as can be told.
-func (p *Part) Copies() map[string][]Copy {
+func (p *Partition) Copies() map[string][]Copy {
 	out := map[string][]Copy{}
 	for _, n := range p.names {
 		for name, im := range p.machines[n].images {
@@ -711,15 +711,15 @@
 
 // Hint tells which images a machine had when an earlier leader last wrote them
 // down. It is no more than a hint: a wrong one costs a fetch.
-func (p *Part) Hint(name string, copies []Copy) { p.hints[name] = copies }
+func (p *Partition) Hint(name string, copies []Copy) { p.hints[name] = copies }
 
 // Warm estimates how long a machine needs until it has the job's image.
-func (p *Part) Warm(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
+func (p *Partition) Warm(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
 	return p.WarmWithout(now, m, j, nil)
 }
 
 // WarmWithout is Warm if those tasks left that the function names.
-func (p *Part) WarmWithout(now time.Duration, m *Machine, j *protocol.Job, leave func(*Placement) bool) time.Duration {
+func (p *Partition) WarmWithout(now time.Duration, m *Machine, j *protocol.Job, leave func(*Placement) bool) time.Duration {
 	if im := m.images[j.Image]; im != nil {
 		return im.left(now)
 	}
@@ -753,7 +753,7 @@
 // SlowsWithout estimates by how much, in all, a fetch of the job's image would
 // delay other fetches on the machine, which share its rate, if those tasks left
 // that the function names.
-func (p *Part) SlowsWithout(now time.Duration, m *Machine, j *protocol.Job, leave func(*Placement) bool) time.Duration {
+func (p *Partition) SlowsWithout(now time.Duration, m *Machine, j *protocol.Job, leave func(*Placement) bool) time.Duration {
 	t := p.types[m.Type]
 	if m.images[j.Image] != nil || t == nil || t.FetchGBPerS <= 0 {
 		return 0
@@ -769,7 +769,7 @@
 }
 
 // useImage notes that a machine will have an image, and which ones give way.
-func (p *Part) useImage(now time.Duration, m *Machine, j *protocol.Job) {
+func (p *Partition) useImage(now time.Duration, m *Machine, j *protocol.Job) {
 	im := m.images[j.Image]
 	if im == nil {
 		whole := p.Warm(now, m, j)
@@ -804,7 +804,7 @@
 }
 
 // dropFetch forgets an image whose fetch was given up with its last task.
-func (p *Part) dropFetch(m *Machine, pl *Placement) {
+func (p *Partition) dropFetch(m *Machine, pl *Placement) {
 	if pl.Job == nil {
 		return
 	}
--- a/internal/coordination/part/part_test.go
+++ b/internal/coordination/partition/partition_test.go
@@ -1,4 +1,4 @@
-package part
+package partition
 
 import (
 	"testing"
@@ -15,7 +15,7 @@
 
 var kind = protocol.MachineType{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, CacheGB: 10, FetchGBPerS: 1, BootS: 30, Zones: []string{"a"}}
 
-func newPart(term uint64) *Part {
+func newPart(term uint64) *Partition {
 	p := New(term, config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 40, GangPeerS: 4, CancelS: 40})
 	p.SetTypes([]protocol.MachineType{kind})
 	return p
@@ -89,26 +89,26 @@
 func TestAbsenceIsNoProof(t *testing.T) {
 	for _, x := range []struct {
 		name string
-		do   func(p *Part) []Fact
+		do   func(p *Partition) []Fact
 		gone bool
 	}{
-		{"newer report without it", func(p *Part) []Fact { _, f, _ := p.Report(5, report(3, 50, 0)); return f }, false},
-		{"older session", func(p *Part) []Fact { _, f, _ := p.Report(5, report(2, 99, 0)); return f }, false},
-		{"another attempt exited", func(p *Part) []Fact {
+		{"newer report without it", func(p *Partition) []Fact { _, f, _ := p.Report(5, report(3, 50, 0)); return f }, false},
+		{"older session", func(p *Partition) []Fact { _, f, _ := p.Report(5, report(2, 99, 0)); return f }, false},
+		{"another attempt exited", func(p *Partition) []Fact {
 			_, f, _ := p.Report(5, report(3, 50, 0, protocol.TaskReport{Name: task(1).String(), Attempt: 7, State: protocol.Exited}))
 			return f
 		}, false},
-		{"its attempt exited in another session", func(p *Part) []Fact {
+		{"its attempt exited in another session", func(p *Partition) []Fact {
 			_, f, _ := p.Report(5, report(2, 50, 0, protocol.TaskReport{Name: task(1).String(), Attempt: 1, State: protocol.Exited}))
 			return f
 		}, false},
-		{"its attempt exited, told late", func(p *Part) []Fact {
+		{"its attempt exited, told late", func(p *Partition) []Fact {
 			p.Report(4, report(3, 60, 0))
 			_, f, _ := p.Report(5, report(3, 50, 0, protocol.TaskReport{Name: task(1).String(), Attempt: 1, State: protocol.Exited}))
 			return f
 		}, true},
-		{"larger session", func(p *Part) []Fact { _, f, _ := p.Report(5, report(4, 1, 0)); return f }, true},
-		{"machine lost", func(p *Part) []Fact { return p.Lost(5, "m1") }, true},
+		{"larger session", func(p *Partition) []Fact { _, f, _ := p.Report(5, report(4, 1, 0)); return f }, true},
+		{"machine lost", func(p *Partition) []Fact { return p.Lost(5, "m1") }, true},
 	} {
 		p := newPart(2)
 		pl := placement(1, 1)
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"pinebay/internal/coordination/fleet"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -15,9 +15,9 @@
 
 // candidate is a machine that takes new tasks in this cycle.
 type candidate struct {
-	m    *part.Machine
+	m    *partition.Machine
 	kind *protocol.MachineType
-	free part.Need // less what was granted or is held in this cycle
+	free partition.Need // less what was granted or is held in this cycle
 	// taken says that the room reserved on it is spoken for in this cycle.
 	taken bool
 	// kept is room for jobs to come.
@@ -29,12 +29,12 @@
 type kept struct {
 	rank int
 	aim  float64 // the class's on waiting, in seconds
-	need part.Need
+	need partition.Need
 }
 
 // less is what is left of the free room for work of the rank with that aim on
 // waiting.
-func (x *candidate) less(rank int, aim float64) part.Need {
+func (x *candidate) less(rank int, aim float64) partition.Need {
 	n := x.free
 	for _, k := range x.kept {
 		if k.rank == rank && k.aim < aim {
@@ -45,7 +45,7 @@
 }
 
 // room is what a job may use of a candidate.
-func (c *Core) room(x *candidate, j *job) part.Need {
+func (c *Core) room(x *candidate, j *job) partition.Need {
 	if len(x.kept) == 0 {
 		return x.free
 	}
@@ -58,7 +58,7 @@
 func (c *Core) keep(now time.Duration, cands []*candidate) {
 	none := &limits{}
 	for _, u := range c.spareNow {
-		j := &job{spec: *u.Job, need: part.NeedOf(u.Job), rank: u.Job.Priority.Rank()}
+		j := &job{spec: *u.Job, need: partition.NeedOf(u.Job), rank: u.Job.Priority.Rank()}
 		aim := c.waitAim(u.Job.Class)
 		for range u.Count {
 			var best *candidate
@@ -92,11 +92,11 @@
 			waiting = append(waiting, j)
 		}
 	}
-	c.byHope(now, waiting)
+	c.byDeadline(now, waiting)
 	var cands []*candidate
-	c.part.Each(func(m *part.Machine) {
-		if t := c.part.Type(m.Type); t != nil && c.part.Open(now, m) {
-			cands = append(cands, &candidate{m: m, kind: t, free: c.part.Free(m)})
+	c.machines.Each(func(m *partition.Machine) {
+		if t := c.machines.Type(m.Type); t != nil && c.machines.Open(now, m) {
+			cands = append(cands, &candidate{m: m, kind: t, free: c.machines.Free(m)})
 		}
 	})
 	c.keep(now, cands)
@@ -163,9 +163,9 @@
 func (c *Core) allocate(now time.Duration, j *job, cands []*candidate, l *limits, n int) allocation {
 	var got allocation
 	for t := j.nextPending(0); t >= 0 && len(got) < n; t = j.nextPending(t + 1) {
-		x, haunted := c.pick(now, j, t, cands, l)
+		x, attempted := c.pick(now, j, t, cands, l)
 		if x == nil {
-			if haunted {
+			if attempted {
 				continue
 			}
 			break
@@ -173,7 +173,7 @@
 		if j.spec.Shape != protocol.Gang && c.displace(now, j, t, x, cands, l) {
 			continue
 		}
-		c.hurry(now, j, x)
+		c.stopCompetingFetches(now, j, x)
 		x.free = x.free.Minus(j.need)
 		l.perZone[x.m.Zone]++
 		if j.spec.SameZone {
@@ -202,7 +202,7 @@
 		got := c.allocate(now, j, cands, zl, j.spec.Tasks)
 		s := 0.0
 		for _, g := range got {
-			s = max(s, c.part.Warm(now, g.x.m, &j.spec).Seconds())
+			s = max(s, c.machines.Warm(now, g.x.m, &j.spec).Seconds())
 		}
 		return got, zl, s
 	}
@@ -235,10 +235,10 @@
 	for range missing {
 		var best *candidate
 		for _, x := range cands {
-			if taken[x] || !c.fits(now, j, x, l) || !j.need.Fits(part.CapacityOf(x.kind)) {
+			if taken[x] || !c.fits(now, j, x, l) || !j.need.Fits(partition.CapacityOf(x.kind)) {
 				continue
 			}
-			if best == nil || x.free.Share(part.CapacityOf(x.kind)) > best.free.Share(part.CapacityOf(best.kind)) {
+			if best == nil || x.free.Share(partition.CapacityOf(x.kind)) > best.free.Share(partition.CapacityOf(best.kind)) {
 				best = x
 			}
 		}
@@ -246,7 +246,7 @@
 			return
 		}
 		taken[best] = true
-		best.free = part.Need{CPUs: -1, GPUs: -1, MemoryGB: -1}
+		best.free = partition.Need{CPUs: -1, GPUs: -1, MemoryGB: -1}
 	}
 }
 
@@ -259,22 +259,22 @@
 	if j.spec.Shape == protocol.Gang {
 		attempt = j.attempt(0)
 	}
-	var ps []*part.Placement
+	var ps []*partition.Placement
 	for _, g := range got {
 		t, x := g.task, g.x
 		a := attempt
 		if a == 0 {
 			a = j.attempt(t)
 		}
-		ps = append(ps, &part.Placement{
+		ps = append(ps, &partition.Placement{
 			Task: protocol.TaskID{Job: j.spec.ID, Task: t}, Attempt: a, Machine: x.m.Name,
 			Need: j.need, Team: j.spec.Team, Rank: j.rank, Job: &j.spec,
 		})
 		p := j.pageOf(t)
 		p.attempts = max(p.attempts, a)
 	}
-	if !c.part.Grant(now, ps) {
-		c.due = true // the part knows better; ask again with what it says
+	if !c.machines.Grant(now, ps) {
+		c.due = true // the partition knows better; ask again with what it says
 		return
 	}
 	for _, pl := range ps {
@@ -283,7 +283,7 @@
 		j.places[t] = pl
 		j.touch(t, now)
 		j.granted = append(j.granted, pl)
-		if m := c.part.Machine(pl.Machine); m.Reserved == j.spec.ID {
+		if m := c.machines.Machine(pl.Machine); m.Reserved == j.spec.ID {
 			m.Reserved = ""
 		}
 	}
--- a/internal/coordination/scheduler/cancel.go
+++ b/internal/coordination/scheduler/cancel.go
@@ -17,7 +17,7 @@
 		return
 	}
 	c.log.Debug("withdrawn", "job", e.ID)
-	c.doom(j, c.goneBy(now))
+	c.setFencingDeadline(j, c.fencingDeadline(now))
 	if j.spec.Shape == protocol.Gang {
 		c.stopGang(now, j)
 		return
@@ -27,18 +27,18 @@
 	}
 }
 
-// goneBy is when machines must be fenced that may still have tasks of a job which is
+// fencingDeadline is when machines must be fenced that may still have tasks of a job which is
 // cancelled now: with half of the time left, for a release takes some, and so does
 // another leader, should we end.
-func (c *Core) goneBy(now time.Duration) time.Duration {
+func (c *Core) fencingDeadline(now time.Duration) time.Duration {
 	return now + config.Seconds(c.cfg.Workers.CancelS/2)
 }
 
-// doom says by when a job's tasks must be gone.
-func (c *Core) doom(j *job, by time.Duration) {
+// setFencingDeadline says by when a job's tasks must be gone.
+func (c *Core) setFencingDeadline(j *job, by time.Duration) {
 	for _, pl := range j.places {
-		if pl.GoneBy == 0 {
-			pl.GoneBy = by
+		if pl.FenceAt == 0 {
+			pl.FenceAt = by
 		}
 	}
 }
--- a/internal/coordination/scheduler/cancel_test.go
+++ b/internal/coordination/scheduler/cancel_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -69,17 +69,17 @@
 	b.cycle()
 	b.do(Withdrawn{ID: "j-1", Until: b.now})
 	b.do(JobDropped{ID: "j-2"})
-	doomed := map[string]bool{}
-	by := b.c.goneBy(b.now)
-	b.c.part.Machine("m1").Placements(func(pl *part.Placement) {
-		if pl.GoneBy == by {
-			doomed[pl.Task.Job] = true
+	deadlines := map[string]bool{}
+	by := b.c.fencingDeadline(b.now)
+	b.c.machines.Machine("m1").Placements(func(pl *partition.Placement) {
+		if pl.FenceAt == by {
+			deadlines[pl.Task.Job] = true
 		}
 	})
-	if !doomed["j-1"] || !doomed["j-2"] || doomed["j-3"] {
-		t.Errorf("to be gone by %v: %v", by, doomed)
+	if !deadlines["j-1"] || !deadlines["j-2"] || deadlines["j-3"] {
+		t.Errorf("to be gone by %v: %v", by, deadlines)
 	}
-	if m := b.c.part.Machine("m1"); m.Doomed(by-1) || !m.Doomed(by) {
+	if m := b.c.machines.Machine("m1"); m.FencingDue(by-1) || !m.FencingDue(by) {
 		t.Error("its day is not the one")
 	}
 }
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -7,7 +7,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/fleet"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 )
@@ -31,9 +31,9 @@
 	termStamp uint64
 	perPage   int
 
-	part  *part.Part
-	fleet *fleet.Fleet
-	jobs  map[string]*job
+	machines *partition.Partition
+	fleet    *fleet.Fleet
+	jobs     map[string]*job
 	// withdrawn holds the jobs that users may have been told are cancelled, until the
 	// state service tells, by when one must have been told.
 	withdrawn map[string]time.Duration
@@ -64,13 +64,13 @@
 	live, pages, warm []protocol.Pair, wallMS int64) *Core {
 	c := &Core{
 		cfg: cfg, log: log, term: term, termStamp: termStamp, perPage: storage.PageTasks(cfg.State.ValueKB),
-		part: part.New(term, cfg.Workers), fleet: fleet.New(term, cfg.Cloud, cfg.Workers), jobs: map[string]*job{}, withdrawn: map[string]time.Duration{},
+		machines: partition.New(term, cfg.Workers), fleet: fleet.New(term, cfg.Cloud, cfg.Workers), jobs: map[string]*job{}, withdrawn: map[string]time.Duration{},
 		writes: map[uint64]func(time.Duration, Written){}, due: true, began: now,
 		lastCycle: now - Cycle, lastPlan: now - Cycle,
 		arrivals: map[string][]time.Duration{}, sample: map[string]*protocol.Job{}, sizes: map[string]float64{},
 		counted: map[string]float64{}, prior: map[string]float64{}, warm: map[string]string{}, lastWarm: now,
 	}
-	c.part.SetTypes(types)
+	c.machines.SetTypes(types)
 	c.recoverWarm(warm)
 	for _, p := range live {
 		var rec storage.LiveRecord
@@ -95,7 +95,7 @@
 		}
 		if j.over {
 			// It ended under another leader, who knows when.
-			c.doom(j, now+c.fleet.Patience())
+			c.setFencingDeadline(j, now+c.fleet.Patience())
 			c.stopJob(now, j)
 		}
 	}
@@ -128,25 +128,25 @@
 	case Inspected:
 		c.heard(now, e.Report)
 	case Types:
-		c.part.SetTypes(e.Types)
+		c.machines.SetTypes(e.Types)
 	case Listed:
 		if e.Failed {
 			c.fleet.ListFailed()
 			break
 		}
 		c.inspectListed(now, e.Machines)
-		for _, name := range c.fleet.Listed(now, e.Asked, c.part, e.Machines) {
+		for _, name := range c.fleet.Listed(now, e.Asked, c.machines, e.Machines) {
 			c.log.Info("machine has left the list", "machine", name)
-			c.facts(now, c.part.Lost(now, name))
+			c.facts(now, c.machines.Lost(now, name))
 		}
 	case Rented:
 		c.log.Info("rented", "request", e.Request, "machines", len(e.Names), "refused", e.Refused)
-		c.fleet.Rented(now, e.Asked, c.part, e.Request, e.Names, e.Refused)
+		c.fleet.Rented(now, e.Asked, c.machines, e.Request, e.Names, e.Refused)
 	case Released:
 		c.fleet.Released(now, e.Names, e.OK)
 		if e.OK {
 			for _, n := range e.Names {
-				c.facts(now, c.part.Lost(now, n))
+				c.facts(now, c.machines.Lost(now, n))
 			}
 		}
 	}
@@ -212,7 +212,7 @@
 		if full {
 			c.lastPlan = now
 			units := c.demand(now, jobs)
-			for _, e := range c.fleet.Plan(now, c.part, units) {
+			for _, e := range c.fleet.Plan(now, c.machines, units) {
 				c.emit(Fleet{e})
 			}
 			c.logFleet(now, units)
--- a/internal/coordination/scheduler/demand.go
+++ b/internal/coordination/scheduler/demand.go
@@ -8,7 +8,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/fleet"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -53,12 +53,12 @@
 // while no zone has it, and the job would wait for ever.
 func (c *Core) likelyZone(now time.Duration, j *job) string {
 	room := map[string]int{}
-	c.part.Each(func(m *part.Machine) {
-		t := c.part.Type(m.Type)
+	c.machines.Each(func(m *partition.Machine) {
+		t := c.machines.Type(m.Type)
 		if t == nil || !t.Allows(&j.spec) || m.Condemned || m.Notice || m.Sick || m.Spot && !j.spec.Spot {
 			return
 		}
-		free := c.part.Free(m)
+		free := c.machines.Free(m)
 		for n := 0; n < j.spec.Tasks && j.need.Fits(free); n++ {
 			free = free.Minus(j.need)
 			room[m.Zone]++
@@ -67,7 +67,7 @@
 	best, bestRoom := "", -1
 	for _, z := range c.zones(&j.spec) {
 		n := room[z]
-		if n < j.spec.Tasks && c.fleet.CanRent(now, c.part, &j.spec, z) {
+		if n < j.spec.Tasks && c.fleet.CanRent(now, c.machines, &j.spec, z) {
 			n += j.spec.Tasks
 		}
 		if n > bestRoom {
@@ -80,7 +80,7 @@
 // zones lists the zones that a job allows, in order.
 func (c *Core) zones(spec *protocol.Job) []string {
 	zones := map[string]bool{}
-	for _, t := range c.part.Types() {
+	for _, t := range c.machines.Types() {
 		if t.Allows(spec) {
 			for _, z := range t.Zones {
 				if spec.Zone == "" || spec.Zone == z {
@@ -125,7 +125,7 @@
 		spec := c.sample[class]
 		within := c.waitAim(class)
 		boot, ready := 0.0, math.Inf(1)
-		for _, t := range c.part.Types() {
+		for _, t := range c.machines.Types() {
 			if t.Allows(spec) && t.Fits(spec) > 0 && t.FetchGBPerS > 0 {
 				if r := t.BootS + spec.ImageGB/t.FetchGBPerS; r < ready {
 					boot, ready = t.BootS, r
@@ -141,7 +141,7 @@
 		}
 		// Where a fetch that takes a third longer outlasts the aim, no time is
 		// left to clear room first.
-		quick := within < (ready-boot)*part.SlowFetch
+		quick := within < (ready-boot)*partition.SlowFetch
 		jobs := mean + c.margin(class)*math.Sqrt(mean)
 		tasks := int(math.Round(jobs * c.sizes[class]))
 		if tasks == 0 {
--- a/internal/coordination/scheduler/fleetlog.go
+++ b/internal/coordination/scheduler/fleetlog.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pinebay/internal/coordination/fleet"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -19,26 +19,26 @@
 	var free, soft float64 // in machines
 	var ordinary, ordinaryFree float64
 	kept := map[string]float64{} // ordinary machines by class
-	c.part.Each(func(m *part.Machine) {
-		t := c.part.Type(m.Type)
+	c.machines.Each(func(m *partition.Machine) {
+		t := c.machines.Type(m.Type)
 		switch {
 		case t == nil || !m.Up:
 			booting++
 			return
 		case m.Count() == 0:
 			empty++
-		case now-m.Heard > c.part.Silent():
+		case now-m.Heard > c.machines.Silent():
 			silent++
 		}
 		up++
-		cap := part.CapacityOf(t)
-		unused := 1 - cap.Minus(c.part.Free(m)).Share(cap)
+		cap := partition.CapacityOf(t)
+		unused := 1 - cap.Minus(c.machines.Free(m)).Share(cap)
 		free += unused
 		if !m.Spot {
 			ordinary++
 			ordinaryFree += unused
 		}
-		m.Placements(func(pl *part.Placement) {
+		m.Placements(func(pl *partition.Placement) {
 			share := pl.Need.Share(cap)
 			if pl.Job.Shape == protocol.Array {
 				soft += share
--- a/internal/coordination/scheduler/images.go
+++ b/internal/coordination/scheduler/images.go
@@ -7,7 +7,7 @@
 	"sort"
 	"time"
 
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 )
@@ -21,13 +21,13 @@
 			continue
 		}
 		for _, m := range rec.Machines {
-			var copies []part.Copy
+			var copies []partition.Copy
 			for _, i := range m.Images {
 				if i >= 0 && i < len(rec.Images) {
-					copies = append(copies, part.Copy{Image: rec.Images[i], SizeGB: rec.SizesGB[i]})
+					copies = append(copies, partition.Copy{Image: rec.Images[i], SizeGB: rec.SizesGB[i]})
 				}
 			}
-			c.part.Hint(m.Name, copies)
+			c.machines.Hint(m.Name, copies)
 		}
 		for _, a := range rec.Arrivals {
 			c.prior[a.Class], c.sizes[a.Class] = a.Jobs, a.Tasks
@@ -43,7 +43,7 @@
 		return
 	}
 	c.lastWarm = now
-	copies := c.part.Copies()
+	copies := c.machines.Copies()
 	names := slices.Sorted(maps.Keys(copies))
 	per := storage.WarmMachines(c.cfg.State.ValueKB)
 	pages := map[string][]byte{}
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -8,7 +8,7 @@
 	"sort"
 	"time"
 
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 )
@@ -25,7 +25,7 @@
 // job is an accepted job, or one that is over but not yet gone.
 type job struct {
 	spec  protocol.Job
-	need  part.Need
+	need  partition.Need
 	rank  int
 	stamp uint64 // version of its live record; 0 once it is over
 	atMS  int64
@@ -34,7 +34,7 @@
 	tasks   []taskState
 	counts  [3]int
 	low     int // no task below it is pending
-	places  map[int]*part.Placement
+	places  map[int]*partition.Placement
 	ran     map[int]bool // replicas that have run, and should be back soon if lost
 	pages   map[int]*page
 	perPage int
@@ -42,13 +42,13 @@
 	over      bool // cancelled, or its end is recorded
 	finishing bool // the transaction that ends it is under way
 	writing   bool
-	granted   []*part.Placement // wait for their record
-	stopping  bool              // gang: being stopped as a whole
-	runAt     time.Duration     // when a task of it was last seen to start running
-	begun     bool              // it has run so long that its start counts
-	short     int               // cycles in a row without enough room
-	queued    uint64            // the last cycle in which it waited
-	served    uint64            // the last cycle in which it had its turn
+	granted   []*partition.Placement // wait for their record
+	stopping  bool                   // gang: being stopped as a whole
+	runAt     time.Duration          // when a task of it was last seen to start running
+	begun     bool                   // it has run so long that its start counts
+	short     int                    // cycles in a row without enough room
+	queued    uint64                 // the last cycle in which it waited
+	served    uint64                 // the last cycle in which it had its turn
 	notBefore time.Duration
 	failures  int
 	failedOn  map[string]bool
@@ -60,14 +60,14 @@
 	attempts uint64
 	dirty    bool
 	dirtyAt  time.Duration
-	exits    []*part.Placement // gone, and still in the record
+	exits    []*partition.Placement // gone, and still in the record
 }
 
 func newJob(spec protocol.Job, stamp uint64, atMS int64, now time.Duration, perPage int) *job {
 	return &job{
-		spec: spec, need: part.NeedOf(&spec), rank: spec.Priority.Rank(), stamp: stamp, atMS: atMS, known: now,
+		spec: spec, need: partition.NeedOf(&spec), rank: spec.Priority.Rank(), stamp: stamp, atMS: atMS, known: now,
 		tasks: make([]taskState, spec.Tasks), counts: [3]int{spec.Tasks, 0, 0},
-		places: map[int]*part.Placement{}, ran: map[int]bool{}, pages: map[int]*page{}, perPage: perPage, failedOn: map[string]bool{},
+		places: map[int]*partition.Placement{}, ran: map[int]bool{}, pages: map[int]*page{}, perPage: perPage, failedOn: map[string]bool{},
 	}
 }
 
--- a/internal/coordination/scheduler/lifecycle.go
+++ b/internal/coordination/scheduler/lifecycle.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pinebay/internal/config"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 )
@@ -33,7 +33,7 @@
 }
 
 // facts takes in what became of placements.
-func (c *Core) facts(now time.Duration, facts []part.Fact) {
+func (c *Core) facts(now time.Duration, facts []partition.Fact) {
 	for _, f := range facts {
 		pl := f.Placement
 		j := c.jobs[pl.Task.Job]
@@ -57,7 +57,7 @@
 }
 
 // gone takes in that a placement is proven gone.
-func (c *Core) gone(now time.Duration, j *job, pl *part.Placement, lost bool) {
+func (c *Core) gone(now time.Duration, j *job, pl *partition.Placement, lost bool) {
 	c.due = true
 	task := pl.Task.Task
 	delete(j.places, task)
@@ -106,13 +106,13 @@
 }
 
 // failed draws the conclusions from an exit that was not asked for.
-func (c *Core) failed(now time.Duration, j *job, pl *part.Placement) {
+func (c *Core) failed(now time.Duration, j *job, pl *partition.Placement) {
 	switch pl.Cause {
 	case protocol.CauseStopped, protocol.CausePeers, protocol.CauseDone:
 		return
 	}
 	c.log.Info("task failed", "task", pl.Task, "attempt", pl.Attempt, "machine", pl.Machine, "cause", pl.Cause)
-	m := c.part.Machine(pl.Machine)
+	m := c.machines.Machine(pl.Machine)
 	switch pl.Cause {
 	case protocol.CauseError:
 		j.failures++
@@ -122,7 +122,7 @@
 			// off, so that it spoils neither machines nor our verdict on them.
 			j.notBefore = now + min(Cycle<<min(j.failures, 6), config.Seconds(2*c.cfg.Workers.CancelS))
 			for name := range j.failedOn {
-				if o := c.part.Machine(name); o != nil {
+				if o := c.machines.Machine(name); o != nil {
 					delete(o.Errors, j.spec.ID)
 				}
 			}
@@ -152,8 +152,8 @@
 	j.stopping = len(j.places) > 0
 }
 
-func placements(j *job) []*part.Placement {
-	list := make([]*part.Placement, 0, len(j.places))
+func placements(j *job) []*partition.Placement {
+	list := make([]*partition.Placement, 0, len(j.places))
 	for _, pl := range j.places {
 		list = append(list, pl)
 	}
@@ -162,8 +162,8 @@
 }
 
 // stop asks a placement to end, and takes in when that needs no proof.
-func (c *Core) stop(now time.Duration, j *job, pl *part.Placement, graceS float64) {
-	if c.part.Stop(now, pl, graceS) && !pl.Written && j.writing {
+func (c *Core) stop(now time.Duration, j *job, pl *partition.Placement, graceS float64) {
+	if c.machines.Stop(now, pl, graceS) && !pl.Written && j.writing {
 		// Its record may be written at this moment; it names a placement that
 		// was never started, which a later write replaces.
 		c.log.Debug("placement withdrawn before its record", "task", pl.Task)
@@ -186,7 +186,7 @@
 	j.over, j.stamp = true, 0
 	c.due = true
 	if j.counts[done] < len(j.tasks) {
-		c.doom(j, c.goneBy(now))
+		c.setFencingDeadline(j, c.fencingDeadline(now))
 	}
 	c.stopJob(now, j)
 }
@@ -194,11 +194,11 @@
 // notices takes work off machines that the cloud is about to take away: saved
 // if that can be done in time.
 func (c *Core) notices(now time.Duration) {
-	c.part.Each(func(m *part.Machine) {
+	c.machines.Each(func(m *partition.Machine) {
 		if !m.Notice {
 			return
 		}
-		m.Placements(func(pl *part.Placement) {
+		m.Placements(func(pl *partition.Placement) {
 			if !pl.Stopping {
 				c.stopOrderly(now, pl, math.MaxInt64)
 			}
@@ -208,7 +208,7 @@
 
 // stopOrderly stops a placement, with all of its gang if it has one, so that
 // its progress is saved if there is time for that.
-func (c *Core) stopOrderly(now time.Duration, pl *part.Placement, within time.Duration) {
+func (c *Core) stopOrderly(now time.Duration, pl *partition.Placement, within time.Duration) {
 	j := c.jobs[pl.Task.Job]
 	if j == nil {
 		return
--- a/internal/coordination/scheduler/move.go
+++ b/internal/coordination/scheduler/move.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pinebay/internal/config"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -33,7 +33,7 @@
 		}
 	}
 	share := func(x *candidate) float64 {
-		return part.CapacityOf(x.kind).Minus(c.part.Free(x.m)).Share(part.CapacityOf(x.kind))
+		return partition.CapacityOf(x.kind).Minus(c.machines.Free(x.m)).Share(partition.CapacityOf(x.kind))
 	}
 	sort.SliceStable(light, func(a, b int) bool { return share(light[a]) < share(light[b]) })
 	for _, x := range light {
@@ -41,7 +41,7 @@
 			continue
 		}
 		c.lastMove = now
-		x.m.Placements(func(pl *part.Placement) {
+		x.m.Placements(func(pl *partition.Placement) {
 			c.log.Info("moving", "task", pl.Task, "from", pl.Machine)
 		})
 		for _, pl := range c.placementsOn(x.m) {
@@ -51,8 +51,8 @@
 	}
 }
 
-func (c *Core) placementsOn(m *part.Machine) (out []*part.Placement) {
-	m.Placements(func(pl *part.Placement) { out = append(out, pl) })
+func (c *Core) placementsOn(m *partition.Machine) (out []*partition.Placement) {
+	m.Placements(func(pl *partition.Placement) { out = append(out, pl) })
 	sort.Slice(out, func(a, b int) bool { return out[a].Task.String() < out[b].Task.String() })
 	return out
 }
@@ -63,26 +63,26 @@
 		return false
 	}
 	ok := true
-	x.m.Placements(func(pl *part.Placement) {
+	x.m.Placements(func(pl *partition.Placement) {
 		j := c.jobs[pl.Task.Job]
 		if j == nil || j.over || j.writing || j.spec.Shape != protocol.Service || pl.Stopping ||
 			pl.State != protocol.TaskRunning || now-pl.Since < settled {
 			ok = false
 		}
 	})
-	cap := part.CapacityOf(x.kind)
-	return ok && cap.Minus(c.part.Free(x.m)).Share(cap) <= 0.5
+	cap := partition.CapacityOf(x.kind)
+	return ok && cap.Minus(c.machines.Free(x.m)).Share(cap) <= 0.5
 }
 
 // fitsElsewhere says whether all that a machine holds fits on machines that
 // are fuller, have the images and are in the same zone.
 func (c *Core) fitsElsewhere(now time.Duration, x *candidate, cands []*candidate, share func(*candidate) float64) bool {
-	taken := map[*candidate]part.Need{}
+	taken := map[*candidate]partition.Need{}
 	for _, pl := range c.placementsOn(x.m) {
 		var best *candidate
 		for _, y := range cands {
 			if y == x || y.m.Zone != x.m.Zone || y.m.Spot || !y.kind.Allows(pl.Job) || share(y) < share(x) || y.m.Count() == 0 ||
-				y.m.Haunted(pl.Task) || len(y.m.Errors) > 0 || c.part.Warm(now, y.m, pl.Job) > 0 ||
+				y.m.HasAttempt(pl.Task) || len(y.m.Errors) > 0 || c.machines.Warm(now, y.m, pl.Job) > 0 ||
 				c.reserved(now, y.m, "") || !pl.Need.Fits(y.free.Minus(taken[y])) {
 				continue
 			}
@@ -110,9 +110,9 @@
 		return // its tasks wait for the slowest, and would have to move together
 	}
 	for _, pl := range placements(j) {
-		m := c.part.Machine(pl.Machine)
+		m := c.machines.Machine(pl.Machine)
 		if m == nil || !pl.Seen || pl.Stopping || pl.State != protocol.Fetching ||
-			c.part.Warm(now, m, &j.spec) < config.Seconds(3*c.cfg.Workers.ReportS) {
+			c.machines.Warm(now, m, &j.spec) < config.Seconds(3*c.cfg.Workers.ReportS) {
 			continue
 		}
 		l := c.limits(j)
@@ -122,8 +122,8 @@
 		}
 		var best *candidate
 		for _, x := range cands {
-			if x.m != m && c.fits(now, j, x, l) && c.part.Warm(now, x.m, &j.spec) == 0 && j.need.Fits(c.room(x, j)) &&
-				!x.m.Haunted(pl.Task) && len(x.m.Errors) == 0 && (best == nil || c.score(now, j, x, l) < c.score(now, j, best, l)) {
+			if x.m != m && c.fits(now, j, x, l) && c.machines.Warm(now, x.m, &j.spec) == 0 && j.need.Fits(c.room(x, j)) &&
+				!x.m.HasAttempt(pl.Task) && len(x.m.Errors) == 0 && (best == nil || c.score(now, j, x, l) < c.score(now, j, best, l)) {
 				best = x
 			}
 		}
--- a/internal/coordination/scheduler/preempt.go
+++ b/internal/coordination/scheduler/preempt.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pinebay/internal/config"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -24,7 +24,7 @@
 	if left <= 0 && j.ran[task] {
 		left = config.Seconds(within) // a replica that was lost should be back as soon
 	}
-	if left <= 0 || c.part.WarmWithout(now, x.m, &j.spec, c.fetchesYield(j)) <= left {
+	if left <= 0 || c.machines.WarmWithout(now, x.m, &j.spec, c.fetchesYield(j)) <= left {
 		return false
 	}
 	for _, y := range cands {
@@ -59,13 +59,13 @@
 // work of at least the given rank leaves.
 func (c *Core) clear(now time.Duration, j *job, cands []*candidate, l *limits, within time.Duration, rank int) bool {
 	var best *candidate
-	var bestVictims []*part.Placement
+	var bestVictims []*partition.Placement
 	bestCost := math.Inf(1)
 	for _, x := range cands {
-		if !c.fits(now, j, x, l) || x.m.ReservedFor(now, j.spec.ID) || !j.need.Fits(part.CapacityOf(x.kind)) {
+		if !c.fits(now, j, x, l) || x.m.ReservedFor(now, j.spec.ID) || !j.need.Fits(partition.CapacityOf(x.kind)) {
 			continue
 		}
-		warm := c.part.Warm(now, x.m, &j.spec)
+		warm := c.machines.Warm(now, x.m, &j.spec)
 		if warm > within {
 			continue
 		}
@@ -79,7 +79,7 @@
 		return false
 	}
 	wait := 0.0
-	patience := c.patience(now, j, c.part.Warm(now, best.m, &j.spec))
+	patience := c.patience(now, j, c.machines.Warm(now, best.m, &j.spec))
 	for _, v := range bestVictims {
 		if !v.Stopping {
 			c.log.Info("preempted", "task", v.Task, "for", j.spec.ID, "machine", v.Machine)
@@ -111,10 +111,10 @@
 
 // victims chooses the work that would have to leave a machine. Its cost is in
 // seconds of work lost or moved.
-func (c *Core) victims(now time.Duration, j *job, x *candidate, rank int) (out []*part.Placement, cost float64, ok bool) {
+func (c *Core) victims(now time.Duration, j *job, x *candidate, rank int) (out []*partition.Placement, cost float64, ok bool) {
 	room := x.free // less what this cycle has given away already
-	var lower []*part.Placement
-	x.m.Placements(func(pl *part.Placement) {
+	var lower []*partition.Placement
+	x.m.Placements(func(pl *partition.Placement) {
 		switch {
 		case pl.Stopping:
 			room = room.Plus(pl.Need)
@@ -147,7 +147,7 @@
 		}
 		// An old job has been passed over or stopped before, and is the more
 		// likely to be late for it.
-		cost += 1 + lost*pl.Need.Share(part.CapacityOf(x.kind)) + c.age(now, pl).Seconds()/10
+		cost += 1 + lost*pl.Need.Share(partition.CapacityOf(x.kind)) + c.age(now, pl).Seconds()/10
 		if pl.Job != nil && pl.Job.Shape == protocol.Gang {
 			// All of it has to find room, and often its image, again.
 			cost += float64(pl.Job.Tasks) * x.kind.BootS
@@ -161,7 +161,7 @@
 // guarantee, for a team within its own. What a team runs within its guarantee need not
 // yield to another team. Lower work of other teams had been spared altogether: a guest's
 // idle-time batch then kept whole machines while urgent gangs waited for minutes.
-func (c *Core) mayPreempt(j *job, pl *part.Placement, rank int) bool {
+func (c *Core) mayPreempt(j *job, pl *partition.Placement, rank int) bool {
 	if pl.Team == j.spec.Team {
 		return pl.Rank >= rank
 	}
@@ -169,7 +169,7 @@
 }
 
 // age is how long the job of a placement has been known.
-func (c *Core) age(now time.Duration, pl *part.Placement) time.Duration {
+func (c *Core) age(now time.Duration, pl *partition.Placement) time.Duration {
 	if j := c.jobs[pl.Task.Job]; j != nil {
 		return now - j.known
 	}
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -17,7 +17,7 @@
 // kind is what the search for room depends on.
 type kind struct {
 	team, image, zone, types string
-	need                     part.Need
+	need                     partition.Need
 	rank, placed             int
 	same, spread, spot       bool
 }
@@ -29,11 +29,11 @@
 	}
 }
 
-// byHope reorders the gangs of each class among themselves, in a list sorted by
+// byDeadline reorders the gangs of each class among themselves, in a list sorted by
 // priority and age: first, by age, those that can still meet an aim. When more is
 // asked than can be done, age alone would spend all room on gangs that are late
 // whatever is done, until every gang is late.
-func (c *Core) byHope(now time.Duration, waiting []*job) {
+func (c *Core) byDeadline(now time.Duration, waiting []*job) {
 	type queue struct {
 		class, team string
 		rank        int
@@ -50,20 +50,20 @@
 		for k, i := range at {
 			jobs[k] = waiting[i]
 		}
-		sort.SliceStable(jobs, func(a, b int) bool { return c.hope(now, jobs[a]) < c.hope(now, jobs[b]) })
+		sort.SliceStable(jobs, func(a, b int) bool { return c.deadlineClass(now, jobs[a]) < c.deadlineClass(now, jobs[b]) })
 		for k, i := range at {
 			waiting[i] = jobs[k]
 		}
 	}
 }
 
-// hope orders a class's gangs: 0 for one that can still start in the time that an
+// deadlineClass orders a class's gangs: 0 for one that can still start in the time that an
 // aim asks for, 1 for one that can at least still be done in time, 2 for others.
 // A gang that has waited twice as long as its longest aim comes first again:
 // none waits for ever.
-func (c *Core) hope(now time.Duration, j *job) int {
+func (c *Core) deadlineClass(now time.Duration, j *job) int {
 	waited := (now - j.known).Seconds()
-	hope, longest := 2, 0.0
+	class, longest := 2, 0.0
 	for _, o := range c.cfg.Objectives {
 		if o.Class != j.spec.Class {
 			continue
@@ -71,15 +71,15 @@
 		longest = max(longest, o.WithinS)
 		switch {
 		case o.Kind == "wait" && !j.begun && waited <= o.WithinS:
-			hope = 0
+			class = 0
 		case o.Kind == "finished" && waited+j.spec.EstimateS <= o.WithinS:
-			hope = min(hope, 1)
+			class = min(class, 1)
 		}
 	}
 	if longest == 0 || waited > 2*longest {
 		return 0
 	}
-	return hope
+	return class
 }
 
 // waits says whether a job has tasks that may be placed now.
--- a/internal/coordination/scheduler/records.go
+++ b/internal/coordination/scheduler/records.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 )
@@ -39,7 +39,7 @@
 		if pl.Task >= len(j.tasks) || j.places[pl.Task] != nil {
 			continue
 		}
-		np := &part.Placement{
+		np := &partition.Placement{
 			Task: protocol.TaskID{Job: id, Task: pl.Task}, Attempt: pl.Attempt, Machine: pl.Machine, Session: pl.Session,
 			Zone: rec.Zones[pl.Zone], Need: j.need, Team: j.spec.Team, Rank: j.rank, Job: &j.spec,
 		}
@@ -47,7 +47,7 @@
 		if j.tasks[pl.Task] != done {
 			j.set(pl.Task, placed)
 		}
-		c.part.Adopt(now, np)
+		c.machines.Adopt(now, np)
 	}
 }
 
@@ -105,7 +105,7 @@
 
 func (c *Core) settle(p *page) {
 	for _, pl := range p.exits {
-		c.part.Settle(pl)
+		c.machines.Settle(pl)
 	}
 	p.exits = nil
 }
@@ -183,7 +183,7 @@
 		{Key: storage.TermKey, Version: c.termStamp}, {Key: storage.LiveKey(j.spec.ID), Version: j.stamp},
 	}}
 	exits := map[int]int{}
-	var included []*part.Placement
+	var included []*partition.Placement
 	for _, n := range ns {
 		p := j.page(n)
 		p.dirty = false
@@ -217,7 +217,7 @@
 			p := j.page(n)
 			p.stamp = w.Rev
 			for _, pl := range p.exits[:exits[n]] {
-				c.part.Settle(pl)
+				c.machines.Settle(pl)
 			}
 			p.exits = p.exits[exits[n]:]
 		}
@@ -241,7 +241,7 @@
 
 // start lets recorded placements go; a gang's only when all are recorded.
 func (c *Core) start(now time.Duration, j *job) {
-	var rest []*part.Placement
+	var rest []*partition.Placement
 	for _, pl := range j.granted {
 		if !pl.Recorded {
 			rest = append(rest, pl)
@@ -252,7 +252,7 @@
 	}
 	for _, pl := range j.granted {
 		if pl.Recorded && !pl.Gone {
-			c.part.Start(pl)
+			c.machines.Start(pl)
 		}
 	}
 	j.granted = rest
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -462,7 +462,7 @@
 		b.job(spec("j-1", protocol.Gang, "urgent", 2, 8))
 		b.job(spec("j-2", protocol.Gang, "urgent", 2, 8))
 		b.job(spec("j-3", protocol.Array, "normal", 1, 1))
-		m := b.c.part.Machine("m1")
+		m := b.c.machines.Machine("m1")
 		m.Reserved, m.ReservedUntil = x.owner, b.now+time.Minute
 		b.cycle()
 		for id, n := range x.want {
@@ -475,7 +475,7 @@
 	b.machine("m1", "a", false)
 	b.job(spec("j-1", protocol.Service, "critical", 1, 16)) // fits nowhere
 	b.job(spec("j-2", protocol.Array, "normal", 1, 1))
-	m := b.c.part.Machine("m1")
+	m := b.c.machines.Machine("m1")
 	m.Reserved, m.ReservedUntil = "j-1", b.now+time.Minute
 	b.cycle()
 	if b.started("j-2") != 0 {
@@ -498,9 +498,9 @@
 		b.job(j)
 		b.cycle()
 		b.machine(name, "a", false, running(protocol.TaskID{Job: j.ID}, 1))
-		b.c.part.Machine("m1").Sick = i == 0 // so that each has its own
+		b.c.machines.Machine("m1").Sick = i == 0 // so that each has its own
 	}
-	b.c.part.Machine("m1").Sick = false
+	b.c.machines.Machine("m1").Sick = false
 	b.machine("m0", "a", false)
 	quick := spec("j-3", protocol.Service, "critical", 1, 1)
 	quick.Class, quick.Image, quick.ImageGB = "quick", "small", 1
@@ -601,7 +601,7 @@
 		t.Errorf("%d starts in two minutes", starts)
 	}
 	for i := range 6 {
-		if m := b.c.part.Machine(fmt.Sprintf("m%d", i)); m == nil || m.Sick {
+		if m := b.c.machines.Machine(fmt.Sprintf("m%d", i)); m == nil || m.Sick {
 			t.Errorf("machine %d was set aside for a faulty job", i)
 		}
 	}
@@ -652,7 +652,7 @@
 	}
 	b.machine("m1", "a", false)
 	b.cycle()
-	if red, blue := b.c.part.Usage("red").GPUs, b.c.part.Usage("blue").GPUs; red != 4 || blue != 4 {
+	if red, blue := b.c.machines.Usage("red").GPUs, b.c.machines.Usage("blue").GPUs; red != 4 || blue != 4 {
 		t.Errorf("red has %v, blue %v of 8", red, blue)
 	}
 }
@@ -741,9 +741,9 @@
 		b.job(j)
 		b.cycle()
 		b.machine("m-"+id.Job, "a", false, fetching(id))
-		b.c.part.Machine("m-j-1").Sick = id == one // so that each has its own
+		b.c.machines.Machine("m-j-1").Sick = id == one // so that each has its own
 	}
-	b.c.part.Machine("m-j-1").Sick = false
+	b.c.machines.Machine("m-j-1").Sick = false
 	b.stops = map[protocol.TaskID]float64{}
 	for range 55 {
 		b.machine(b.on[one], "a", false, fetching(one))
@@ -856,7 +856,7 @@
 		t.Fatal("nothing was written down")
 	}
 	next := newBench([]config.Team{{Name: "red"}}, "a")
-	next.c = New(0, next.c.cfg, next.c.log, 6, 2, []protocol.MachineType{*b.c.part.Type("g8")}, nil, nil, warm, 0)
+	next.c = New(0, next.c.cfg, next.c.log, 6, 2, []protocol.MachineType{*b.c.machines.Type("g8")}, nil, nil, warm, 0)
 	for _, m := range []string{"m1", "m2", "m3"} {
 		next.machine(m, "a", false)
 	}
@@ -886,7 +886,7 @@
 		}
 		live = append(live, protocol.Pair{Key: storage.LiveKey(id), Value: value, Version: 3})
 	}
-	b.c = New(0, b.c.cfg, b.c.log, 6, 2, []protocol.MachineType{*b.c.part.Type("g8")}, live, nil, nil, wallMS)
+	b.c = New(0, b.c.cfg, b.c.log, 6, 2, []protocol.MachineType{*b.c.machines.Type("g8")}, live, nil, nil, wallMS)
 	b.machine("m1", "a", false)
 	b.cycle()
 	if b.started("j-1") != 0 || b.started("j-2") != 1 {
@@ -972,7 +972,7 @@
 	}
 	boot := 30 * time.Second
 	want := b.c.expected(b.now, "quick", boot)
-	next := New(0, b.c.cfg, b.c.log, 6, 2, []protocol.MachineType{*b.c.part.Type("g8")}, live, nil, warm, b.now.Milliseconds())
+	next := New(0, b.c.cfg, b.c.log, 6, 2, []protocol.MachineType{*b.c.machines.Type("g8")}, live, nil, warm, b.now.Milliseconds())
 	got := next.expected(0, "quick", boot)
 	if want == 0 || got < want/3 || got > want*1.2 {
 		t.Errorf("expects %v jobs after the take-over, %v before", got, want)
--- a/internal/coordination/scheduler/score.go
+++ b/internal/coordination/scheduler/score.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"pinebay/internal/config"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -46,7 +46,7 @@
 // goes before. A job that comes first may take it: did every gang keep what was
 // cleared for it, each could sit on a part of what one of them needs. And a job
 // that has found its room elsewhere keeps none.
-func (c *Core) reserved(now time.Duration, m *part.Machine, id string) bool {
+func (c *Core) reserved(now time.Duration, m *partition.Machine, id string) bool {
 	if m.Reserved == "" || m.Reserved == id || now >= m.ReservedUntil {
 		return false
 	}
@@ -61,15 +61,15 @@
 // the image, then what packs tightly.
 func (c *Core) score(now time.Duration, j *job, x *candidate, l *limits) float64 {
 	yields := c.fetchesYield(j)
-	warm := c.part.WarmWithout(now, x.m, &j.spec, yields)
-	s := warm.Seconds() + c.part.SlowsWithout(now, x.m, &j.spec, yields).Seconds()
-	cap := part.CapacityOf(x.kind)
+	warm := c.machines.WarmWithout(now, x.m, &j.spec, yields)
+	s := warm.Seconds() + c.machines.SlowsWithout(now, x.m, &j.spec, yields).Seconds()
+	cap := partition.CapacityOf(x.kind)
 	if warm > config.Seconds(max(c.waitAim(j.spec.Class), x.kind.BootS)) {
 		// The fetch outlasts the aim and a boot. The next of its kind will want
 		// to start here without one, so room beside it, free or held by arrays,
 		// is worth having: half the fetch at most, as a warm machine stays better.
 		s += 1 - warm.Seconds()/2*x.free.Minus(j.need).Plus(x.m.Arrays()).Share(cap)
-	} else if warm > 0 && warm.Seconds()*part.SlowFetch > c.waitAim(j.spec.Class) && x.m.Count() > 0 {
+	} else if warm > 0 && warm.Seconds()*partition.SlowFetch > c.waitAim(j.spec.Class) && x.m.Count() > 0 {
 		// The same for smaller fetches, but an empty machine is left to jobs that
 		// want a whole one.
 		s -= x.free.Minus(j.need).Plus(x.m.Arrays()).Share(cap)
@@ -92,23 +92,23 @@
 	return s + float64(len(x.m.Errors))*x.kind.BootS
 }
 
-// pick chooses the machine for a task. haunted says that one was passed over
+// pick chooses the machine for a task. attempted says that one was passed over
 // just for this task's sake, so that another task may still have it.
-func (c *Core) pick(now time.Duration, j *job, task int, cands []*candidate, l *limits) (best *candidate, haunted bool) {
+func (c *Core) pick(now time.Duration, j *job, task int, cands []*candidate, l *limits) (best *candidate, attempted bool) {
 	bestScore := 0.0
 	for _, x := range cands {
 		if !j.need.Fits(c.room(x, j)) || !c.fits(now, j, x, l) {
 			continue
 		}
-		if x.m.Haunted(protocol.TaskID{Job: j.spec.ID, Task: task}) {
-			haunted = true
+		if x.m.HasAttempt(protocol.TaskID{Job: j.spec.ID, Task: task}) {
+			attempted = true
 			continue
 		}
 		if s := c.score(now, j, x, l); best == nil || s < bestScore {
 			best, bestScore = x, s
 		}
 	}
-	return best, haunted
+	return best, attempted
 }
 
 // fetchesYield names, for a job with an aim on waiting, tasks that it may drive
@@ -116,20 +116,20 @@
 // steps lower in priority that are fetching, and lose nothing but that. In a
 // crowd, as when a fleet is opened, arrays had come first, and replicas that shared
 // the rate with them took twice as long to be up.
-func (c *Core) fetchesYield(j *job) func(*part.Placement) bool {
+func (c *Core) fetchesYield(j *job) func(*partition.Placement) bool {
 	if j.spec.Shape == protocol.Gang || math.IsInf(c.waitAim(j.spec.Class), 1) {
 		return nil
 	}
-	return func(pl *part.Placement) bool {
+	return func(pl *partition.Placement) bool {
 		return pl.Rank >= j.rank+2 && pl.Job != nil && pl.Job.Shape == protocol.Array && pl.Job.Image != j.spec.Image &&
 			(!pl.Written || pl.State == protocol.Fetching) // one from an earlier term may run unseen
 	}
 }
 
-// hurry stops the fetches that yield to a task's.
-func (c *Core) hurry(now time.Duration, j *job, x *candidate) {
+// stopCompetingFetches stops the fetches that yield to a task's.
+func (c *Core) stopCompetingFetches(now time.Duration, j *job, x *candidate) {
 	yields := c.fetchesYield(j)
-	if yields == nil || c.part.Warm(now, x.m, &j.spec) == c.part.WarmWithout(now, x.m, &j.spec, yields) {
+	if yields == nil || c.machines.Warm(now, x.m, &j.spec) == c.machines.WarmWithout(now, x.m, &j.spec, yields) {
 		return
 	}
 	for _, pl := range c.placementsOn(x.m) {
--- a/internal/coordination/scheduler/teams.go
+++ b/internal/coordination/scheduler/teams.go
@@ -4,7 +4,7 @@
 	"math"
 
 	"pinebay/internal/config"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 )
 
 // next picks the job to serve: teams within their guarantee first, then by
@@ -38,10 +38,10 @@
 
 // teamShare is what a team uses for its weight: its guarantee, or 1.
 func (c *Core) teamShare(team string) float64 {
-	u := c.part.Usage(team)
+	u := c.machines.Usage(team)
 	t := c.cfg.Team(team)
 	if t != nil && (t.GPUs > 0 || t.CPUs > 0) {
-		return u.Share(part.Need{CPUs: t.CPUs, GPUs: t.GPUs})
+		return u.Share(partition.Need{CPUs: t.CPUs, GPUs: t.GPUs})
 	}
 	return u.GPUs + u.CPUs
 }
@@ -53,7 +53,7 @@
 	if t == nil {
 		return n
 	}
-	u := c.part.Usage(j.spec.Team)
+	u := c.machines.Usage(j.spec.Team)
 	if t.CPUsMax > 0 && j.need.CPUs > 0 {
 		n = min(n, int((t.CPUsMax-u.CPUs)/j.need.CPUs+1e-9))
 	}
@@ -64,19 +64,19 @@
 }
 
 // borrows says whether a placement's team uses more than its guarantee.
-func (c *Core) borrows(pl *part.Placement) bool {
-	return !withinGuarantee(c.cfg.Team(pl.Team), c.part.Usage(pl.Team))
+func (c *Core) borrows(pl *partition.Placement) bool {
+	return !withinGuarantee(c.cfg.Team(pl.Team), c.machines.Usage(pl.Team))
 }
 
 // owed says whether a job's team is still within its guarantee with one more
 // of its tasks.
 func (c *Core) owed(j *job) bool {
-	return withinGuarantee(c.cfg.Team(j.spec.Team), c.part.Usage(j.spec.Team).Plus(j.need))
+	return withinGuarantee(c.cfg.Team(j.spec.Team), c.machines.Usage(j.spec.Team).Plus(j.need))
 }
 
 // withinGuarantee says whether a team that uses so much has a guarantee and fits into
 // it. A resource that no guarantee names does not count.
-func withinGuarantee(t *config.Team, used part.Need) bool {
+func withinGuarantee(t *config.Team, used partition.Need) bool {
 	if t == nil || t.CPUs == 0 && t.GPUs == 0 {
 		return false
 	}
--- a/internal/coordination/scheduler/workers.go
+++ b/internal/coordination/scheduler/workers.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"pinebay/internal/config"
-	"pinebay/internal/coordination/part"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
 
@@ -22,16 +22,16 @@
 	m, newer := c.heard(now, r)
 	if newer {
 		m.Relayed = e.Relayed
-		if cmds := c.part.Orders(now, m); cmds != nil {
+		if cmds := c.machines.Orders(now, m); cmds != nil {
 			answer.Commands = cmds
 		}
 	}
-	answer.Token = c.part.Token(m)
+	answer.Token = c.machines.Token(m)
 	c.emit(Answer{e.Tag, answer})
 }
 
 func (c *Core) ordersDone(now time.Duration, e OrdersDone) {
-	m := c.part.Machine(e.Machine)
+	m := c.machines.Machine(e.Machine)
 	if m == nil {
 		return
 	}
@@ -41,7 +41,7 @@
 	if e.Report != nil && e.Report.Machine == e.Machine {
 		c.heard(now, e.Report)
 	}
-	c.part.Answered(now, m, e.OK || e.Report != nil)
+	c.machines.Answered(now, m, e.OK || e.Report != nil)
 	if e.Report == nil {
 		// Its reports may arrive though commands don't: nothing new goes there
 		// until it has had time for another report.
@@ -59,12 +59,12 @@
 }
 
 // heard takes in what a machine says, in whichever way it came.
-func (c *Core) heard(now time.Duration, r *protocol.Report) (m *part.Machine, newer bool) {
+func (c *Core) heard(now time.Duration, r *protocol.Report) (m *partition.Machine, newer bool) {
 	if c.outdated(r) || c.fleet.Gone(r.Machine) {
 		return nil, false
 	}
-	up := c.part.Up(r.Machine)
-	m, facts, newer := c.part.Report(now, r)
+	up := c.machines.Up(r.Machine)
+	m, facts, newer := c.machines.Report(now, r)
 	c.due = c.due || !up
 	c.facts(now, facts)
 	c.judgeMachine(m)
@@ -72,7 +72,7 @@
 }
 
 // judgeMachine sets a machine aside that fails the tasks of several jobs.
-func (c *Core) judgeMachine(m *part.Machine) {
+func (c *Core) judgeMachine(m *partition.Machine) {
 	if len(m.Errors) >= 2 && !m.Sick {
 		m.Sick = true
 		c.log.Info("machine set aside: it fails tasks of several jobs", "machine", m.Name)
@@ -81,13 +81,13 @@
 
 // send sends what is urgent straight to the machines.
 func (c *Core) send(now time.Duration) {
-	for _, m := range c.part.Urgent(now) {
-		cmds := c.part.Orders(now, m)
+	for _, m := range c.machines.Urgent(now) {
+		cmds := c.machines.Orders(now, m)
 		if len(cmds) == 0 {
 			continue
 		}
 		m.Busy = true
-		c.emit(Order{Machine: m.Name, Addr: m.Addr, Orders: protocol.Orders{Token: c.part.Token(m), Session: m.Session, Commands: cmds}})
+		c.emit(Order{Machine: m.Name, Addr: m.Addr, Orders: protocol.Orders{Token: c.machines.Token(m), Session: m.Session, Commands: cmds}})
 	}
 }
 
@@ -100,9 +100,9 @@
 		return
 	}
 	direct, relayed := 0, 0
-	c.part.Each(func(m *part.Machine) {
+	c.machines.Each(func(m *partition.Machine) {
 		switch {
-		case !m.Up || now-m.Heard > c.part.Silent():
+		case !m.Up || now-m.Heard > c.machines.Silent():
 		case m.Relayed:
 			relayed++
 		default:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,9 +17,9 @@
 
 	"pinebay/internal/actor"
 	"pinebay/internal/config"
+	"pinebay/internal/coordination/api"
 	"pinebay/internal/coordination/election"
 	"pinebay/internal/coordination/fencing"
-	"pinebay/internal/coordination/intake"
 	"pinebay/internal/coordination/leader"
 	"pinebay/internal/coordination/notice"
 	"pinebay/internal/storage"
@@ -45,7 +45,7 @@
 	cloud   *leader.Cloud
 	workers *transport.Client
 	mesh    *transport.Mesh
-	intake  *intake.Intake
+	api     *api.Server
 
 	box       *actor.Mailbox[election.Event]
 	elect     *election.Machine
@@ -69,7 +69,7 @@
 	base := min(lease, cancel/4)
 	t := election.Times{
 		Beat: base / 40, Silent: base / 5, TTL: max(3*base/10, 100*time.Millisecond),
-		Hold: base / 2, Step: base / 50, Confirm: intake.Confirm,
+		Hold: base / 2, Step: base / 50, Confirm: api.Confirm,
 	}
 	t.Hold = min(t.Hold, max((cancel-lease)/4, 4*t.Beat))
 	// Whoever does not know of a cancellation renews a lease for the last time within
@@ -88,7 +88,7 @@
 	c.store = storage.NewClient(network, d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
 	c.cloud = leader.NewCloud(network, cfg.Outside.Cloud, d.Cloud)
 	c.workers = transport.NewClient(network, 1, max(1, int(float64(d.Quota.MaxSockets)*socketsCommands)), config.Seconds(d.Workers.LeaseS))
-	c.intake = intake.New(d, c.store, c.log, c.statuses, c.announce)
+	c.api = api.New(d, c.store, c.log, c.statuses, c.announce)
 	peers := map[string]string{}
 	var names []string
 	for _, p := range cfg.Seeds {
@@ -159,7 +159,7 @@
 	r := chi.NewRouter()
 	r.Get("/ready", c.ready)
 	r.Post("/v1/report", c.report)
-	c.intake.Routes(r)
+	c.api.Routes(r)
 	return r
 }
 
@@ -168,7 +168,7 @@
 // that alone cannot reach the state service should not be asked.
 func (c *Controller) ready(w http.ResponseWriter, _ *http.Request) {
 	status := http.StatusOK
-	if !c.intake.Ready() || c.alone() {
+	if !c.api.Ready() || c.alone() {
 		status = http.StatusServiceUnavailable
 	}
 	w.WriteHeader(status)
@@ -203,10 +203,10 @@
 // learnTypes reads the machine types once, without which nobody can be
 // answered; the leader follows the prices.
 func (c *Controller) learnTypes(ctx context.Context) {
-	for ctx.Err() == nil && !c.intake.Ready() {
+	for ctx.Err() == nil && !c.api.Ready() {
 		types, err := c.cloud.Types(ctx, c.store)
 		if err == nil {
-			c.intake.SetTypes(types)
+			c.api.SetTypes(types)
 			return
 		}
 		c.log.Info("machine types not read", "err", err)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"pinebay/internal/config"
+	"pinebay/internal/coordination/api"
 	"pinebay/internal/coordination/election"
-	"pinebay/internal/coordination/intake"
 	"pinebay/internal/coordination/notice"
 	"pinebay/internal/protocol"
 )
@@ -39,7 +39,7 @@
 	if !c.inCompany(now) {
 		return time.Time{}, errUnsafe // the user is told at once when to come back
 	}
-	own, err := c.notices.Announce(now, intake.Confirm/4, job)
+	own, err := c.notices.Announce(now, api.Confirm/4, job)
 	if err != nil {
 		return time.Time{}, err
 	}
--- a/internal/standin/ledger.go
+++ b/internal/simulation/ledger.go
@@ -1,4 +1,4 @@
-package standin
+package simulation
 
 import (
 	"fmt"
--- a/internal/standin/state.go
+++ b/internal/simulation/state.go
@@ -1,7 +1,7 @@
-// Package standin holds small models of the state service, the cloud and the
+// Package simulation holds small models of the state service, the cloud and the
 // workers, written from the published protocol alone. Tests run the daemon's
 // parts against them, with time given from outside.
-package standin
+package simulation
 
 import (
 	"encoding/json"
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -17,7 +17,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/protocol"
-	"pinebay/internal/standin"
+	"pinebay/internal/simulation"
 	"pinebay/internal/storage"
 	"pinebay/internal/testkit"
 	"pinebay/internal/transport"
@@ -42,7 +42,7 @@
 }
 
 func TestTransactionsAndLists(t *testing.T) {
-	c, ctx := client(t, standin.NewState()), context.Background()
+	c, ctx := client(t, simulation.NewState()), context.Background()
 	for i := range 1203 {
 		txn := protocol.Txn{
 			If:   []protocol.Cond{{Key: fmt.Sprintf("live/j-%04d", i)}},
@@ -163,7 +163,7 @@
 // TestSlowAnswersAreNotWaitedFor: when an answer is slow, a second try brings
 // the outcome, and what the first did meanwhile is not done twice.
 func TestSlowAnswersAreNotWaitedFor(t *testing.T) {
-	state := standin.NewState()
+	state := simulation.NewState()
 	release := make(chan struct{})
 	first := true
 	var mu sync.Mutex
