--- /dev/null
+++ b/internal/coordination/leader/cloud.go
@@ -0,0 +1,128 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/scheduler"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+	"pinebay/internal/transport"
+)
+
+// Cloud is a client of the cloud that keeps to its rate.
+type Cloud struct {
+	base    string
+	client  *transport.Client
+	limit   *rate.Limiter
+	timeout time.Duration
+}
+
+// NewCloud returns a client. A controller uses most of the whole rate, since
+// only the leader calls more than now and then.
+func NewCloud(network transport.Network, addr string, cfg config.Cloud) *Cloud {
+	return &Cloud{base: "http://" + addr, client: transport.NewClient(network, 4, 4, config.Seconds(cfg.ListLagS)),
+		limit: rate.NewLimiter(rate.Limit(cfg.RPS*0.9), max(1, int(cfg.RPS))), timeout: 4 * scheduler.Cycle}
+}
+
+var (
+	errCloud    = errors.New("cloud")
+	errCapacity = errors.New("no capacity")
+)
+
+func (c *Cloud) call(ctx context.Context, method, path string, body, out any) (int, error) {
+	if err := c.limit.Wait(ctx); err != nil {
+		return 0, err
+	}
+	status, raw, err := c.client.Do(ctx, c.timeout, method, c.base+path, body)
+	if err != nil {
+		return 0, err
+	}
+	if status == http.StatusOK && out != nil {
+		return status, protocol.Decode(raw, out)
+	}
+	if status != http.StatusOK {
+		var p protocol.Problem
+		_ = protocol.Decode(raw, &p) // the status says enough without it
+		if status == http.StatusServiceUnavailable && p.Error == errCapacity.Error() {
+			return status, errCapacity
+		}
+		return status, fmt.Errorf("%w: %s: status %d %s", errCloud, path, status, p.Error)
+	}
+	return status, nil
+}
+
+func (c *Cloud) fetchTypes(ctx context.Context) ([]protocol.MachineType, error) {
+	var t protocol.MachineTypes
+	if _, err := c.call(ctx, http.MethodGet, "/machine_types", nil, &t); err != nil {
+		return nil, err
+	}
+	if len(t.Types) == 0 {
+		return nil, fmt.Errorf("%w: no machine types", errCloud)
+	}
+	return t.Types, nil
+}
+
+// Types returns the machine types: from the state service if some controller
+// has left them there, which is quick and works while the cloud does not, or
+// else from the cloud.
+func (c *Cloud) Types(ctx context.Context, store *storage.Client) ([]protocol.MachineType, error) {
+	var t protocol.MachineTypes
+	p, err := store.Get(ctx, storage.Decide, storage.TypesKey)
+	if err == nil && p.Version != 0 && protocol.Decode(p.Value, &t) == nil && len(t.Types) > 0 {
+		return t.Types, nil
+	}
+	types, err := c.fetchTypes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if value, err := protocol.Encode(protocol.MachineTypes{Types: types}); err == nil {
+		// Only a short cut for others: without it they ask the cloud.
+		_, _, _ = store.Txn(ctx, storage.Decide, protocol.Txn{
+			If: []protocol.Cond{{Key: storage.TypesKey, Version: p.Version}}, Then: []protocol.Op{{Put: storage.TypesKey, Value: value}}})
+	}
+	return types, nil
+}
+
+// List reads the whole machine list.
+func (c *Cloud) List(ctx context.Context) ([]protocol.ListedMachine, error) {
+	var all []protocol.ListedMachine
+	from := ""
+	for {
+		path := fmt.Sprintf("/machines?limit=%d", protocol.MaxListed)
+		if from != "" {
+			path += "&from=" + from
+		}
+		var page protocol.MachineList
+		if _, err := c.call(ctx, http.MethodGet, path, nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Machines...)
+		if !page.More || len(page.Machines) == 0 {
+			return all, nil
+		}
+		from = page.Machines[len(page.Machines)-1].Name
+	}
+}
+
+// Rent rents machines; refused means that there are none.
+func (c *Cloud) Rent(ctx context.Context, r protocol.Rental) (names []string, refused bool, err error) {
+	var out protocol.MachineNames
+	status, err := c.call(ctx, http.MethodPost, "/machines", r, &out)
+	if errors.Is(err, errCapacity) || status == http.StatusBadRequest {
+		return nil, true, nil
+	}
+	return out.Machines, false, err
+}
+
+// Release returns machines. Without an error they are gone.
+func (c *Cloud) Release(ctx context.Context, names []string) error {
+	_, err := c.call(ctx, http.MethodPost, "/machines/release", protocol.MachineNames{Machines: names}, nil)
+	return err
+}
--- /dev/null
+++ b/internal/coordination/leader/effects.go
@@ -0,0 +1,165 @@
+package leader
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/fleet"
+	"pinebay/internal/coordination/scheduler"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// do carries out effects. Whatever waits runs on its own goroutine and comes
+// back as an event.
+func (l *Leader) do(effects []scheduler.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case scheduler.Answer:
+			if ch, ok := e.Tag.(chan protocol.ReportAnswer); ok {
+				ch <- e.Body
+			}
+		case scheduler.Depose:
+			l.Log.Info("deposed", "reason", e.Reason, "later", e.Term)
+			l.Deposed(l.term, e)
+		case scheduler.Write:
+			go l.write(e)
+		case scheduler.Order:
+			go l.order(e)
+		case scheduler.Inspect:
+			go l.inspect(e)
+		case scheduler.Fleet:
+			l.callCloud(e.Effect)
+		}
+	}
+}
+
+// callCloud carries out what the fleet asks of the cloud.
+func (l *Leader) callCloud(effect fleet.Effect) {
+	switch e := effect.(type) {
+	case fleet.Rent:
+		go l.rent(e)
+	case fleet.Release:
+		go l.release(e)
+	case fleet.List:
+		go l.list()
+	}
+}
+
+// write tries a transaction until its outcome is known. After a try without an
+// answer, a failed condition may be the work of that very try: the record that
+// names the write tells.
+func (l *Leader) write(w scheduler.Write) {
+	use := storage.Decide
+	if w.Bulk {
+		use = storage.Bulk
+	}
+	uncertain := false
+	for l.ctx.Err() == nil {
+		rev, ok, failed, err := l.Store.TxnFailed(l.ctx, use, w.Txn)
+		switch {
+		case err == nil && ok:
+			l.box.Send(scheduler.Written{Write: w.ID, OK: true, Rev: rev})
+			return
+		case err == nil && !uncertain:
+			l.box.Send(scheduler.Written{Write: w.ID, Failed: failed})
+			return
+		case err == nil:
+			p, err := l.Store.Get(l.ctx, use, w.Verify)
+			if err != nil {
+				break
+			}
+			var rec struct {
+				Write string `msgpack:"w"`
+			}
+			mine := w.Name == "" && p.Version == 0
+			if p.Version != 0 && protocol.Decode(p.Value, &rec) == nil && rec.Write == w.Name {
+				mine = true
+			}
+			l.box.Send(scheduler.Written{Write: w.ID, OK: mine, Rev: p.Version, Failed: failed})
+			return
+		case errors.Is(err, storage.ErrUncertain):
+			uncertain = true
+		case !errors.Is(err, storage.ErrUnavailable):
+			// Refused for its form: trying again at once would not help, and
+			// giving up would leave the books open.
+			l.Log.Error("write refused", "key", w.Verify, "err", err)
+			storage.Pause(l.ctx, 10*scheduler.Cycle)
+		}
+		storage.Pause(l.ctx, scheduler.Cycle/10)
+	}
+}
+
+func (l *Leader) order(o scheduler.Order) {
+	status, raw, err := l.Workers.Do(l.ctx, orderPatience(l.Cfg), http.MethodPost, "http://"+o.Addr+"/commands", o.Orders)
+	done := scheduler.OrdersDone{Machine: o.Machine}
+	if err == nil && (status == http.StatusOK || status == http.StatusConflict) {
+		if r, err := protocol.DecodeReport(raw); err == nil {
+			done.OK, done.Report = status == http.StatusOK, r
+		}
+	}
+	if done.Report == nil {
+		l.Log.Info("command unanswered", "machine", o.Machine, "status", status, "err", err)
+	}
+	l.box.Send(done)
+}
+
+// inspect asks a machine how it stands. A new leader asks all of them at once;
+// some at a time are asked in fact.
+func (l *Leader) inspect(e scheduler.Inspect) {
+	if err := l.inspects.Acquire(l.ctx, 1); err != nil {
+		return
+	}
+	defer l.inspects.Release(1)
+	status, raw, err := l.Workers.Do(l.ctx, orderPatience(l.Cfg), http.MethodGet, "http://"+e.Addr+"/inspect", nil)
+	if err != nil || status != http.StatusOK {
+		l.Log.Debug("not inspected", "machine", e.Machine, "status", status, "err", err)
+		return
+	}
+	if r, err := protocol.DecodeReport(raw); err == nil && r.Machine == e.Machine {
+		l.box.Send(scheduler.Inspected{Report: r})
+	}
+}
+
+// orderPatience is how long a direct command may take: a report's interval,
+// give or take, after which the machine's next report is the better way.
+func orderPatience(cfg *config.Deployment) time.Duration {
+	return config.Seconds(min(cfg.Workers.ReportS*1.5, cfg.Workers.GangPeerS/2))
+}
+
+func (l *Leader) list() {
+	asked := l.Now()
+	ms, err := l.Cloud.List(l.ctx)
+	if err != nil {
+		l.Log.Info("machine list not read", "err", err)
+	}
+	l.box.Send(scheduler.Listed{Asked: asked, Machines: ms, Failed: err != nil})
+}
+
+func (l *Leader) rent(e fleet.Rent) {
+	asked := l.Now()
+	for l.ctx.Err() == nil {
+		names, refused, err := l.Cloud.Rent(l.ctx, e.Rental)
+		if err == nil {
+			l.box.Send(scheduler.Rented{Request: e.Rental.Request, Asked: asked, Names: names, Refused: refused})
+			return
+		}
+		// The same name rents nothing twice, so trying again is safe.
+		l.Log.Info("rental unanswered", "request", e.Rental.Request, "err", err)
+		storage.Pause(l.ctx, scheduler.Cycle)
+	}
+}
+
+func (l *Leader) release(e fleet.Release) {
+	for l.ctx.Err() == nil {
+		err := l.Cloud.Release(l.ctx, e.Names)
+		if err == nil {
+			l.box.Send(scheduler.Released{Names: e.Names, OK: true})
+			return
+		}
+		l.Log.Info("release unanswered", "machines", len(e.Names), "err", err)
+		storage.Pause(l.ctx, scheduler.Cycle)
+	}
+}
--- /dev/null
+++ b/internal/coordination/leader/recovery.go
@@ -0,0 +1,102 @@
+package leader
+
+import (
+	"errors"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/scheduler"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// loaded is what recovery read.
+type loaded struct {
+	types       []protocol.MachineType
+	live, pages []protocol.Pair
+	warm        []protocol.Pair
+}
+
+// recover reads the records, trying until it can.
+func (l *Leader) recover() {
+	var got loaded
+	var rev uint64
+	watching := false
+	for l.ctx.Err() == nil {
+		var err error
+		if !watching {
+			asked := l.Now()
+			if got.live, rev, err = l.Store.List(l.ctx, storage.LivePrefix); err == nil {
+				watching = true
+				l.sighted(asked)
+				go l.watch(rev)
+			}
+		}
+		if err == nil {
+			if got.pages, _, err = l.Store.List(l.ctx, storage.PlacePrefix); err == nil {
+				if got.warm, _, err = l.Store.List(l.ctx, storage.WarmPrefix); err == nil {
+					got.types, err = l.Cloud.Types(l.ctx, l.Store)
+				}
+			}
+		}
+		if err == nil {
+			l.Types(got.types)
+			l.box.Send(got)
+			return
+		}
+		l.Log.Info("recovery delayed", "err", err)
+		storage.Pause(l.ctx, scheduler.Cycle/5)
+	}
+}
+
+// sighted notes that all changes up to the given time have been taken in or wait
+// in the mailbox.
+func (l *Leader) sighted(at time.Duration) {
+	l.box.Send(scheduler.Sighted{At: at})
+	l.Sighted(l.term, at)
+}
+
+// watch follows the accepted jobs. It looks often, for only an answer shows that
+// nothing has changed until the question was sent: a watch that hangs shows nothing.
+func (l *Leader) watch(rev uint64) {
+	for l.ctx.Err() == nil {
+		asked := l.Now()
+		ev, err := l.Store.Watch(l.ctx, storage.LivePrefix, rev, l.Watch)
+		if errors.Is(err, storage.ErrCompacted) {
+			l.Deposed(l.term, scheduler.Depose{Reason: "fell behind the changes"})
+			return
+		}
+		if err != nil {
+			storage.Pause(l.ctx, scheduler.Cycle/5)
+			continue
+		}
+		rev = max(rev, ev.Revision)
+		for _, e := range ev.Events {
+			if e.Delete != "" {
+				l.box.Send(scheduler.JobDropped{ID: e.Delete[len(storage.LivePrefix):]})
+				continue
+			}
+			var rec storage.LiveRecord
+			if err := protocol.Decode(e.Value, &rec); err != nil {
+				l.Log.Error("live record out of form", "key", e.Put, "err", err)
+				continue
+			}
+			l.box.Send(scheduler.JobSet{Record: rec, Stamp: e.Version})
+		}
+		l.sighted(asked)
+	}
+}
+
+// refreshTypes follows the cloud's prices.
+func (l *Leader) refreshTypes() {
+	for l.ctx.Err() == nil {
+		storage.Pause(l.ctx, config.Seconds(8*l.Cfg.Cloud.ListLagS))
+		types, err := l.Cloud.fetchTypes(l.ctx)
+		if err != nil {
+			l.Log.Info("prices not read", "err", err)
+			continue
+		}
+		l.Types(types)
+		l.box.Send(scheduler.Types{Types: types})
+	}
+}
--- /dev/null
+++ b/internal/coordination/partition/reports.go
@@ -0,0 +1,161 @@
+package partition
+
+import (
+	"sort"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+)
+
+// Fact is something that a partition learnt of a placement.
+type Fact struct {
+	Placement *Placement
+	Lost      bool // gone without having exited by itself
+}
+
+// Report takes in a worker's message. It returns what changed; newer is false
+// for copies and latecomers, whose task lists prove nothing but exits.
+func (p *Partition) Report(now time.Duration, r *protocol.Report) (m *Machine, facts []Fact, newer bool) {
+	m = p.Ensure(now, r.Machine)
+	newer = r.Session > m.Session || r.Session == m.Session && r.Seq > m.Seq
+	if r.Session > m.Session {
+		// The worker has killed everything of its earlier sessions.
+		for _, pl := range sorted(m.placements) {
+			if pl.Session < r.Session {
+				p.remove(now, m, pl)
+				facts = append(facts, Fact{pl, true})
+			}
+		}
+		if m.Session != 0 {
+			// Its lease ran out while we may have been answering: wait until it
+			// has shown that it takes commands.
+			m.MutedUntil = now + config.Seconds(p.workers.ReportS)
+		}
+		m.exits, m.stray = map[protocol.TaskID]*exit{}, map[protocol.TaskID]uint64{}
+		m.Session, m.Seq = r.Session, 0
+	}
+	if r.Session < m.Session {
+		return m, facts, false
+	}
+	if newer {
+		m.Seq = r.Seq
+		m.Heard, m.Up = now, true
+		m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
+		m.Token = max(m.Token, r.Token)
+		m.Notice = m.Notice || r.NoticeS != nil
+		clear(m.stray)
+	}
+	listed := make(map[protocol.TaskID]uint64, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id, err := protocol.ParseTaskID(t.Name)
+		if err != nil {
+			continue // a stranger's task is nothing that we can command
+		}
+		listed[id] = t.Attempt
+		if f, ok := p.task(now, m, id, t, newer); ok {
+			facts = append(facts, f)
+		}
+	}
+	if newer {
+		facts = append(facts, p.absent(now, m, r.Token, listed)...)
+	}
+	return m, facts, newer
+}
+
+// absent finds the placements that are to end and are proven not to be there.
+// A worker refuses runs whose token is below the highest that it has seen. So
+// when it reports a token above all those that a run of the attempt was sent
+// with, none can be executed any more, and an attempt that it does not list is
+// not there and will not be. Without the token, absence proves nothing.
+func (p *Partition) absent(now time.Duration, m *Machine, token uint64, listed map[protocol.TaskID]uint64) (facts []Fact) {
+	for _, pl := range sorted(m.placements) {
+		if !pl.Stopping || pl.Seen || pl.Session != m.Session || token <= pl.runToken || listed[pl.Task] == pl.Attempt {
+			continue
+		}
+		p.remove(now, m, pl)
+		p.dropFetch(m, pl)
+		facts = append(facts, Fact{pl, true})
+	}
+	return facts
+}
+
+// task takes in one task of a report.
+func (p *Partition) task(now time.Duration, m *Machine, id protocol.TaskID, t *protocol.TaskReport, newer bool) (Fact, bool) {
+	pl := m.placements[id]
+	if pl == nil || pl.Attempt != t.Attempt || pl.Session != m.Session {
+		e := m.exits[id]
+		known := e != nil && e.attempt == t.Attempt
+		switch {
+		case t.State == protocol.Exited && !known && (pl == nil || pl.Attempt > t.Attempt) && (e == nil || e.attempt < t.Attempt):
+			// Nothing of this term: an earlier leader's, whose outcome is
+			// recorded, or else the record would still name it.
+			m.exits[id] = &exit{attempt: t.Attempt, settled: true, runToken: protocol.Token(p.term, 0) - 1, at: now}
+		case t.State != protocol.Exited && newer && !known:
+			m.stray[id] = t.Attempt
+		}
+		return Fact{}, false
+	}
+	pl.sent = true
+	changed := !pl.Seen
+	pl.Seen = true
+	if t.State == protocol.Exited {
+		pl.State, pl.Cause, pl.Saved, pl.Since = t.State, t.Cause, t.Saved, now
+		p.remove(now, m, pl)
+		m.exits[id] = &exit{attempt: pl.Attempt, runToken: pl.runToken, at: now}
+		switch t.Cause {
+		case protocol.CauseDone:
+			clear(m.Errors)
+		case protocol.CauseError:
+			m.Errors[id.Job] = true
+		}
+		if t.Cause != protocol.CauseDone {
+			p.dropFetch(m, pl)
+		}
+		return Fact{Placement: pl}, true
+	}
+	if newer && pl.State != t.State {
+		pl.State, pl.Since = t.State, now
+		changed = true
+		if t.State != protocol.Fetching && pl.Job != nil {
+			if im := m.images[pl.Job.Image]; im != nil {
+				im.sure = true
+			} else {
+				m.images[pl.Job.Image] = &image{sizeGB: pl.Job.ImageGB, sure: true, used: now}
+			}
+		}
+	}
+	return Fact{Placement: pl}, changed
+}
+
+// Lost says that a machine is proven gone, with all that was on it.
+func (p *Partition) Lost(now time.Duration, name string) []Fact {
+	m := p.machines[name]
+	if m == nil {
+		return nil
+	}
+	var facts []Fact
+	for _, pl := range sorted(m.placements) {
+		p.remove(now, m, pl)
+		facts = append(facts, Fact{pl, true})
+	}
+	delete(p.machines, name)
+	i := sort.SearchStrings(p.names, name)
+	p.names = append(p.names[:i], p.names[i+1:]...)
+	return facts
+}
+
+func sorted(ps map[protocol.TaskID]*Placement) []*Placement {
+	list := make([]*Placement, 0, len(ps))
+	for _, pl := range ps {
+		list = append(list, pl)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Task.Job != list[j].Task.Job {
+			return list[i].Task.Job < list[j].Task.Job
+		}
+		return list[i].Task.Task < list[j].Task.Task
+	})
+	return list
+}
