--- a/internal/coordination/api/api.go
+++ b/internal/coordination/api/api.go
@@ -26,17 +26,17 @@
 	store  *storage.Client
 	log    *slog.Logger
 	reader *reader
-	// announce has a majority of the controllers hold a notice that a job is cancelled.
+	// announce has a majority of the controllers hold an intent that a job is cancelled.
 	announce Announce
 	types    atomic.Pointer[[]protocol.MachineType]
 }
 
-// Announce has a majority of the controllers hold a notice that a job is about to be
-// called cancelled, and returns when the notice was made; an error says that too few
+// Announce has a majority of the controllers hold an intent that a job is about to be
+// called cancelled, and returns when the intent was made; an error says that too few
 // of them can be reached.
 type Announce func(ctx context.Context, job string) (time.Time, error)
 
-// Confirm is within what time of its notice a user may be told that a job is
+// Confirm is within what time of its intent a user may be told that a job is
 // cancelled: controllers that the state service does not answer keep the job stopped
 // for so long, and may then take it that it lives, if they see so.
 const Confirm = submitPatience
@@ -162,7 +162,7 @@
 		return st, found, err
 	}
 	if f, ok := s.reader.final(id); !ok || !f.told {
-		// Its transaction may have come late, when its notice was no longer taken
+		// Its transaction may have come late, when its intent was no longer taken
 		// seriously; whoever tells of it makes sure that it is known.
 		if err := s.confirm(ctx, id, time.Time{}); err != nil {
 			return protocol.JobStatus{}, false, err
@@ -172,14 +172,14 @@
 	return st, true, nil
 }
 
-// confirm makes sure that a notice is held by a majority and is fresh, at the moment
-// at which a user is told that the job is cancelled. noticed is when the last one
+// confirm makes sure that an intent is held by a majority and is fresh, at the moment
+// at which a user is told that the job is cancelled. announced is when the last one
 // was made.
-func (s *Server) confirm(ctx context.Context, id string, noticed time.Time) error {
-	for time.Since(noticed) > Confirm {
+func (s *Server) confirm(ctx context.Context, id string, announced time.Time) error {
+	for time.Since(announced) > Confirm {
 		var err error
-		if noticed, err = s.announce(ctx, id); err != nil {
-			return fmt.Errorf("notice of %s: %w", id, err)
+		if announced, err = s.announce(ctx, id); err != nil {
+			return fmt.Errorf("intent of %s: %w", id, err)
 		}
 	}
 	return nil
@@ -242,9 +242,9 @@
 			}
 			return http.StatusOK, st
 		}
-		var noticed time.Time
+		var announced time.Time
 		if err == nil {
-			noticed, err = s.announce(ctx, id)
+			announced, err = s.announce(ctx, id)
 		}
 		if err == nil {
 			_, ok, terr := s.store.Txn(ctx, storage.Accept, protocol.Txn{
@@ -252,7 +252,7 @@
 				Then: []protocol.Op{{Delete: storage.LiveKey(id)}, {Put: storage.EndedKey(id), Value: value}},
 			})
 			if terr == nil && ok {
-				if err := s.confirm(ctx, id, noticed); err != nil {
+				if err := s.confirm(ctx, id, announced); err != nil {
 					break
 				}
 				st := protocol.JobStatus{ID: id, Standing: protocol.Cancelled}
--- a/internal/coordination/api/api_test.go
+++ b/internal/coordination/api/api_test.go
@@ -184,7 +184,7 @@
 
 // TestCancellationNeedsAMajority: nobody is told that a job is cancelled, by whoever
 // cancelled it or by another controller that reads of it, before a majority of the
-// controllers holds a notice of it; and nothing is recorded before.
+// controllers holds an intent of it; and nothing is recorded before.
 func TestCancellationNeedsAMajority(t *testing.T) {
 	s := newSite(t)
 	j := array("j-000001")
--- a/internal/coordination/api/reader.go
+++ b/internal/coordination/api/reader.go
@@ -39,7 +39,7 @@
 // whether it answered.
 type Statuses func(ctx context.Context, ids []string) (map[string]protocol.JobStatus, bool)
 
-// final is how a job ended. told says that users may be told without another notice.
+// final is how a job ended. told says that users may be told without another intent.
 type final struct {
 	st   protocol.JobStatus
 	told bool
--- a/internal/coordination/notice/notice.go
+++ b/internal/coordination/cancellation/cancellation.go
@@ -1,10 +1,10 @@
-// Package notice keeps the notices of cancellations that controllers hand each
+// Package cancellation keeps the intents to cancel that controllers hand each
 // other. Before a user is told that a job is cancelled, a majority of the
-// controllers holds a notice of it. So whoever goes on without the state service,
+// controllers holds an intent of it. So whoever goes on without the state service,
 // by the word of a majority, knows of every cancellation that it must not miss:
-// majorities meet. A notice is a wish, not the fact; the state service alone
+// majorities meet. An intent is a wish, not the fact; the state service alone
 // decides what users are told.
-package notice
+package cancellation
 
 import (
 	"errors"
@@ -15,10 +15,10 @@
 	"pinebay/internal/protocol"
 )
 
-// ErrFull says that no further notice can be held for the moment.
-var ErrFull = errors.New("too many notices")
+// ErrFull says that no further intent can be held for the moment.
+var ErrFull = errors.New("too many intents")
 
-// Log is the notices that this controller holds, its own and its peers', in the
+// Log is the intents that this controller holds, its own and its peers', in the
 // order in which it took them in, with what each peer holds of them.
 type Log struct {
 	mu    sync.Mutex
@@ -29,19 +29,19 @@
 
 	base  uint64  // how many have expired before list
 	list  []entry // the oldest first
-	known map[protocol.Notice]bool
-	jobs  map[string]time.Duration // when the newest notice of a job came
+	known map[protocol.Intent]bool
+	jobs  map[string]time.Duration // when the newest intent of a job came
 	mine  map[string]Own           // the newest of this controller's own, by job
 	peers map[string]*peer
 	news  chan struct{} // closed when a peer has acknowledged something
 }
 
 type entry struct {
-	protocol.Notice
+	protocol.Intent
 	at time.Duration
 }
 
-// Own is a notice of this controller: how many must be held with it, and since when
+// Own is an intent of this controller: how many must be held with it, and since when
 // it is there.
 type Own struct {
 	Seq uint64
@@ -54,19 +54,19 @@
 	lifeAt time.Duration     // when it first did
 	told   uint64            // how many of ours it holds, as far as it last said
 	held   uint64            // the same, from answers alone, which cannot be old
-	ours   map[uint64]uint64 // how many of its notices we hold, by its life
+	ours   map[uint64]uint64 // how many of its intents we hold, by its life
 }
 
 // lives is how many earlier lives of a peer are remembered, for messages of theirs
 // that come late.
 const lives = 4
 
-// New returns an empty log of a process that began at the given time. Notices are
+// New returns an empty log of a process that began at the given time. Intents are
 // kept for the given time, and max at most; after the time whole nothing matters
 // any more that an earlier process of the same name may have held.
 func New(peers []string, keep, whole time.Duration, max int) *Log {
 	l := &Log{
-		life: rand.Uint64() | 1, keep: keep, max: max, whole: whole, known: map[protocol.Notice]bool{},
+		life: rand.Uint64() | 1, keep: keep, max: max, whole: whole, known: map[protocol.Intent]bool{},
 		jobs: map[string]time.Duration{}, mine: map[string]Own{}, peers: map[string]*peer{}, news: make(chan struct{}),
 	}
 	for _, p := range peers {
@@ -75,7 +75,7 @@
 	return l
 }
 
-// Announce notes that a job is about to be called cancelled. A notice of ours that
+// Announce notes that a job is about to be called cancelled. An intent of ours that
 // is no older than fresh is used again.
 func (l *Log) Announce(now, fresh time.Duration, job string) (Own, error) {
 	l.mu.Lock()
@@ -87,13 +87,13 @@
 	if len(l.list) >= l.max {
 		return Own{}, ErrFull
 	}
-	l.add(now, protocol.Notice{Job: job, Mark: rand.Uint64()})
+	l.add(now, protocol.Intent{Job: job, Mark: rand.Uint64()})
 	o := Own{Seq: l.base + uint64(len(l.list)), At: now}
 	l.mine[job] = o
 	return o, nil
 }
 
-func (l *Log) add(now time.Duration, n protocol.Notice) {
+func (l *Log) add(now time.Duration, n protocol.Intent) {
 	l.list = append(l.list, entry{n, now})
 	l.known[n] = true
 	l.jobs[n.Job] = now
@@ -104,7 +104,7 @@
 	n := 0
 	for n < len(l.list) && now-l.list[n].at > l.keep {
 		e := l.list[n]
-		delete(l.known, e.Notice)
+		delete(l.known, e.Intent)
 		if l.jobs[e.Job] == e.at {
 			delete(l.jobs, e.Job)
 		}
@@ -120,7 +120,7 @@
 }
 
 // Holders returns how many controllers, with this one, surely hold the first seq
-// notices, and a channel that is closed when that may have changed.
+// intents, and a channel that is closed when that may have changed.
 func (l *Log) Holders(seq uint64) (int, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,7 +134,7 @@
 }
 
 // Fill puts into a message to a peer what it does not hold yet, and what we hold
-// of its notices: of the life that it speaks in, or if that is 0, of the one that
+// of its intents: of the life that it speaks in, or if that is 0, of the one that
 // last answered us.
 func (l *Log) Fill(now time.Duration, to string, life uint64, m *protocol.MeshMessage) {
 	l.mu.Lock()
@@ -151,22 +151,22 @@
 	m.HeldLife, m.Held = life, p.ours[life]
 	m.Expired, m.Base = l.base, max(l.base, p.told)
 	rest := l.list[min(m.Base-l.base, uint64(len(l.list))):]
-	m.More = len(rest) > protocol.MaxNotices
-	for _, e := range rest[:min(len(rest), protocol.MaxNotices)] {
-		m.Notices = append(m.Notices, e.Notice)
+	m.More = len(rest) > protocol.MaxIntents
+	for _, e := range rest[:min(len(rest), protocol.MaxIntents)] {
+		m.Intents = append(m.Intents, e.Intent)
 	}
 }
 
 // Taken is what a peer's message brought.
 type Taken struct {
-	// Complete says that we now hold every notice that the peer holds.
+	// Complete says that we now hold every intent that the peer holds.
 	Complete bool
 	// Whole says that it has forgotten none that may still matter, and LifeAt when
 	// its process first answered us.
 	Whole  bool
 	LifeAt time.Duration
-	// News are the notices that we did not hold.
-	News []protocol.Notice
+	// News are the intents that we did not hold.
+	News []protocol.Intent
 }
 
 // Take takes in what a peer's message brings. reply says that it answers a message
@@ -192,7 +192,7 @@
 	}
 	t := Taken{Whole: m.Whole, LifeAt: p.lifeAt}
 	end := m.Base
-	for _, n := range m.Notices {
+	for _, n := range m.Intents {
 		if !l.known[n] {
 			if len(l.list) >= l.max {
 				break // not held, and so not acknowledged
@@ -208,7 +208,7 @@
 	if !gap {
 		p.ours[m.Life] = max(p.ours[m.Life], end)
 	}
-	t.Complete = reply && !gap && !m.More && end == m.Base+uint64(len(m.Notices))
+	t.Complete = reply && !gap && !m.More && end == m.Base+uint64(len(m.Intents))
 	if m.HeldLife != l.life {
 		p.told = 0
 	} else {
@@ -226,7 +226,7 @@
 // may have held.
 func (l *Log) Whole(now time.Duration) bool { return now >= l.whole }
 
-// Oldest returns when the oldest notice came that is still held, if there is one.
+// Oldest returns when the oldest intent came that is still held, if there is one.
 func (l *Log) Oldest(now time.Duration) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -237,7 +237,7 @@
 	return l.list[0].at, true
 }
 
-// Active says whether a notice of the job is held.
+// Active says whether an intent of the job is held.
 func (l *Log) Active(now time.Duration, job string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -245,7 +245,7 @@
 	return ok && now-at <= l.keep
 }
 
-// Jobs returns the jobs of which a notice is held, and when the newest came.
+// Jobs returns the jobs of which an intent is held, and when the newest came.
 func (l *Log) Jobs(now time.Duration) map[string]time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/coordination/notice/notice_test.go
+++ b/internal/coordination/cancellation/cancellation_test.go
@@ -1,4 +1,4 @@
-package notice
+package cancellation
 
 import (
 	"fmt"
@@ -18,9 +18,9 @@
 	amnesia = 10 * time.Second
 )
 
-// TestWordIsNeverTooMuch plays two controllers that hand each other notices over a
+// TestWordIsNeverTooMuch plays two controllers that hand each other intents over a
 // network that loses messages and brings old ones again, and that begin anew. Whoever
-// is said to hold a notice does; whoever is said to be complete has everything that
+// is said to hold an intent does; whoever is said to be complete has everything that
 // the other holds and that is not over.
 func TestWordIsNeverTooMuch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -75,8 +75,8 @@
 				got := logs[me].Take(now, &r, true)
 				if got.Complete {
 					for _, e := range logs[peer].list {
-						if now-e.at <= keep && !logs[me].known[e.Notice] {
-							t.Fatalf("%s is complete without %v of %s", me, e.Notice, peer)
+						if now-e.at <= keep && !logs[me].known[e.Intent] {
+							t.Fatalf("%s is complete without %v of %s", me, e.Intent, peer)
 						}
 					}
 				}
@@ -85,19 +85,19 @@
 				}
 				held := logs[me].peers[peer].held
 				for k, e := range logs[me].list {
-					if logs[me].base+uint64(k) < held && !logs[peer].known[e.Notice] && now-e.at < keep {
-						t.Fatalf("%s takes %s to hold %v: %d", me, peer, e.Notice, held)
+					if logs[me].base+uint64(k) < held && !logs[peer].known[e.Intent] && now-e.at < keep {
+						t.Fatalf("%s takes %s to hold %v: %d", me, peer, e.Intent, held)
 					}
 				}
 			}
 			for _, l := range logs {
 				if len(l.list) > most || len(l.known) != len(l.list) {
-					t.Fatalf("%d notices, %d known, of at most %d", len(l.list), len(l.known), most)
+					t.Fatalf("%d intents, %d known, of at most %d", len(l.list), len(l.known), most)
 				}
 			}
 		}
 		// With no more trouble both hold all that fits.
-		for range 2 * (1 + n/protocol.MaxNotices) {
+		for range 2 * (1 + n/protocol.MaxIntents) {
 			for i, me := range names {
 				q := send(me, names[1-i], 0)
 				logs[names[1-i]].Take(now, &q, false)
@@ -114,25 +114,25 @@
 	})
 }
 
-// TestNoticesAreOfLimitedUse: a notice of ours serves again only while it is fresh,
+// TestIntentsAreOfLimitedUse: an intent of ours serves again only while it is fresh,
 // all are forgotten in the end, and a peer of an older version consents to nothing.
-func TestNoticesAreOfLimitedUse(t *testing.T) {
+func TestIntentsAreOfLimitedUse(t *testing.T) {
 	l := New([]string{"b"}, keep, 0, 3)
 	first, _ := l.Announce(0, time.Second, "j-1")
 	if again, _ := l.Announce(time.Second, time.Second, "j-1"); again != first {
-		t.Errorf("a fresh notice was made again: %v", again)
+		t.Errorf("a fresh intent was made again: %v", again)
 	}
 	if later, _ := l.Announce(2*time.Second, time.Second, "j-1"); later == first {
-		t.Error("an old notice served again")
+		t.Error("an old intent served again")
 	}
 	for i := range 3 {
 		_, err := l.Announce(3*time.Second, 0, fmt.Sprintf("j-%d", i+2))
 		if (err == nil) != (i < 1) {
-			t.Errorf("notice %d of at most 3: %v", i+3, err)
+			t.Errorf("intent %d of at most 3: %v", i+3, err)
 		}
 	}
 	if got := l.Take(3*time.Second, &protocol.MeshMessage{From: "b"}, true); got.Complete || got.Whole {
-		t.Errorf("a peer without notices: %+v", got)
+		t.Errorf("a peer without intents: %+v", got)
 	}
 	if held, _ := l.Holders(first.Seq); held != 1 {
 		t.Errorf("%d hold what nobody acknowledged", held)
--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -30,10 +30,10 @@
 	// Horizon is for how long whoever knew of every cancellation up to some time may
 	// still renew leases: the leases must be over before the tasks have to be gone.
 	Horizon time.Duration
-	// Confirm is within what time of its notice a cancellation is confirmed, or
-	// else not without another notice.
+	// Confirm is within what time of its intent a cancellation is confirmed, or
+	// else not without another intent.
 	Confirm time.Duration
-	// Amnesia is how long after its start a controller may have forgotten notices
+	// Amnesia is how long after its start a controller may have forgotten intents
 	// that matter: until every task has ended whose lease was last renewed by
 	// somebody who did not know them.
 	Amnesia time.Duration
@@ -54,7 +54,7 @@
 		Term    uint64
 	}
 	// Beat is a peer's message; Reply is true if it answers ours, sent at Sent.
-	// Complete says that we now hold every notice which the peer holds, Whole that
+	// Complete says that we now hold every intent which the peer holds, Whole that
 	// it has forgotten none that may still matter, and LifeAt when its process first
 	// answered us.
 	Beat struct {
@@ -152,7 +152,7 @@
 	won    time.Duration            // when the claim of our term was sent
 	sight  time.Duration            // up to when we know the state service's changes; 0: not at all
 	acks   map[string]time.Duration // when the last beat was sent that was acknowledged
-	full   map[string]time.Duration // and with all notices
+	full   map[string]time.Duration // and with all intents
 	out    []Effect
 }
 
@@ -319,7 +319,7 @@
 // aware is up to when we surely know of every cancellation that users were told
 // of; 0 if that cannot be said of any time. Either the state service has shown us
 // its changes; or a majority, of which each has forgotten nothing, has handed us
-// its notices: a cancellation is not committed before a majority holds its notice,
+// its intents: a cancellation is not committed before a majority holds its intent,
 // and two majorities meet.
 func (m *Machine) aware(now time.Duration) time.Duration {
 	if now < m.began+m.times.Amnesia && !m.outlived(m.began) {
@@ -341,7 +341,7 @@
 }
 
 // outlived says whether the state service has shown us all that a process which
-// began at the given time may have forgotten: notices that it held before have
+// began at the given time may have forgotten: intents that it held before have
 // been committed since, or never will be by their own.
 func (m *Machine) outlived(began time.Duration) bool {
 	return m.sight >= began+m.times.Confirm+m.times.Silent
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -242,11 +242,11 @@
 	})
 }
 
-// TestCaretakerOnlyByMajority: one controller that says it reaches the state service
+// TestStandbyRenewalOnlyByMajority: one controller that says it reaches the state service
 // or knows a leader forbids it, for somebody can lead. Otherwise it takes a majority
-// that has just spoken, and one that has handed on all its notices, and forgotten none,
+// that has just spoken, and one that has handed on all its intents, and forgotten none,
 // within the horizon; whoever has not counts for nothing.
-func TestCaretakerOnlyByMajority(t *testing.T) {
+func TestStandbyRenewalOnlyByMajority(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Minute
 		peers := []string{"a", "b", "c", "d"}[:rapid.SampledFrom([]int{1, 2, 4}).Draw(t, "peers")]
@@ -277,18 +277,18 @@
 		stateOK := rapid.IntRange(0, 3).Draw(t, "state") == 0
 		whole := rapid.IntRange(0, 3).Draw(t, "whole") != 0
 		want := !forbidden && 2*agree > len(peers)+1 && 2*known > len(peers)+1 && v.Leader == "" && !stateOK && whole
-		if got := Caretake(now, times, v, stateOK, whole, peers, heard); got != want {
+		if got := MayRenewOnStandby(now, times, v, stateOK, whole, peers, heard); got != want {
 			t.Fatalf("%v for %+v, %+v, state %v, whole %v", got, v, heard, stateOK, whole)
 		}
 	})
-	if Caretake(time.Minute, times, View{}, false, true, nil, nil) {
+	if MayRenewOnStandby(time.Minute, times, View{}, false, true, nil, nil) {
 		t.Error("one controller alone may not")
 	}
 }
 
 // TestOnlyWhoKnowsOfCancellationsAnswersWorkers: a leader whose lease is renewed but
-// that neither sees the state service's changes nor has a majority's notices is not
-// aware, and gives up. A peer that may have forgotten notices counts only once the
+// that neither sees the state service's changes nor has a majority's intents is not
+// aware, and gives up. A peer that may have forgotten intents counts only once the
 // service has shown all that it can have forgotten.
 func TestOnlyWhoKnowsOfCancellationsAnswersWorkers(t *testing.T) {
 	lead := func() *Machine {
@@ -315,8 +315,8 @@
 		{"renewed only", Renewed{Term: 1}, -time.Hour, 0},
 		{"saw the changes", Sight{Term: 1, At: 11 * time.Second}, -time.Hour, 15 * time.Second},
 		{"saw them in another term", Sight{Term: 2, At: 11 * time.Second}, -time.Hour, 0},
-		{"a majority's notices", beat(true, true, 0, 11*time.Second), -time.Hour, 15 * time.Second},
-		{"not all notices", beat(true, false, 0, 11*time.Second), -time.Hour, 0},
+		{"a majority's intents", beat(true, true, 0, 11*time.Second), -time.Hour, 15 * time.Second},
+		{"not all intents", beat(true, false, 0, 11*time.Second), -time.Hour, 0},
 		{"a peer that forgot", beat(false, true, 9*time.Second, 11*time.Second), -time.Hour, 0},
 		{"forgot itself", beat(true, true, 0, 11*time.Second), 9 * time.Second, 0},
 	} {
--- a/internal/coordination/election/caretaker.go
+++ b/internal/coordination/election/standby.go
@@ -7,25 +7,25 @@
 	At      time.Duration
 	StateOK bool   // it reaches the state service
 	Leader  string // whom it takes for the leader
-	// Known is when a message was last sent whose answer brought all its notices, of
+	// Known is when a message was last sent whose answer brought all its intents, of
 	// which it had forgotten none that may still matter; 0: never.
 	Known time.Duration
 }
 
-// Caretake says whether this controller may renew workers' leases although
+// MayRenewOnStandby says whether this controller may renew workers' leases although
 // nobody leads: when the leader has died in an outage of the state service,
 // no other can be chosen, and all tasks would be killed by their leases.
 //
 // It takes a majority, with this controller, of those that have just said that
 // they reach neither the state service nor a leader: nobody could do better. And it
-// takes one that has handed on all its notices not long ago. Before a user is told that
-// a job is cancelled, a majority holds a notice of it; so one of those did, and the
-// notices of all of them together tell what has to be stopped. Leases may be renewed on
+// takes one that has handed on all its intents not long ago. Before a user is told that
+// a job is cancelled, a majority holds an intent of it; so one of those did, and the
+// intents of all of them together tell what has to be stopped. Leases may be renewed on
 // the strength of that within the Horizon. A controller that began lately has forgotten
-// its notices and counts for nothing: until every task has ended whose lease was last
+// its intents and counts for nothing: until every task has ended whose lease was last
 // renewed without knowing what it forgot. No other command is given, and a lease is
 // never a proof that a task is gone.
-func Caretake(now time.Duration, t Times, v View, stateOK, whole bool, peers []string, heard map[string]Peer) bool {
+func MayRenewOnStandby(now time.Duration, t Times, v View, stateOK, whole bool, peers []string, heard map[string]Peer) bool {
 	if !whole || len(peers) == 0 || !Leaderless(now, t, "", v, stateOK, peers, heard) {
 		return false
 	}
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -32,9 +32,9 @@
 	// Sighted is told up to when all of them are known.
 	Watch   time.Duration
 	Sighted func(term uint64, at time.Duration)
-	// Withdrawals returns the jobs of which a notice of cancellation is held, and when
+	// Withdrawals returns the jobs of which an intent of cancellation is held, and when
 	// the newest came; IsWithdrawn says it of one. Without another, a cancellation is
-	// confirmed within Confirm of its notice or not at all.
+	// confirmed within Confirm of its intent or not at all.
 	Withdrawals func(now time.Duration) map[string]time.Duration
 	IsWithdrawn func(job string) bool
 	Confirm     time.Duration
--- /dev/null
+++ b/internal/coordination/scheduler/allocate_test.go
@@ -0,0 +1,181 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/fleet"
+	"pinebay/internal/protocol"
+)
+
+// TestAllocationInvariants throws jobs at machines: gangs start whole or not
+// at all, nothing is overcommitted, and limits, zones and kinds are kept.
+func TestAllocationInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := float64(rapid.IntRange(0, 30).Draw(t, "limit"))
+		b := newBench([]config.Team{{Name: "red", GPUsMax: limit}, {Name: "blue"}}, "a", "b")
+		zone, spot := map[string]string{}, map[string]bool{}
+		for i := range rapid.IntRange(1, 6).Draw(t, "machines") {
+			name := fmt.Sprintf("m%d", i)
+			zone[name] = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
+			spot[name] = rapid.IntRange(0, 3).Draw(t, "spot") == 0
+			b.machine(name, zone[name], spot[name])
+		}
+		jobs := map[string]protocol.Job{}
+		for i := range rapid.IntRange(1, 12).Draw(t, "jobs") {
+			j := spec(fmt.Sprintf("j-%d", i), rapid.SampledFrom([]protocol.Shape{protocol.Array, protocol.Gang, protocol.Service}).Draw(t, "shape"),
+				rapid.SampledFrom([]protocol.Priority{"critical", "normal", "best_effort"}).Draw(t, "prio"),
+				rapid.IntRange(1, 9).Draw(t, "tasks"), float64(rapid.IntRange(1, 8).Draw(t, "gpus")))
+			j.Team = rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team")
+			j.SameZone = rapid.Bool().Draw(t, "same")
+			j.Spread = !j.SameZone && rapid.Bool().Draw(t, "spread")
+			j.Spot = rapid.Bool().Draw(t, "spot")
+			if rapid.Bool().Draw(t, "fixed") {
+				j.Zone = "a"
+			}
+			jobs[j.ID] = j
+			b.job(j)
+			if rapid.Bool().Draw(t, "cycle") {
+				b.cycle()
+			}
+		}
+		for range 6 {
+			b.cycle()
+		}
+		used, red := map[string]float64{}, 0.0
+		zones := map[string]map[string]int{}
+		for id, m := range b.on {
+			j := jobs[id.Job]
+			used[m] += j.GPUs
+			if j.Team == "red" {
+				red += j.GPUs
+			}
+			if zones[id.Job] == nil {
+				zones[id.Job] = map[string]int{}
+			}
+			zones[id.Job][zone[m]]++
+			if spot[m] && !j.Spot || j.Zone != "" && j.Zone != zone[m] {
+				t.Fatalf("%v on %s: zone %s spot %v", id, m, zone[m], spot[m])
+			}
+		}
+		for m, u := range used {
+			if u > 8 {
+				t.Fatalf("%s holds %v of 8 GPUs", m, u)
+			}
+		}
+		if limit > 0 && red > limit {
+			t.Fatalf("team uses %v of %v", red, limit)
+		}
+		for id, j := range jobs {
+			n := b.started(id)
+			if j.Shape == protocol.Gang && n != 0 && n != j.Tasks {
+				t.Fatalf("gang %s: %d of %d started", id, n, j.Tasks)
+			}
+			if j.SameZone && len(zones[id]) > 1 {
+				t.Fatalf("%s is in zones %v", id, zones[id])
+			}
+			for z, n := range zones[id] {
+				if j.Spread && n > (j.Tasks+1)/2 {
+					t.Fatalf("%s has %d of %d in %s", id, n, j.Tasks, z)
+				}
+			}
+		}
+	})
+}
+
+// TestHeldRoomAndBackfill: a short gang's room stays closed to smaller jobs
+// for three cycles, and then they may backfill it.
+func TestHeldRoomAndBackfill(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.machine("m1", "a", false)
+	b.job(spec("j-1", protocol.Gang, "urgent", 2, 8)) // needs two machines
+	small := spec("j-2", protocol.Array, "urgent", 1, 1)
+	small.Class = "d"
+	for cycle := 1; cycle <= shortCycles+1; cycle++ {
+		if cycle == 1 {
+			b.now++
+			b.job(small)
+		}
+		b.machine("m1", "a", false)
+		b.cycle()
+		if got, want := b.started("j-2"), cycle > shortCycles; (got == 1) != want {
+			t.Fatalf("cycle %d: backfilled %v", cycle, got)
+		}
+	}
+	if b.started("j-1") != 0 {
+		t.Error("part of the gang was started")
+	}
+}
+
+// TestFleetIsPlannedInACrowd: however often something relevant arrives, the fleet
+// is planned once a second. With hundreds of machines every eager cycle had a
+// reason, and dead machines were not fenced for minutes.
+func TestFleetIsPlannedInACrowd(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	lists, until := 0, 30*time.Second
+	for i := 0; b.now < until; i++ {
+		b.now += Eager
+		b.job(spec(fmt.Sprintf("j-%d", i), protocol.Array, "normal", 1, 1))
+		for _, e := range b.c.Step(b.now, Tick{}) {
+			if f, ok := e.(Fleet); ok && f.Effect == (fleet.List{}) {
+				lists++
+				b.do(Listed{Asked: b.now})
+			}
+		}
+	}
+	every := config.Seconds(b.c.cfg.Cloud.ListLagS/2) + Cycle // a list is asked for when the fleet is planned next
+	if want := int(until / every); lists < want {
+		t.Errorf("the machines were listed %d times, want %d", lists, want)
+	}
+}
+
+// TestTeamsAreServedInTurn: when more is asked than can be done, the queue of
+// one team does not shut out another's.
+func TestTeamsAreServedInTurn(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}, {Name: "blue"}}, "a")
+	for i := range 20 {
+		b.job(spec(fmt.Sprintf("j-%d", i), protocol.Service, "normal", 1, 1))
+	}
+	b.now++
+	for i := range 20 {
+		j := spec(fmt.Sprintf("j-%d", 100+i), protocol.Service, "normal", 1, 1)
+		j.Team = "blue"
+		b.job(j)
+	}
+	b.machine("m1", "a", false)
+	b.cycle()
+	if red, blue := b.c.machines.Usage("red").GPUs, b.c.machines.Usage("blue").GPUs; red != 4 || blue != 4 {
+		t.Errorf("red has %v, blue %v of 8", red, blue)
+	}
+}
+
+// TestLargestJob: a job of 100,000 tasks is taken, paged and placed without
+// its size showing in what each cycle costs.
+func TestLargestJob(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	for i := range 10 {
+		b.machine(fmt.Sprintf("m%d", i), "a", false)
+	}
+	b.job(spec("j-1", protocol.Array, "normal", protocol.MaxTasks, 1))
+	done := 0
+	for range 30 {
+		b.cycle()
+		by := map[string][]protocol.TaskReport{}
+		for id, c := range b.runs {
+			by[b.on[id]] = append(by[b.on[id]], protocol.TaskReport{Name: id.String(), Attempt: c.Attempt, State: protocol.Exited, Cause: protocol.CauseDone})
+			done++
+		}
+		clear(b.runs)
+		for i := range 10 {
+			m := fmt.Sprintf("m%d", i)
+			b.machine(m, "a", false, by[m]...)
+		}
+	}
+	if s, ok := b.c.Status("j-1"); !ok || s.Done != done || done < 30*80/2 {
+		t.Errorf("%+v, %d done", s, done)
+	}
+}
--- /dev/null
+++ b/internal/coordination/scheduler/bench_test.go
@@ -0,0 +1,133 @@
+package scheduler
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+// bench drives a core whose writes succeed at once and whose machines are
+// just reports.
+type bench struct {
+	c     *Core
+	now   time.Duration
+	rev   uint64
+	seq   map[string]uint64
+	runs  map[protocol.TaskID]protocol.Command
+	on    map[protocol.TaskID]string // machine of each run
+	stops map[protocol.TaskID]float64
+	last  []protocol.Txn
+	tasks map[string]map[protocol.TaskID]protocol.TaskReport // by machine
+	token map[string]uint64
+	zone  map[string]string
+	spot  map[string]bool
+}
+
+func newBench(teams []config.Team, zones ...string) *bench {
+	cfg := &config.Deployment{
+		Nodes: 3, Teams: teams, Workers: config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 40, GangPeerS: 4, CancelS: 40},
+		State: config.State{RPS: 100, WriteRPS: 30, ValueKB: 8, TxnOps: 16}, Cloud: config.Cloud{RPS: 2, ListLagS: 5}, Quota: config.Quota{CoreShare: 0.1},
+	}
+	types := []protocol.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, CacheGB: 100, FetchGBPerS: 1, Price: 4, SpotPrice: 1, BootS: 30, Zones: zones}}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	return &bench{c: New(0, cfg, log, 5, 1, types, nil, nil, nil, 0), rev: 10, seq: map[string]uint64{},
+		runs: map[protocol.TaskID]protocol.Command{}, on: map[protocol.TaskID]string{}, stops: map[protocol.TaskID]float64{},
+		tasks: map[string]map[protocol.TaskID]protocol.TaskReport{}, token: map[string]uint64{}, zone: map[string]string{}, spot: map[string]bool{}}
+}
+
+func (b *bench) do(e Event) {
+	for _, out := range b.c.Step(b.now, e) {
+		switch o := out.(type) {
+		case Write:
+			b.rev++
+			b.last = append(b.last, o.Txn)
+			b.do(Written{Write: o.ID, OK: true, Rev: b.rev})
+		case Order:
+			b.take(o.Machine, o.Orders.Token, o.Orders.Commands)
+			b.do(OrdersDone{Machine: o.Machine, OK: true, Report: b.report(o.Machine)})
+		case Answer:
+			b.take(o.Tag.(string), o.Body.Token, o.Body.Commands)
+		}
+	}
+}
+
+func (b *bench) take(machine string, token uint64, cmds []protocol.Command) {
+	b.token[machine] = max(b.token[machine], token)
+	for _, c := range cmds {
+		id, err := protocol.ParseTaskID(c.Name)
+		if err != nil {
+			panic(err) // the core made it
+		}
+		switch c.Verb {
+		case protocol.Run:
+			b.runs[id], b.on[id] = c, machine
+			b.tasks[machine][id] = protocol.TaskReport{Name: c.Name, Attempt: c.Attempt, State: protocol.Fetching}
+		case protocol.Stop:
+			b.stops[id] = *c.GraceS
+		case protocol.Forget:
+			delete(b.tasks[machine], id)
+		}
+	}
+}
+
+func (b *bench) report(name string) *protocol.Report {
+	b.seq[name]++
+	r := &protocol.Report{Machine: name, Addr: "x", Type: "g8", Zone: b.zone[name], Spot: b.spot[name], Session: 1,
+		Seq: b.seq[name], Token: b.token[name]}
+	for _, t := range b.tasks[name] {
+		r.Tasks = append(r.Tasks, t)
+	}
+	return r
+}
+
+// machine reports for a machine, whose tasks are now as given.
+func (b *bench) machine(name, zone string, spot bool, tasks ...protocol.TaskReport) {
+	if b.tasks[name] == nil {
+		b.tasks[name] = map[protocol.TaskID]protocol.TaskReport{}
+	}
+	b.zone[name], b.spot[name] = zone, spot
+	for _, t := range tasks {
+		id, err := protocol.ParseTaskID(t.Name)
+		if err != nil {
+			panic(err) // the test made it
+		}
+		b.tasks[name][id] = t
+	}
+	b.do(Reported{Tag: name, Report: b.report(name)})
+}
+
+func (b *bench) job(j protocol.Job) {
+	b.rev++
+	b.do(JobSet{Record: storage.LiveRecord{Job: j, AtMS: b.now.Milliseconds()}, Stamp: b.rev})
+}
+
+func (b *bench) cycle() {
+	b.now += Cycle
+	b.do(Tick{})
+}
+
+func spec(id string, shape protocol.Shape, prio protocol.Priority, tasks int, gpus float64) protocol.Job {
+	return protocol.Job{ID: id, Class: "c", Team: "red", Shape: shape, Priority: prio, Tasks: tasks, CPUs: 1, GPUs: gpus, MemoryGB: 1, Image: "i", ImageGB: 1}
+}
+
+func (b *bench) started(id string) int {
+	n := 0
+	for t := range b.runs {
+		if t.Job == id {
+			n++
+		}
+	}
+	return n
+}
+
+func running(id protocol.TaskID, attempt uint64) protocol.TaskReport {
+	return protocol.TaskReport{Name: id.String(), Attempt: attempt, State: protocol.TaskRunning}
+}
--- a/internal/coordination/scheduler/cancel_test.go
+++ b/internal/coordination/scheduler/cancel_test.go
@@ -7,8 +7,8 @@
 	"pinebay/internal/protocol"
 )
 
-// TestWithdrawnJobs: a notice stops a job of any shape at once and keeps it from
-// starting, also one that is accepted after the notice came. The job runs again only
+// TestWithdrawnJobs: an intent stops a job of any shape at once and keeps it from
+// starting, also one that is accepted after the intent came. The job runs again only
 // once the state service has shown that it lives when nobody can confirm the
 // cancellation any more; if it is cancelled, that is the end.
 func TestWithdrawnJobs(t *testing.T) {
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -202,7 +202,7 @@
 	if full || c.due && now-c.lastCycle >= Eager*time.Duration(1+len(c.jobs)/crowd) {
 		c.lastCycle, c.due = now, false
 		jobs := c.sorted()
-		c.notices(now)
+		c.stopOnNotice(now)
 		c.schedule(now, jobs)
 		for _, j := range jobs {
 			if c.writeDue(now, j) {
--- /dev/null
+++ b/internal/coordination/scheduler/failure_test.go
@@ -0,0 +1,158 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// TestGangRestartsWhole: when one of its tasks is gone, the others are stopped
+// and the gang starts again with one new attempt number, but only once all of
+// the old attempt is proven gone.
+func TestGangRestartsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 5).Draw(t, "tasks")
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		for i := range n + 1 {
+			b.machine(fmt.Sprintf("m%d", i), "a", false)
+		}
+		b.job(spec("j-1", protocol.Gang, "urgent", n, 8))
+		b.cycle()
+		first := map[protocol.TaskID]string{}
+		for id, m := range b.on {
+			first[id] = m
+			b.machine(m, "a", false, running(id, 1))
+		}
+		if len(first) != n {
+			t.Fatalf("%d of %d started", len(first), n)
+		}
+		lost := protocol.TaskID{Job: "j-1", Task: rapid.IntRange(0, n-1).Draw(t, "lost")}
+		clear(b.runs)
+		cause := rapid.SampledFrom([]protocol.Cause{protocol.CauseError, protocol.CausePeers, protocol.CauseIncomplete}).Draw(t, "cause")
+		b.machine(first[lost], "a", false, protocol.TaskReport{Name: lost.String(), Attempt: 1, State: protocol.Exited, Cause: cause})
+		b.cycle()
+		if len(b.stops) != n-1 || len(b.runs) != 0 {
+			t.Fatalf("stopped %v, started %v", b.stops, b.runs)
+		}
+		for id, m := range first {
+			if id != lost {
+				if len(b.runs) != 0 {
+					t.Fatalf("restarted while %v is not gone", id)
+				}
+				b.machine(m, "a", false, protocol.TaskReport{Name: id.String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseStopped})
+			}
+		}
+		// The entries are forgotten once the workers have seen a new epoch.
+		for range 40 {
+			for i := range n + 1 {
+				b.machine(fmt.Sprintf("m%d", i), "a", false)
+			}
+			b.cycle()
+		}
+		if len(b.runs) != n {
+			t.Fatalf("%d of %d restarted", len(b.runs), n)
+		}
+		for id, c := range b.runs {
+			if c.Attempt != 2 {
+				t.Fatalf("%v restarted as attempt %d", id, c.Attempt)
+			}
+		}
+	})
+}
+
+// TestDoneIsRecordedOnce: the last task's exit ends the job in the same
+// transaction that drops its page, and nothing is written for it after.
+func TestDoneIsRecordedOnce(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.machine("m1", "a", false)
+	b.job(spec("j-1", protocol.Array, "normal", 3, 1))
+	b.cycle()
+	var tasks []protocol.TaskReport
+	for id, c := range b.runs {
+		tasks = append(tasks, protocol.TaskReport{Name: id.String(), Attempt: c.Attempt, State: protocol.Exited, Cause: protocol.CauseDone})
+	}
+	b.machine("m1", "a", false, tasks[:2]...)
+	b.cycle()
+	b.machine("m1", "a", false, tasks...)
+	b.cycle()
+	end := b.last[len(b.last)-1]
+	if end.Then[0].Delete != storage.LiveKey("j-1") || end.Then[1].Put != storage.EndedKey("j-1") || end.Then[2].Delete != storage.PageKey("j-1", 0) {
+		t.Errorf("end %+v", end)
+	}
+	if end.If[0].Key != storage.TermKey || end.If[1].Key != storage.LiveKey("j-1") {
+		t.Errorf("the end is not fenced: %+v", end.If)
+	}
+	n := len(b.last)
+	b.cycle()
+	if len(b.last) != n || len(b.c.jobs) != 0 {
+		t.Errorf("%d writes after the end, %d jobs kept", len(b.last)-n, len(b.c.jobs))
+	}
+}
+
+// TestFaultyJobIsBackedOff: a job that fails everywhere must not get machines
+// set aside, nor take all the starts.
+func TestFaultyJobIsBackedOff(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	for i := range 6 {
+		b.machine(fmt.Sprintf("m%d", i), "a", false)
+	}
+	b.job(spec("j-1", protocol.Array, "normal", 1, 1))
+	id := protocol.TaskID{Job: "j-1"}
+	starts := 0
+	for range 120 {
+		b.cycle()
+		for i := range 6 {
+			m := fmt.Sprintf("m%d", i)
+			if c, ok := b.runs[id]; ok && b.on[id] == m {
+				starts++
+				delete(b.runs, id)
+				b.machine(m, "a", false, protocol.TaskReport{Name: id.String(), Attempt: c.Attempt, State: protocol.Exited, Cause: protocol.CauseError})
+				continue
+			}
+			b.machine(m, "a", false)
+		}
+	}
+	if starts < 3 || starts > 20 {
+		t.Errorf("%d starts in two minutes", starts)
+	}
+	for i := range 6 {
+		if m := b.c.machines.Machine(fmt.Sprintf("m%d", i)); m == nil || m.Sick {
+			t.Errorf("machine %d was set aside for a faulty job", i)
+		}
+	}
+}
+
+// TestFailingMachineIsNoSink: a machine that fails every task at once has room
+// again at once. The tasks of one large array must not go down it one after the
+// other; a machine is rented in its place, and the job is not taken for faulty.
+func TestFailingMachineIsNoSink(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.do(Listed{})
+	b.machine("m1", "a", false)
+	b.machine("m2", "a", false)
+	b.job(spec("j-1", protocol.Array, "normal", 40, 2))
+	failed, ran := map[protocol.TaskID]bool{}, 0
+	for range 30 {
+		b.cycle()
+		for id, c := range b.runs {
+			delete(b.runs, id)
+			r := protocol.TaskReport{Name: id.String(), Attempt: c.Attempt, State: protocol.Exited, Cause: protocol.CauseDone}
+			if b.on[id] == "m1" {
+				failed[id], r.Cause = true, protocol.CauseError
+			} else {
+				ran++
+			}
+			b.machine(b.on[id], "a", false, r)
+		}
+		b.machine("m1", "a", false)
+		b.machine("m2", "a", false)
+	}
+	if len(failed) > 4 || ran != 40 {
+		t.Errorf("%d tasks failed on the machine, %d ran elsewhere", len(failed), ran)
+	}
+}
--- a/internal/coordination/scheduler/lifecycle.go
+++ b/internal/coordination/scheduler/lifecycle.go
@@ -191,9 +191,9 @@
 	c.stopJob(now, j)
 }
 
-// notices takes work off machines that the cloud is about to take away: saved
+// stopOnNotice takes work off machines that the cloud is about to take away: saved
 // if that can be done in time.
-func (c *Core) notices(now time.Duration) {
+func (c *Core) stopOnNotice(now time.Duration) {
 	c.machines.Each(func(m *partition.Machine) {
 		if !m.Notice {
 			return
--- /dev/null
+++ b/internal/coordination/scheduler/preempt_test.go
@@ -0,0 +1,390 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+)
+
+// TestPreemption: work of lower priority gives way, and saves if it can; work
+// of the same priority never does.
+func TestPreemption(t *testing.T) {
+	for _, x := range []struct {
+		prio       protocol.Priority
+		checkpoint float64
+		aim        float64 // on waiting
+		grace      float64
+		stops      int
+	}{{"critical", 10, 60, 6, 1}, {"critical", 4, 60, 0, 1}, {"critical", 10, 4, 0, 1}, {"normal", 10, 60, 0, 0}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: x.aim, Share: 0.9}}
+		b.machine("m1", "a", false)
+		low := spec("j-1", protocol.Array, "normal", 1, 8)
+		low.CheckpointS, low.SaveS = x.checkpoint, 2
+		b.job(low)
+		b.cycle()
+		id := protocol.TaskID{Job: "j-1"}
+		high := spec("j-2", protocol.Service, x.prio, 1, 4)
+		high.Class = "quick"
+		b.job(high)
+		for range 4 {
+			b.machine("m1", "a", false, running(id, 1))
+			b.cycle()
+		}
+		if len(b.stops) != x.stops || b.stops[id] != x.grace {
+			t.Errorf("%s: stopped %v", x.prio, b.stops)
+		}
+	}
+}
+
+// TestPreemptionAcrossTeams: lower work of another team makes room as well, but for what
+// that team runs within its guarantee; and equal work does so for a guarantee alone.
+func TestPreemptionAcrossTeams(t *testing.T) {
+	for _, x := range []struct {
+		name       string
+		red, guest config.Team
+		prio       protocol.Priority
+		stops      int
+	}{
+		{"lower work of a guest", config.Team{}, config.Team{}, "urgent", 1},
+		{"equal work of a guest", config.Team{}, config.Team{}, "best_effort", 0},
+		{"equal work of a guest, for a guarantee", config.Team{GPUs: 8}, config.Team{}, "best_effort", 1},
+		{"lower work within its guarantee", config.Team{}, config.Team{GPUs: 8}, "urgent", 0},
+		{"lower work beyond its guarantee", config.Team{}, config.Team{GPUs: 4}, "urgent", 1},
+	} {
+		x.red.Name, x.guest.Name = "red", "guest"
+		b := newBench([]config.Team{x.red, x.guest}, "a")
+		b.machine("m1", "a", false)
+		low := spec("j-1", protocol.Array, "best_effort", 1, 8)
+		low.Team = "guest"
+		b.job(low)
+		b.cycle()
+		id := protocol.TaskID{Job: "j-1"}
+		b.job(spec("j-2", protocol.Gang, x.prio, 1, 8))
+		for range 4 {
+			b.machine("m1", "a", false, running(id, 1))
+			b.cycle()
+		}
+		if len(b.stops) != x.stops {
+			t.Errorf("%s: stopped %v", x.name, b.stops)
+		}
+	}
+}
+
+// TestClearedRoomIsTaken: room that was cleared for a task for want of any is
+// taken when it is free, although its fetch now lasts longer than what is left
+// of the aim on waiting. Waiting on for room with the image, which nobody was
+// clearing, had used up the whole aim.
+func TestClearedRoomIsTaken(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
+	b.machine("m1", "a", false)
+	low := spec("j-1", protocol.Gang, "urgent", 1, 8)
+	low.CheckpointS, low.SaveS = 30, 3
+	b.job(low)
+	b.cycle()
+	id := protocol.TaskID{Job: "j-1"}
+	b.machine("m1", "a", false, running(id, 1))
+	quick := spec("j-2", protocol.Service, "critical", 1, 8)
+	quick.Class, quick.Image, quick.ImageGB = "quick", "big", 9
+	b.job(quick)
+	for range 3 {
+		b.cycle()
+		b.machine("m1", "a", false, running(id, 1))
+	}
+	if _, stopped := b.stops[id]; !stopped {
+		t.Fatal("no room was cleared")
+	}
+	b.cycle()
+	b.machine("m1", "a", false, protocol.TaskReport{Name: id.String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseStopped, Saved: true})
+	b.cycle()
+	if b.started("j-2") != 1 {
+		t.Error("the cleared room was not taken")
+	}
+}
+
+// TestLateGangsMakeRoom: when more is asked than can be done, a gang that can
+// still start in time goes before an older one of its class that is late
+// whatever is done; and that one comes first again in the end.
+func TestLateGangsMakeRoom(t *testing.T) {
+	for _, x := range []struct {
+		waited int // seconds, by the older gang
+		want   string
+	}{{5, "j-2"}, {25, "j-3"}, {70, "j-2"}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.cfg.Objectives = []config.Objective{
+			{Kind: "wait", Class: "big", WithinS: 20, Share: 0.9}, {Kind: "finished", Class: "big", WithinS: 30, Share: 0.9},
+		}
+		gang := spec("j-1", protocol.Gang, "urgent", 1, 8)
+		gang.Class, gang.EstimateS = "big", 20
+		b.machine("m1", "a", false)
+		b.job(gang)
+		b.cycle()
+		id := protocol.TaskID{Job: "j-1"}
+		b.machine("m1", "a", false, running(id, 1))
+		gang.ID = "j-2"
+		b.job(gang)
+		for range x.waited {
+			b.machine("m1", "a", false, running(id, 1))
+			b.cycle()
+		}
+		gang.ID = "j-3"
+		b.job(gang)
+		b.machine("m1", "a", false, protocol.TaskReport{Name: id.String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseDone})
+		b.cycle()
+		if b.started(x.want) != 1 || b.started("j-2")+b.started("j-3") != 1 {
+			t.Errorf("after %d s j-2 started %d, j-3 %d, want %s", x.waited, b.started("j-2"), b.started("j-3"), x.want)
+		}
+	}
+}
+
+// TestClearedRoomYieldsToEarlierJobs: room that is being cleared for one gang is
+// closed to later jobs, not to those that come first, and is open again once its
+// gang has found room elsewhere. Else gangs each sit on a part of what one needs.
+func TestClearedRoomYieldsToEarlierJobs(t *testing.T) {
+	for _, x := range []struct {
+		owner string // for whom the first machine is being cleared
+		want  map[string]int
+	}{{"j-2", map[string]int{"j-1": 2, "j-3": 0}}, {"j-0", map[string]int{"j-1": 2, "j-3": 0}}, {"j-1", map[string]int{"j-1": 2, "j-3": 0}}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.machine("m0", "a", false)
+		b.job(spec("j-0", protocol.Gang, "urgent", 1, 8))
+		b.cycle()
+		b.machine("m0", "a", false, running(protocol.TaskID{Job: "j-0"}, 1))
+		for _, m := range []string{"m1", "m2"} {
+			b.machine(m, "a", false)
+		}
+		b.job(spec("j-1", protocol.Gang, "urgent", 2, 8))
+		b.job(spec("j-2", protocol.Gang, "urgent", 2, 8))
+		b.job(spec("j-3", protocol.Array, "normal", 1, 1))
+		m := b.c.machines.Machine("m1")
+		m.Reserved, m.ReservedUntil = x.owner, b.now+time.Minute
+		b.cycle()
+		for id, n := range x.want {
+			if got := b.started(id); got != n {
+				t.Errorf("cleared for %s: %s started %d tasks, want %d", x.owner, id, got, n)
+			}
+		}
+	}
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.machine("m1", "a", false)
+	b.job(spec("j-1", protocol.Service, "critical", 1, 16)) // fits nowhere
+	b.job(spec("j-2", protocol.Array, "normal", 1, 1))
+	m := b.c.machines.Machine("m1")
+	m.Reserved, m.ReservedUntil = "j-1", b.now+time.Minute
+	b.cycle()
+	if b.started("j-2") != 0 {
+		t.Error("a later job took room that is being cleared")
+	}
+}
+
+// TestColdReplicaLeavesRoomForTheNext: a replica that must fetch, for longer than
+// its class's aim, goes beside others where most room is left, so that the next
+// of its kind starts there without a fetch; not to an empty machine, which jobs
+// that want a whole one need.
+func TestColdReplicaLeavesRoomForTheNext(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 1, Share: 0.9}}
+	for i, gpus := range []float64{6, 3} {
+		name := fmt.Sprintf("m%d", i+1)
+		b.machine(name, "a", false)
+		j := spec(fmt.Sprintf("j-%d", i+1), protocol.Service, "critical", 1, gpus)
+		j.CPUs, j.MemoryGB = 8*gpus, 32*gpus
+		b.job(j)
+		b.cycle()
+		b.machine(name, "a", false, running(protocol.TaskID{Job: j.ID}, 1))
+		b.c.machines.Machine("m1").Sick = i == 0 // so that each has its own
+	}
+	b.c.machines.Machine("m1").Sick = false
+	b.machine("m0", "a", false)
+	quick := spec("j-3", protocol.Service, "critical", 1, 1)
+	quick.Class, quick.Image, quick.ImageGB = "quick", "small", 1
+	b.job(quick)
+	b.cycle()
+	if got := b.on[protocol.TaskID{Job: "j-3"}]; got != "m2" {
+		t.Errorf("the replica went to %q, want m2", got)
+	}
+}
+
+// TestFetchingArraysMakeWay: in a crowd, arrays that came first fetch on every
+// machine. A replica takes a machine as if they had left, and they leave: they
+// lose nothing but a fetch, while it would take twice as long beside them. Arrays
+// that run stay.
+func TestFetchingArraysMakeWay(t *testing.T) {
+	for _, x := range []struct {
+		state protocol.TaskState
+		prio  protocol.Priority
+		stops int
+	}{{protocol.Fetching, "critical", 1}, {"", "critical", 0}, {protocol.TaskRunning, "critical", 0}, {protocol.Fetching, "urgent", 0}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 40, Share: 0.9}}
+		b.machine("m1", "a", false)
+		low := spec("j-1", protocol.Array, "normal", 1, 1)
+		low.Image, low.ImageGB = "low", 20
+		b.job(low)
+		b.cycle()
+		id := protocol.TaskID{Job: "j-1"}
+		if x.state != "" { // else started, perhaps by an earlier leader, and not reported yet
+			b.machine("m1", "a", false, protocol.TaskReport{Name: id.String(), Attempt: 1, State: x.state})
+		} else {
+			b.c.jobs["j-1"].places[0].State = ""
+		}
+		high := spec("j-2", protocol.Service, x.prio, 1, 2)
+		high.Class, high.Image, high.ImageGB = "quick", "high", 30
+		b.job(high)
+		b.cycle()
+		b.do(Tick{}) // the run goes out once the stop is answered
+		if b.started("j-2") != 1 || len(b.stops) != x.stops {
+			t.Errorf("%s beside %s: started %d, stopped %v", x.prio, x.state, b.started("j-2"), b.stops)
+		}
+	}
+}
+
+// TestWarmRoomIsCleared guards the aim on short waits: a critical task with
+// cold free room and a warm machine full of lower work waits for the latter
+// to be cleared, and is not sent to fetch for longer than its aim.
+func TestWarmRoomIsCleared(t *testing.T) {
+	for _, x := range []struct {
+		prio protocol.Priority
+		want string
+	}{{"critical", "m1"}, {"urgent", "m2"}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
+		b.machine("m1", "a", false)
+		low := spec("j-2", protocol.Array, "normal", 1, 4)
+		low.CheckpointS, low.SaveS = 10, 2
+		b.job(low)
+		b.cycle()
+		two := protocol.TaskID{Job: "j-2"}
+		b.machine("m1", "a", false, running(two, 1))
+		first := spec("j-1", protocol.Service, "critical", 1, 4)
+		first.Class, first.Image, first.ImageGB = "quick", "big", 60
+		b.job(first)
+		b.cycle()
+		one := protocol.TaskID{Job: "j-1"}
+		b.machine("m1", "a", false, running(one, 1))
+		b.machine("m2", "a", false) // empty, without the image
+
+		next := first
+		next.ID, next.Priority = "j-3", x.prio
+		b.job(next)
+		b.cycle()
+		if _, stopped := b.stops[two]; stopped {
+			b.machine("m1", "a", false, protocol.TaskReport{Name: two.String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseStopped})
+		}
+		b.cycle()
+		if got := b.on[protocol.TaskID{Job: "j-3"}]; got != x.want {
+			t.Errorf("%s went to %q, want %s", x.prio, got, x.want)
+		}
+	}
+}
+
+// TestFetchesThatTakeLongerAreNotSwapped: two machines fetch the same image and
+// take longer than the type's rate says. Neither task may be moved to the
+// other's machine, where the fetch would begin anew once its own task has left;
+// only when one is seen past its fetch does the other join it.
+func TestFetchesThatTakeLongerAreNotSwapped(t *testing.T) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 40, Share: 0.9}}
+	one, two := protocol.TaskID{Job: "j-1"}, protocol.TaskID{Job: "j-2"}
+	fetching := func(id protocol.TaskID) protocol.TaskReport {
+		return protocol.TaskReport{Name: id.String(), Attempt: 1, State: protocol.Fetching}
+	}
+	for _, id := range []protocol.TaskID{one, two} {
+		b.machine("m-"+id.Job, "a", false)
+		j := spec(id.Job, protocol.Service, "critical", 1, 4)
+		j.Class, j.Image, j.ImageGB = "quick", "big", 40
+		b.job(j)
+		b.cycle()
+		b.machine("m-"+id.Job, "a", false, fetching(id))
+		b.c.machines.Machine("m-j-1").Sick = id == one // so that each has its own
+	}
+	b.c.machines.Machine("m-j-1").Sick = false
+	b.stops = map[protocol.TaskID]float64{}
+	for range 55 {
+		b.machine(b.on[one], "a", false, fetching(one))
+		b.machine(b.on[two], "a", false, fetching(two))
+		b.cycle()
+	}
+	if b.on[one] == b.on[two] || len(b.stops) > 0 {
+		t.Fatalf("on %s and %s, stopped %v", b.on[one], b.on[two], b.stops)
+	}
+	b.machine(b.on[one], "a", false, running(one, 1))
+	b.cycle()
+	if _, ok := b.stops[two]; !ok {
+		t.Error("the other task does not join the image that is there")
+	}
+}
+
+// TestRoomIsKeptForWaitAims: arrays of the same rank, which could not be
+// preempted for it, leave the room that a class with a wait aim is likely to
+// want, also if they have a looser one; the class itself may use it.
+func TestRoomIsKeptForWaitAims(t *testing.T) {
+	t.Run("no aim", func(t *testing.T) { roomIsKept(t) })
+	t.Run("looser aim", func(t *testing.T) {
+		roomIsKept(t, config.Objective{Kind: "wait", Class: "c", WithinS: 100, Share: 0.9})
+	})
+}
+
+func roomIsKept(t *testing.T, aims ...config.Objective) {
+	b := newBench([]config.Team{{Name: "red"}}, "a")
+	b.c.cfg.Objectives = append(aims, config.Objective{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9})
+	b.machine("m1", "a", false)
+	quick := spec("j-1", protocol.Service, "normal", 1, 4)
+	quick.Class = "quick"
+	b.job(quick)
+	b.cycle()
+	b.machine("m1", "a", false, running(protocol.TaskID{Job: "j-1"}, 1))
+	b.cycle()
+	b.machine("m1", "a", false)
+	b.job(spec("j-2", protocol.Array, "normal", 8, 1))
+	b.cycle()
+	if n := b.started("j-2"); n != 0 {
+		t.Errorf("%d array tasks took the room kept for others", n)
+	}
+	quick.ID = "j-3"
+	b.machine("m1", "a", false)
+	b.job(quick)
+	b.cycle()
+	if b.started("j-3") != 1 {
+		t.Error("the room was kept from those it was kept for")
+	}
+}
+
+// TestQuickRoomIsKeptFromLowerWork: a class whose fetch leaves no time to clear
+// room of arrays has its room kept free of them, and rented for if need be. At
+// many machines, arrays had else left no whole one free anywhere.
+func TestQuickRoomIsKeptFromLowerWork(t *testing.T) {
+	for _, x := range []struct {
+		within float64
+		tasks  int // of the array that may start
+	}{{45, 0}, {65, 8}} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "big", WithinS: x.within, Share: 0.9}}
+		b.machine("m1", "a", false)
+		gang := spec("j-1", protocol.Gang, "urgent", 1, 8)
+		gang.Class, gang.Image, gang.ImageGB = "big", "big", 40
+		b.job(gang)
+		b.cycle()
+		b.machine("m1", "a", false, running(protocol.TaskID{Job: "j-1"}, 1))
+		b.cycle()
+		b.machine("m2", "a", false)
+		low := spec("j-2", protocol.Array, "normal", 8, 1)
+		low.CheckpointS, low.SaveS = 10, 2
+		b.job(low)
+		b.cycle()
+		if n := b.started("j-2"); n != x.tasks {
+			t.Errorf("aim of %v s: %d array tasks on the last whole machine, want %d", x.within, n, x.tasks)
+		}
+		gang.ID = "j-3"
+		b.machine("m2", "a", false)
+		b.job(gang)
+		b.cycle()
+		if x.tasks == 0 && b.started("j-3") != 1 {
+			t.Error("the room was kept from those it was kept for")
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,10 +18,10 @@
 	"pinebay/internal/actor"
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/api"
+	"pinebay/internal/coordination/cancellation"
 	"pinebay/internal/coordination/election"
 	"pinebay/internal/coordination/fencing"
 	"pinebay/internal/coordination/leader"
-	"pinebay/internal/coordination/notice"
 	"pinebay/internal/storage"
 	"pinebay/internal/transport"
 )
@@ -53,7 +53,7 @@
 	leading   atomic.Pointer[leader.Leader]
 	fenceBox  *actor.Mailbox[fencing.Event]
 	fencing   *fencing.Monitor
-	notices   *notice.Log
+	intents   *cancellation.Log
 	wakes     map[string]chan struct{} // make the beat to a peer leave at once
 	peersMu   sync.Mutex
 	peers     map[string]election.Peer // what each last answered of itself
@@ -99,9 +99,9 @@
 		names = append(names, p.Node)
 		c.wakes[p.Node] = make(chan struct{}, 1)
 	}
-	keep := keepNotices(d, c.times)
+	keep := keepIntents(d, c.times)
 	// The state service's writes bound how many cancellations there can be.
-	c.notices = notice.New(names, keep, c.now()+c.times.Amnesia, int(max(1, d.State.WriteRPS*keep.Seconds())))
+	c.intents = cancellation.New(names, keep, c.now()+c.times.Amnesia, int(max(1, d.State.WriteRPS*keep.Seconds())))
 	c.mesh = transport.NewMesh(network, cfg.Node, peers, c.times.Silent/2, c.log, c.answerPeer,
 		func(node string) { c.box.Send(election.Lost{Peer: node}) })
 	c.elect = election.New(c.now(), cfg.Node, names, c.times)
--- a/internal/daemon/fence.go
+++ b/internal/daemon/fence.go
@@ -39,8 +39,8 @@
 
 // assess tells the fencing how this controller stands.
 func (c *Controller) assess(now time.Duration) fencing.Assessed {
-	a := fencing.Assessed{Leaderless: c.leaderless(now), Forgetful: !c.notices.Whole(now)}
-	a.Oldest, a.Held = c.notices.Oldest(now)
+	a := fencing.Assessed{Leaderless: c.leaderless(now), Forgetful: !c.intents.Whole(now)}
+	a.Oldest, a.Held = c.intents.Oldest(now)
 	return a
 }
 
--- a/internal/daemon/lead.go
+++ b/internal/daemon/lead.go
@@ -46,7 +46,7 @@
 				v := c.view.Load()
 				return v.Leading && v.Term == e.Term && c.now() < v.Until
 			},
-			Watch: c.times.Silent / 2, Confirm: c.times.Confirm, Withdrawals: c.notices.Jobs, IsWithdrawn: c.withdrawn,
+			Watch: c.times.Silent / 2, Confirm: c.times.Confirm, Withdrawals: c.intents.Jobs, IsWithdrawn: c.withdrawn,
 			Sighted: func(term uint64, at time.Duration) { c.box.Send(election.Sight{Term: term, At: at}) },
 			Deposed: func(term uint64, d scheduler.Depose) {
 				if d.Term > term {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -7,39 +7,39 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/api"
+	"pinebay/internal/coordination/cancellation"
 	"pinebay/internal/coordination/election"
-	"pinebay/internal/coordination/notice"
 	"pinebay/internal/protocol"
 )
 
-// keepNotices is how long notices are kept: until their tasks must be gone, and
+// keepIntents is how long intents are kept: until their tasks must be gone, and
 // for longer than a controller may have forgotten some.
-func keepNotices(d *config.Deployment, t election.Times) time.Duration {
+func keepIntents(d *config.Deployment, t election.Times) time.Duration {
 	return config.Seconds(d.Workers.CancelS) + t.Amnesia
 }
 
-func (c *Controller) caretaker() bool {
+func (c *Controller) mayRenewOnStandby() bool {
 	c.peersMu.Lock()
 	defer c.peersMu.Unlock()
 	now := c.now()
-	return election.Caretake(now, c.times, *c.view.Load(), c.stateOK(), c.notices.Whole(now), c.mesh.Peers(), c.peers)
+	return election.MayRenewOnStandby(now, c.times, *c.view.Load(), c.stateOK(), c.intents.Whole(now), c.mesh.Peers(), c.peers)
 }
 
 // withdrawn says whether a user may have been told that the job is cancelled.
-func (c *Controller) withdrawn(job string) bool { return c.notices.Active(c.now(), job) }
+func (c *Controller) withdrawn(job string) bool { return c.intents.Active(c.now(), job) }
 
 // errUnsafe says that a cancellation cannot be confirmed, since too few controllers
 // would know of it.
-var errUnsafe = errors.New("no majority holds the notice")
+var errUnsafe = errors.New("no majority holds the intent")
 
-// announce has a majority hold a notice of a job's cancellation, and returns when
-// the notice was made.
+// announce has a majority hold an intent of a job's cancellation, and returns when
+// the intent was made.
 func (c *Controller) announce(ctx context.Context, job string) (time.Time, error) {
 	now := c.now()
 	if !c.inCompany(now) {
 		return time.Time{}, errUnsafe // the user is told at once when to come back
 	}
-	own, err := c.notices.Announce(now, api.Confirm/4, job)
+	own, err := c.intents.Announce(now, api.Confirm/4, job)
 	if err != nil {
 		return time.Time{}, err
 	}
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.times.Silent/2)
 	defer cancel()
 	for {
-		held, news := c.notices.Holders(own.Seq)
+		held, news := c.intents.Holders(own.Seq)
 		if election.Majority(held, len(c.wakes)) {
 			return c.start.Add(own.At), nil
 		}
@@ -81,10 +81,10 @@
 	return election.Majority(n, len(c.wakes))
 }
 
-// takeNotices takes in the notices that a peer's message brings.
-func (c *Controller) takeNotices(m *protocol.MeshMessage, reply bool) notice.Taken {
+// takeIntents takes in the intents that a peer's message brings.
+func (c *Controller) takeIntents(m *protocol.MeshMessage, reply bool) cancellation.Taken {
 	now := c.now()
-	t := c.notices.Take(now, m, reply)
+	t := c.intents.Take(now, m, reply)
 	if l := c.leading.Load(); l != nil {
 		for _, n := range t.News {
 			l.Withdrawn(n.Job, now)
@@ -122,14 +122,14 @@
 	switch m.Kind {
 	case protocol.MeshBeat:
 		c.heardPeer(m)
-		c.takeNotices(m, false)
+		c.takeIntents(m, false)
 		c.box.Send(election.Beat{From: m.From, Term: m.Term, Leader: m.Leader})
 		reply.Term, reply.Leader = v.Term, v.Leader
 		if m.Leader == m.From && m.Term >= v.Term {
 			reply.Term, reply.Leader = m.Term, m.From // what we shall have taken in
 		}
 		reply.StateOK, reply.Renews = c.stateOK(), c.renews()
-		c.notices.Fill(c.now(), m.From, m.Life, reply)
+		c.intents.Fill(c.now(), m.From, m.Life, reply)
 	case protocol.MeshStatus:
 		if l := c.leading.Load(); l != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), c.times.Silent/2)
@@ -172,7 +172,7 @@
 }
 
 // renews says whether this controller renews leases although nobody leads.
-func (c *Controller) renews() bool { return c.leading.Load() == nil && c.caretaker() }
+func (c *Controller) renews() bool { return c.leading.Load() == nil && c.mayRenewOnStandby() }
 
 // renewer returns a peer that renews leases although nobody leads, or "".
 func (c *Controller) renewer() string {
@@ -200,7 +200,7 @@
 		}
 		sent := c.now()
 		m := protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK(), Renews: c.renews()}
-		c.notices.Fill(sent, peer, 0, &m)
+		c.intents.Fill(sent, peer, 0, &m)
 		r, err := c.mesh.Call(ctx, peer, m)
 		if err == nil {
 			c.answeredBeat(r, sent)
@@ -215,7 +215,7 @@
 
 // followerPace is how many times as seldom a follower sends heartbeats as the leader. It
 // hears the leader's and answers those; its own only keep followers in contact, which
-// hear each other in both directions, and new notices don't wait for them.
+// hear each other in both directions, and new intents don't wait for them.
 const followerPace = 2
 
 // beatInterval is the time between two heartbeats to a peer. Without a leader all send
@@ -230,7 +230,7 @@
 // answeredBeat takes in a peer's answer to a beat that was sent at the given time.
 func (c *Controller) answeredBeat(r *protocol.MeshMessage, sent time.Duration) {
 	c.heardPeer(r)
-	t := c.takeNotices(r, true)
+	t := c.takeIntents(r, true)
 	c.peersMu.Lock()
 	p := election.Peer{At: sent, StateOK: r.StateOK, Leader: r.Leader, Known: c.peers[r.From].Known}
 	if t.Complete && t.Whole {
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -16,9 +16,9 @@
 	l := c.leading.Load()
 	view := c.view.Load()
 	leader := view.Leader
-	care := l == nil && c.caretaker()
+	standby := l == nil && c.mayRenewOnStandby()
 	nobody := l == nil && (leader == "" || leader == c.cfg.Node)
-	if nobody && !care && c.stateOK() {
+	if nobody && !standby && c.stateOK() {
 		c.redirect(w, c.renewer())
 		return
 	}
@@ -36,12 +36,12 @@
 	if nobody || l != nil && !l.Ready() {
 		c.fenceBox.Send(fencing.Heard{Report: rep})
 	}
-	if nobody && !care {
+	if nobody && !standby {
 		// Its lease may be about to end: it should not have to try every controller.
 		c.redirect(w, c.renewer())
 		return
 	}
-	if care {
+	if standby {
 		// Nobody can lead: keep the tasks alive, with the token that the worker
 		// has, but for those whose users may have been told that they are cancelled.
 		transport.Answer(w, http.StatusOK, protocol.ReportAnswer{Token: rep.Token, Commands: rep.StopsOf(c.withdrawn)})
--- a/internal/daemon/times_test.go
+++ b/internal/daemon/times_test.go
@@ -15,7 +15,7 @@
 
 // TestTimesFitTheCancelTime: whatever the settings, a lease that was renewed without
 // knowing of a cancellation ends before the task must be gone, with an eighth of the
-// time left; and nobody who has forgotten notices counts before that.
+// time left; and nobody who has forgotten intents counts before that.
 func TestTimesFitTheCancelTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var d config.Deployment
@@ -30,8 +30,8 @@
 			t.Errorf("hold %v, horizon %v, beat %v", x.Hold, x.Horizon, x.Beat)
 		case x.Amnesia < lease+x.Horizon+x.Silent:
 			t.Errorf("amnesia %v", x.Amnesia)
-		case keepNotices(&d, x) < cancel+x.Amnesia:
-			t.Errorf("notices are kept for %v", keepNotices(&d, x))
+		case keepIntents(&d, x) < cancel+x.Amnesia:
+			t.Errorf("intents are kept for %v", keepIntents(&d, x))
 		}
 	})
 }
--- a/internal/protocol/mesh.go
+++ b/internal/protocol/mesh.go
@@ -38,33 +38,33 @@
 	Machines []string `cbor:"21,keyasint,omitempty"`
 
 	// What follows goes with beats and their replies. A controller of a version
-	// without it sends a Life of 0, and counts for nothing that rests on notices.
+	// without it sends a Life of 0, and counts for nothing that rests on intents.
 
 	// Life tells this process from earlier ones of the same name.
 	Life uint64 `cbor:"11,keyasint,omitempty"`
-	// Whole says that the sender has forgotten no notice that may still matter.
+	// Whole says that the sender has forgotten no intent that may still matter.
 	Whole bool `cbor:"12,keyasint,omitempty"`
-	// Notices are the sender's, in its order, after the first Base of this life; of
+	// Intents are the sender's, in its order, after the first Base of this life; of
 	// those the first Expired are over. More says that there are others after them.
 	Base    uint64   `cbor:"13,keyasint,omitempty"`
 	Expired uint64   `cbor:"18,keyasint,omitempty"`
-	Notices []Notice `cbor:"14,keyasint,omitempty"`
+	Intents []Intent `cbor:"14,keyasint,omitempty"`
 	More    bool     `cbor:"15,keyasint,omitempty"`
-	// Held is how many of the receiver's notices of HeldLife the sender holds.
+	// Held is how many of the receiver's intents of HeldLife the sender holds.
 	HeldLife uint64 `cbor:"16,keyasint,omitempty"`
 	Held     uint64 `cbor:"17,keyasint,omitempty"`
 }
 
-// Notice says that a user is about to be told that a job is cancelled. Mark tells
+// Intent says that a user is about to be told that a job is cancelled. Mark tells
 // one announcement of the same job from another.
-type Notice struct {
+type Intent struct {
 	Job  string `cbor:"1,keyasint"`
 	Mark uint64 `cbor:"2,keyasint"`
 }
 
 // Bounds of one message.
 const (
-	MaxNotices      = 256
+	MaxIntents      = 256
 	MaxMeshMachines = 500
 )
 
@@ -94,13 +94,13 @@
 		return nil, fmt.Errorf("%w: mesh message with %d machines", ErrMalformed, len(m.Machines))
 	}
 	// What is out of form must never pass for consent.
-	if len(m.Notices) > MaxNotices || m.Life == 0 && (m.Whole || len(m.Notices) > 0 || m.Held > 0) ||
-		m.Base+uint64(len(m.Notices)) < m.Base || m.Expired > m.Base {
-		return nil, fmt.Errorf("%w: mesh notices from %q", ErrMalformed, m.From)
+	if len(m.Intents) > MaxIntents || m.Life == 0 && (m.Whole || len(m.Intents) > 0 || m.Held > 0) ||
+		m.Base+uint64(len(m.Intents)) < m.Base || m.Expired > m.Base {
+		return nil, fmt.Errorf("%w: mesh intents from %q", ErrMalformed, m.From)
 	}
-	for _, n := range m.Notices {
+	for _, n := range m.Intents {
 		if !ValidJobID(n.Job) {
-			return nil, fmt.Errorf("%w: mesh notice of %.80q", ErrMalformed, n.Job)
+			return nil, fmt.Errorf("%w: mesh intent of %.80q", ErrMalformed, n.Job)
 		}
 	}
 	return &m, nil
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -210,12 +210,12 @@
 		if rapid.Bool().Draw(t, "status") {
 			m.Status = &JobStatus{ID: "j-1", Standing: Running, Done: 3, Running: 2}
 		}
-		if rapid.Bool().Draw(t, "notices") {
+		if rapid.Bool().Draw(t, "intents") {
 			m.Life, m.Whole, m.More = rapid.Uint64Min(1).Draw(t, "life"), rapid.Bool().Draw(t, "whole"), rapid.Bool().Draw(t, "more")
 			m.Base, m.HeldLife, m.Held = rapid.Uint64Max(1<<40).Draw(t, "base"), rapid.Uint64().Draw(t, "held life"), rapid.Uint64().Draw(t, "held")
 			m.Expired = rapid.Uint64Max(m.Base).Draw(t, "expired")
 			for i := range rapid.IntRange(0, 3).Draw(t, "n") {
-				m.Notices = append(m.Notices, Notice{Job: "j-" + strconv.Itoa(i), Mark: rapid.Uint64().Draw(t, "mark")})
+				m.Intents = append(m.Intents, Intent{Job: "j-" + strconv.Itoa(i), Mark: rapid.Uint64().Draw(t, "mark")})
 			}
 		}
 		raw, err := EncodeMesh(&m)
@@ -237,16 +237,16 @@
 	})
 }
 
-// TestMeshNoticesOutOfForm: nothing of them may pass for consent.
-func TestMeshNoticesOutOfForm(t *testing.T) {
+// TestMeshIntentsOutOfForm: nothing of them may pass for consent.
+func TestMeshIntentsOutOfForm(t *testing.T) {
 	for name, m := range map[string]MeshMessage{
 		"no life but whole":   {Whole: true},
 		"no life but holds":   {Held: 3},
-		"no life but notices": {Notices: []Notice{{Job: "j-1"}}},
-		"not a job":           {Life: 1, Notices: []Notice{{Job: "x"}}},
-		"too many":            {Life: 1, Notices: make([]Notice, MaxNotices+1)},
+		"no life but intents": {Intents: []Intent{{Job: "j-1"}}},
+		"not a job":           {Life: 1, Intents: []Intent{{Job: "x"}}},
+		"too many":            {Life: 1, Intents: make([]Intent, MaxIntents+1)},
 		"more over than told": {Life: 1, Base: 1, Expired: 2},
-		"past the last":       {Life: 1, Base: math.MaxUint64, Notices: []Notice{{Job: "j-1"}}},
+		"past the last":       {Life: 1, Base: math.MaxUint64, Intents: []Intent{{Job: "j-1"}}},
 	} {
 		m.Kind, m.From = MeshBeat, "n"
 		raw, err := EncodeMesh(&m)
@@ -257,7 +257,7 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	// What an older version sends is understood, and says nothing of notices.
+	// What an older version sends is understood, and says nothing of intents.
 	old, err := cborEnc.Marshal(map[int]any{1: MeshVersion, 2: MeshBeat, 3: 7, 4: "n", 5: 3, 6: "n", 7: true})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/simulation/meetings_test.go
+++ b/internal/simulation/scenarios_test.go
@@ -40,7 +40,7 @@
 	return count
 }
 
-// gap is the meeting that broke most schedulers: the state service refuses the
+// gap is the scenario that broke most schedulers: the state service refuses the
 // leader alone, another controller confirms cancellations, and then nobody has the
 // service for longer than a cancellation may take.
 type gap struct {
@@ -122,14 +122,14 @@
 	heal()
 	time.Sleep(2 * cancel)
 	if told == 0 && g.told {
-		l.t.Errorf("no cancellation was confirmed: the meeting did not take place (term %d to %d)", term, l.term())
+		l.t.Errorf("no cancellation was confirmed: the scenario did not take place (term %d to %d)", term, l.term())
 	}
 	time.Sleep(4 * cancel)
 	l.calm()
 }
 
 // TestCancelledWhileTheLeaderIsBlind plays the gap and what may go with it. The
-// notices held by a majority are what ends the tasks; without them the first rows
+// intents held by a majority are what ends the tasks; without them the first rows
 // fail on ran_cancelled.
 func TestCancelledWhileTheLeaderIsBlind(t *testing.T) {
 	rows := []struct {
@@ -198,9 +198,9 @@
 
 const s = time.Second
 
-// meetings are what the operators have seen break rules, each brought about on real
+// scenarios are what the operators have seen break rules, each brought about on real
 // controllers. happened names what must have come to pass, or the scenario shows nothing.
-var meetings = []struct {
+var scenarios = []struct {
 	name     string
 	w        config.Workers
 	steps    []step
@@ -253,19 +253,19 @@
 		{12 * s, crashAll(500 * ms)}, {20 * s, crashAll(5 * s)}, {21 * s, cancels(3, 0)}}, []string{"crash", "cancelled"}},
 }
 
-// TestMeetings plays every meeting on three controllers.
-func TestMeetings(t *testing.T) {
-	for i, m := range meetings {
+// TestScenarios plays every scenario on three controllers.
+func TestScenarios(t *testing.T) {
+	for i, m := range scenarios {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
-			play(t, uint64(100+i), 3, m.w, func(l *live) { l.meet(m.steps, m.happened) })
+			play(t, uint64(100+i), 3, m.w, func(l *live) { l.carryOut(m.steps, m.happened) })
 		})
 	}
 }
 
-// meet carries out the steps of a scenario, and demands that all is well once it is
+// carryOut carries out the steps of a scenario, and demands that all is well once it is
 // calm.
-func (l *live) meet(steps []step, happened []string) {
+func (l *live) carryOut(steps []step, happened []string) {
 	l.settle(12)
 	from := l.now()
 	for _, st := range steps {
@@ -281,8 +281,8 @@
 	}
 }
 
-// drawMeeting makes up a meeting of three to six troubles within a minute.
-func drawMeeting(rng *rand.Rand) (steps []step, names []string) {
+// drawScenario makes up a scenario of three to six troubles within a minute.
+func drawScenario(rng *rand.Rand) (steps []step, names []string) {
 	lasts := func(least, most int) time.Duration {
 		return time.Duration(least*1000+rng.IntN((most-least)*1000)) * ms
 	}
@@ -320,15 +320,15 @@
 	return steps, names
 }
 
-// TestDrawnMeetings plays meetings that nobody named.
-func TestDrawnMeetings(t *testing.T) {
+// TestDrawnScenarios plays scenarios that nobody named.
+func TestDrawnScenarios(t *testing.T) {
 	for seed := testkit.Seed(); seed < testkit.Seed()+10; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 9))
-			steps, names := drawMeeting(rng)
+			steps, names := drawScenario(rng)
 			t.Log(names)
-			play(t, seed, []int{3, 3, 3, 5}[rng.IntN(4)], []config.Workers{brisk, brisk, slow}[rng.IntN(3)], func(l *live) { l.meet(steps, nil) })
+			play(t, seed, []int{3, 3, 3, 5}[rng.IntN(4)], []config.Workers{brisk, brisk, slow}[rng.IntN(3)], func(l *live) { l.carryOut(steps, nil) })
 		})
 	}
 }
@@ -367,11 +367,11 @@
 	l.calm()
 }
 
-// TestForgottenNotices: the leader, out of reach of the service, cannot be told of a
-// cancellation; whoever confirmed it ends, and the only other holder of its notice
+// TestForgottenIntents: the leader, out of reach of the service, cannot be told of a
+// cancellation; whoever confirmed it ends, and the only other holder of its intent
 // begins anew and is in contact with the leader again. By its word the leader must not
 // go on.
-func TestForgottenNotices(t *testing.T) {
+func TestForgottenIntents(t *testing.T) {
 	play(t, 8, 3, brisk, func(l *live) {
 		l.settle(12)
 		old := l.leader()
@@ -393,7 +393,7 @@
 
 // TestLeaderWithoutRecords: a leader ends, jobs are cancelled at once, and the service
 // is out for all just as the next leader has won its term and read nothing yet. It keeps
-// tasks alive by the others' word, and must not those of which it has notices.
+// tasks alive by the others' word, and must not those of which it has intents.
 func TestLeaderWithoutRecords(t *testing.T) {
 	play(t, 9, 3, brisk, func(l *live) {
 		l.settle(12)
@@ -416,11 +416,11 @@
 	})
 }
 
-// TestLateCancellationIsToldWithANewNotice: the transaction of a cancellation is carried
-// out long after its notice, when the leader has taken it that the job lives; the
+// TestLateCancellationIsToldWithANewIntent: the transaction of a cancellation is carried
+// out long after its intent, when the leader has taken it that the job lives; the
 // service refuses the leader by then, and is out for all right after somebody has read
-// of the cancellation and told the user. Who tells gives notice anew.
-func TestLateCancellationIsToldWithANewNotice(t *testing.T) {
+// of the cancellation and told the user. Who tells announces it anew.
+func TestLateCancellationIsToldWithANewIntent(t *testing.T) {
 	play(t, 7, 3, brisk, func(l *live) {
 		l.settle(12)
 		old := l.leader()
@@ -432,7 +432,7 @@
 		}
 		time.Sleep(s)
 		mend()
-		time.Sleep(late - 2*s) // the notices are over for the leader; the jobs run again
+		time.Sleep(late - 2*s) // the intents are over for the leader; the jobs run again
 		again := 0
 		for _, id := range l.running() {
 			if slices.Contains(ids, id) {
--- a/internal/simulation/starvation_test.go
+++ b/internal/simulation/starvation_test.go
@@ -34,7 +34,7 @@
 	for i, m := range starved {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
-			play(t, uint64(300+i), 3, m.w, func(l *live) { l.meet(m.steps, m.happened) })
+			play(t, uint64(300+i), 3, m.w, func(l *live) { l.carryOut(m.steps, m.happened) })
 		})
 	}
 }
@@ -45,12 +45,12 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 13))
-			steps, names := drawMeeting(rng)
+			steps, names := drawScenario(rng)
 			which := []func(*live) *controller{(*live).leader, aFollower}[rng.IntN(2)]
 			by := time.Duration(100+rng.IntN(1500)) * ms
 			steps = append([]step{{0, during(60*s, slowController(by, which))}}, steps...)
 			t.Log(by, names)
-			play(t, seed, []int{3, 5}[rng.IntN(2)], []config.Workers{brisk, slow}[rng.IntN(2)], func(l *live) { l.meet(steps, []string{"slow"}) })
+			play(t, seed, []int{3, 5}[rng.IntN(2)], []config.Workers{brisk, slow}[rng.IntN(2)], func(l *live) { l.carryOut(steps, []string{"slow"}) })
 		})
 	}
 }
