Zone return: work comes back in a stated order when a zone is lost (off by default)

Need: a dead or cut zone's work waited for three leases and then came back in the order of machines' names, and nothing said whose room it took.

--- a/cmd/pinebay/main.go
+++ b/cmd/pinebay/main.go
@@ -21,6 +21,7 @@
 	"github.com/spf13/cobra"
 
 	"pinebay/internal/config"
+	"pinebay/internal/coordination/zones"
 	"pinebay/internal/daemon"
 	"pinebay/internal/transport"
 )
@@ -43,6 +44,7 @@
 
 func command() *cobra.Command {
 	var path string
+	var zoneReturn zoneReturnFlags
 	cmd := &cobra.Command{
 		Use:           "pinebay --config FILE",
 		Short:         "Run a controller of the pinebay scheduler",
@@ -58,6 +60,10 @@
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
 			}
+			features, err := zoneReturn.features(cfg)
+			if err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
 			log, err := logger(os.Stderr, os.Getenv("LOG_LEVEL"))
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
@@ -65,15 +71,44 @@
 			limit(cfg)
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			return daemon.New(transport.TCP{}, cfg, log).Run(ctx)
+			return daemon.New(transport.TCP{}, cfg, features, log).Run(ctx)
 		},
 	}
 	cmd.SetContext(context.Background())
 	cmd.Flags().StringVar(&path, "config", "", "settings file of this controller (TOML)")
+	zoneReturn.add(cmd)
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
 	return cmd
 }
 
+// zoneReturnFlags are the flags of zone return.
+type zoneReturnFlags struct {
+	on    bool
+	order string
+}
+
+func (f *zoneReturnFlags) add(cmd *cobra.Command) {
+	cmd.Flags().BoolVar(&f.on, "zone-return", false, "bring work back in a stated order when a zone is lost")
+	cmd.Flags().StringVar(&f.order, "zone-return-order", "", `with --zone-return, which classes and teams come first, as in "cluesmith > team guests"`)
+}
+
+// features checks the flags against the settings.
+func (f *zoneReturnFlags) features(cfg *config.Settings) (daemon.Features, error) {
+	switch {
+	case !f.on && f.order != "":
+		return daemon.Features{}, errors.New("--zone-return-order: needs --zone-return")
+	case !f.on:
+		return daemon.Features{}, nil
+	case f.order == "":
+		return daemon.Features{ZoneReturn: zones.DefaultOrder()}, nil
+	}
+	order, err := zones.ParseOrder(f.order, &cfg.Deploy)
+	if err != nil {
+		return daemon.Features{}, fmt.Errorf("--zone-return-order: %w", err)
+	}
+	return daemon.Features{ZoneReturn: order}, nil
+}
+
 func noArgs(args []string) error {
 	if len(args) > 0 {
 		return fmt.Errorf("%w: unexpected argument %q", errUsage, args[0])
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -69,8 +69,23 @@
 	firstSeen map[string]time.Duration
 	returned  map[string]time.Duration
 	darkUntil map[string]time.Duration // zones of which much has been silent lately
+	policies  map[string]ZonePolicy
 }
 
+// ZonePolicy is how the fleet treats a zone that is not as it should be.
+type ZonePolicy struct {
+	// Closed: nothing is rented there, as it would not come up.
+	Closed bool
+	// Uncounted: machines that are silent there are no room for work that waits.
+	Uncounted bool
+	// KeepUntil is until when machines there are not fenced for their silence alone:
+	// somebody else decides which are. Cancelled tasks are fenced as ever.
+	KeepUntil time.Duration
+}
+
+// SetZones replaces the policies of zones; a zone without one is treated as usual.
+func (f *Fleet) SetZones(policies map[string]ZonePolicy) { f.policies = policies }
+
 // New returns the fleet of a term.
 func New(term uint64, cloud config.Cloud, workers config.Workers) *Fleet {
 	return &Fleet{
@@ -214,7 +229,7 @@
 			// Its zone may be dark, and it may have ended its tasks by itself; but users
 			// were told that they are gone.
 			m.Condemned = true
-		case now-m.Heard > patience:
+		case now-m.Heard > patience && now >= f.policies[m.Zone].KeepUntil:
 			dead = append(dead, m)
 		}
 	})
@@ -293,7 +308,7 @@
 			return
 		}
 		perZone[m.Zone]++
-		if m.Up && now-m.Heard > p.Silent() && now >= f.darkUntil[m.Zone] {
+		if m.Up && now-m.Heard > p.Silent() && (now >= f.darkUntil[m.Zone] || f.policies[m.Zone].Uncounted) {
 			return // not to be counted on, unless all of them are to come back
 		}
 		r := &room{name: m.Name, pool: pool{m.Type, m.Zone, m.Spot}, free: p.Free(m)}
@@ -394,7 +409,7 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if u.Zone != "" && z != u.Zone || u.Job.Zone != "" && z != u.Job.Zone {
+			if f.policies[z].Closed || u.Zone != "" && z != u.Zone || u.Job.Zone != "" && z != u.Job.Zone {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -30,6 +30,8 @@
 			go l.order(e)
 		case scheduler.Inspect:
 			go l.inspect(e)
+		case scheduler.Decided:
+			l.Log.Info("zone return", "decision", e.Decision.Describe())
 		case scheduler.Fleet:
 			l.callCloud(e.Effect)
 		}
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -13,6 +13,7 @@
 	"pinebay/internal/actor"
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/scheduler"
+	"pinebay/internal/coordination/zones"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 	"pinebay/internal/transport"
@@ -40,6 +41,8 @@
 	Confirm     time.Duration
 	// Deposed is told that the term is over, and why.
 	Deposed func(term uint64, d scheduler.Depose)
+	// ZoneReturn is the order in which work returns when a zone is lost; nil: off.
+	ZoneReturn *zones.Order
 	// Types is told of machine types that were read.
 	Types func([]protocol.MachineType)
 }
@@ -154,7 +157,9 @@
 			e.Tag = nil // it has its answer
 			early[e.Report.Machine] = e
 		case loaded:
-			core = scheduler.New(now, l.Cfg, l.Log, l.term, l.stamp, e.types, e.live, e.pages, e.warm, time.Now().UnixMilli())
+			records := scheduler.Records{Types: e.types, Live: e.live, Pages: e.pages, Warm: e.warm, ZonePages: e.zones}
+			term := scheduler.Term{Number: l.term, Stamp: l.stamp}
+			core = scheduler.New(now, l.Cfg, l.Log, term, records, time.Now().UnixMilli(), l.ZoneReturn)
 			l.Log.Info("records read", "jobs", len(e.live), "pages", len(e.pages), "took", now-began)
 			for job, at := range l.Withdrawals(now) {
 				l.do(core.Step(now, scheduler.Withdrawn{ID: job, Until: at + l.Confirm}))
--- a/internal/coordination/leader/recovery.go
+++ b/internal/coordination/leader/recovery.go
@@ -14,17 +14,18 @@
 type loaded struct {
 	types       []protocol.MachineType
 	live, pages []protocol.Pair
-	warm        []protocol.Pair
+	warm, zones []protocol.Pair
 }
 
-// recover reads the records, trying until it can.
+// recover reads the records, trying until it can. The jobs come first and are watched from
+// then on, so that no change is missed.
 func (l *Leader) recover() {
 	var got loaded
-	var rev uint64
 	watching := false
 	for l.ctx.Err() == nil {
 		var err error
 		if !watching {
+			var rev uint64
 			asked := l.Now()
 			if got.live, rev, err = l.Store.List(l.ctx, storage.LivePrefix); err == nil {
 				watching = true
@@ -33,11 +34,7 @@
 			}
 		}
 		if err == nil {
-			if got.pages, _, err = l.Store.List(l.ctx, storage.PlacePrefix); err == nil {
-				if got.warm, _, err = l.Store.List(l.ctx, storage.WarmPrefix); err == nil {
-					got.types, err = l.Cloud.Types(l.ctx, l.Store)
-				}
-			}
+			err = l.readRest(&got)
 		}
 		if err == nil {
 			l.Types(got.types)
@@ -49,6 +46,23 @@
 	}
 }
 
+// readRest reads all records but the jobs.
+func (l *Leader) readRest(got *loaded) (err error) {
+	if got.pages, _, err = l.Store.List(l.ctx, storage.PlacePrefix); err != nil {
+		return err
+	}
+	if got.warm, _, err = l.Store.List(l.ctx, storage.WarmPrefix); err != nil {
+		return err
+	}
+	if l.ZoneReturn != nil {
+		if got.zones, _, err = l.Store.List(l.ctx, storage.ZoneReturnPrefix); err != nil {
+			return err
+		}
+	}
+	got.types, err = l.Cloud.Types(l.ctx, l.Store)
+	return err
+}
+
 // sighted notes that all changes up to the given time have been taken in or wait
 // in the mailbox.
 func (l *Leader) sighted(at time.Duration) {
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -93,13 +93,16 @@
 		}
 	}
 	c.byDeadline(now, waiting)
+	recovering := c.recovering()
 	var cands []*candidate
 	c.machines.Each(func(m *partition.Machine) {
 		if t := c.machines.Type(m.Type); t != nil && c.machines.Open(now, m) {
 			cands = append(cands, &candidate{m: m, kind: t, free: c.machines.Free(m)})
 		}
 	})
-	c.keep(now, cands)
+	if !recovering {
+		c.keep(now, cands)
+	}
 	failed := map[kind]int{}
 	for len(waiting) > 0 {
 		i := c.next(waiting)
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -8,6 +8,7 @@
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/fleet"
 	"pinebay/internal/coordination/partition"
+	"pinebay/internal/coordination/zones"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 )
@@ -57,22 +58,33 @@
 	warming   bool
 	inspector inspector
 	lastWarm  time.Duration
+	wallMS    int64       // time of day when the term began
+	returning *zoneReturn // nil unless it is on
 }
 
-// New returns the core of a term that has read the records.
-func New(now time.Duration, cfg *config.Deployment, log *slog.Logger, term, termStamp uint64, types []protocol.MachineType,
-	live, pages, warm []protocol.Pair, wallMS int64) *Core {
+// Term is the term that a core leads: its number, and the version of its record.
+type Term struct{ Number, Stamp uint64 }
+
+// Records is what a new leader reads.
+type Records struct {
+	Types                        []protocol.MachineType
+	Live, Pages, Warm, ZonePages []protocol.Pair
+}
+
+// New returns the core of a term that has read the records, at the given time of day. order
+// turns on zone return; nil leaves it off.
+func New(now time.Duration, cfg *config.Deployment, log *slog.Logger, term Term, rec Records, wallMS int64, order *zones.Order) *Core {
 	c := &Core{
-		cfg: cfg, log: log, term: term, termStamp: termStamp, perPage: storage.PageTasks(cfg.State.ValueKB),
-		machines: partition.New(term, cfg.Workers), fleet: fleet.New(term, cfg.Cloud, cfg.Workers), jobs: map[string]*job{}, withdrawn: map[string]time.Duration{},
+		cfg: cfg, log: log, term: term.Number, termStamp: term.Stamp, wallMS: wallMS, perPage: storage.PageTasks(cfg.State.ValueKB),
+		machines: partition.New(term.Number, cfg.Workers), fleet: fleet.New(term.Number, cfg.Cloud, cfg.Workers), jobs: map[string]*job{}, withdrawn: map[string]time.Duration{},
 		writes: map[uint64]func(time.Duration, Written){}, due: true, began: now,
 		lastCycle: now - Cycle, lastPlan: now - Cycle,
 		arrivals: map[string][]time.Duration{}, sample: map[string]*protocol.Job{}, sizes: map[string]float64{},
 		counted: map[string]float64{}, prior: map[string]float64{}, warm: map[string]string{}, lastWarm: now,
 	}
-	c.machines.SetTypes(types)
-	c.recoverWarm(warm)
-	for _, p := range live {
+	c.machines.SetTypes(rec.Types)
+	c.recoverWarm(rec.Warm)
+	for _, p := range rec.Live {
 		var rec storage.LiveRecord
 		if err := protocol.Decode(p.Value, &rec); err != nil {
 			log.Error("live record out of form", "key", p.Key, "err", err)
@@ -85,7 +97,7 @@
 		// The last leader has counted those jobs that live.
 		delete(c.arrivals, class)
 	}
-	for _, p := range pages {
+	for _, p := range rec.Pages {
 		c.recoverPage(now, p)
 	}
 	for _, j := range c.sorted() {
@@ -99,6 +111,9 @@
 			c.stopJob(now, j)
 		}
 	}
+	if order != nil {
+		c.startZoneReturn(now, order, rec.ZonePages)
+	}
 	return c
 }
 
@@ -150,6 +165,7 @@
 			}
 		}
 	}
+	c.announceDecisions()
 	return c.out
 }
 
@@ -202,6 +218,10 @@
 	if full || c.due && now-c.lastCycle >= Eager*time.Duration(1+len(c.jobs)/crowd) {
 		c.lastCycle, c.due = now, false
 		jobs := c.sorted()
+		if full {
+			c.watchZones(now, jobs)
+		}
+		c.sortForReturn(jobs)
 		c.stopOnNotice(now)
 		c.schedule(now, jobs)
 		for _, j := range jobs {
@@ -219,6 +239,7 @@
 			c.checkReach(now)
 			c.writeWarm(now)
 		}
+		c.writeZoneReturn(now)
 	}
 	c.send(now)
 }
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pinebay/internal/coordination/fleet"
+	"pinebay/internal/coordination/zones"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 )
@@ -103,6 +104,8 @@
 	}
 	// Inspect asks a machine how it stands; no answer means nothing.
 	Inspect struct{ Machine, Addr string }
+	// Decided tells of a decision because of a zone.
+	Decided struct{ Decision zones.Decision }
 	// Depose says that this leader's time is over; Term is a later one, if one
 	// was seen.
 	Depose struct {
@@ -132,3 +135,4 @@
 func (Inspect) effect() {}
 func (Depose) effect()  {}
 func (Fleet) effect()   {}
+func (Decided) effect() {}
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -52,6 +52,8 @@
 	notBefore time.Duration
 	failures  int
 	failedOn  map[string]bool
+	// displacedFrom is the zone that it lost tasks with, or "".
+	displacedFrom string
 }
 
 // page is a run of tasks that share a record.
--- a/internal/coordination/scheduler/lifecycle.go
+++ b/internal/coordination/scheduler/lifecycle.go
@@ -64,6 +64,7 @@
 	pg := j.pageOf(task)
 	pg.exits = append(pg.exits, pl)
 	if lost {
+		c.displaced(j, pl)
 		c.log.Info("task lost with its machine", "task", pl.Task, "attempt", pl.Attempt, "machine", pl.Machine)
 	}
 	switch {
--- a/internal/coordination/scheduler/preempt.go
+++ b/internal/coordination/scheduler/preempt.go
@@ -42,6 +42,9 @@
 // preempt stops work of lower priority to make room for up to n tasks, on the
 // machines where least is lost, and reserves the room.
 func (c *Core) preempt(now time.Duration, j *job, cands []*candidate, l *limits, n int) {
+	if c.mayBorrow(j) && c.borrow(now, j, cands, l, n) {
+		return
+	}
 	if j.short < 2 {
 		return
 	}
--- a/internal/coordination/scheduler/records.go
+++ b/internal/coordination/scheduler/records.go
@@ -167,6 +167,11 @@
 	c.emit(Write{ID: id, Txn: t, Bulk: true, Verify: storage.PageKey(j.spec.ID, dropped[0])})
 }
 
+// pagesPerTransaction is how many full pages one transaction takes.
+func (c *Core) pagesPerTransaction() int {
+	return max(1, min(c.cfg.State.TxnOps, int(float64(protocol.MaxBody)*0.75/(c.cfg.State.ValueKB*1024))))
+}
+
 // write records a job's dirty pages, as many as one transaction takes.
 func (c *Core) write(now time.Duration, j *job) {
 	if j.writing || j.over || j.finishing {
@@ -176,8 +181,7 @@
 	if len(ns) == 0 {
 		return
 	}
-	fit := max(1, min(c.cfg.State.TxnOps, int(float64(protocol.MaxBody)*0.75/(c.cfg.State.ValueKB*1024))))
-	ns = ns[:min(len(ns), fit)]
+	ns = ns[:min(len(ns), c.pagesPerTransaction())]
 	id, name := c.name()
 	t := protocol.Txn{If: []protocol.Cond{
 		{Key: storage.TermKey, Version: c.termStamp}, {Key: storage.LiveKey(j.spec.ID), Version: j.stamp},
--- a/internal/coordination/scheduler/score.go
+++ b/internal/coordination/scheduler/score.go
@@ -89,7 +89,7 @@
 	if j.failedOn[x.m.Name] {
 		s += 10 * x.kind.BootS
 	}
-	return s + float64(len(x.m.Errors))*x.kind.BootS
+	return s + float64(len(x.m.Errors))*x.kind.BootS + c.distrust(j, x.m.Zone)
 }
 
 // pick chooses the machine for a task. attempted says that one was passed over
--- a/internal/coordination/scheduler/teams.go
+++ b/internal/coordination/scheduler/teams.go
@@ -15,6 +15,9 @@
 	if len(c.cfg.Teams) < 2 {
 		return 0
 	}
+	if c.recovering() {
+		return c.nextToReturn(waiting)
+	}
 	for i, j := range waiting[1:] {
 		b := waiting[best]
 		if j.spec.Team == b.spec.Team {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"pinebay/internal/coordination/election"
 	"pinebay/internal/coordination/fencing"
 	"pinebay/internal/coordination/leader"
+	"pinebay/internal/coordination/zones"
 	"pinebay/internal/storage"
 	"pinebay/internal/transport"
 )
@@ -35,11 +36,12 @@
 
 // Controller is one process of the service.
 type Controller struct {
-	network transport.Network
-	cfg     *config.Settings
-	log     *slog.Logger
-	start   time.Time
-	times   election.Times
+	network  transport.Network
+	cfg      *config.Settings
+	features Features
+	log      *slog.Logger
+	start    time.Time
+	times    election.Times
 
 	store   *storage.Client
 	cloud   *leader.Cloud
@@ -79,10 +81,17 @@
 	return t
 }
 
+// Features are what an operator has turned on. Without any a controller does what it always
+// did, and features send and hold nothing.
+type Features struct {
+	// ZoneReturn is the order in which work returns when a zone is lost; nil: off.
+	ZoneReturn *zones.Order
+}
+
 // New returns a controller that is not running yet.
-func New(network transport.Network, cfg *config.Settings, log *slog.Logger) *Controller {
+func New(network transport.Network, cfg *config.Settings, features Features, log *slog.Logger) *Controller {
 	d := &cfg.Deploy
-	c := &Controller{network: network, cfg: cfg, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[election.Event](),
+	c := &Controller{network: network, cfg: cfg, features: features, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[election.Event](),
 		fenceBox: actor.NewMailbox[fencing.Event](), fencing: fencing.New(fenceTimes(d)),
 		peers: map[string]election.Peer{}, renewers: map[string]time.Duration{}, wakes: map[string]chan struct{}{}, turned: NewTurned(config.Seconds(d.Workers.LeaseS))}
 	c.store = storage.NewClient(network, d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
--- a/internal/simulation/live_test.go
+++ b/internal/simulation/live_test.go
@@ -61,6 +61,7 @@
 	host     *Host
 	stop     context.CancelFunc
 	settings config.Settings
+	features daemon.Features
 	up       bool
 }
 
@@ -197,7 +198,7 @@
 	n.stop, n.up = stop, true
 	host := n.host
 	l.go_(func() {
-		if err := daemon.New(host, &n.settings, l.log).Run(ctx); err != nil && ctx.Err() == nil {
+		if err := daemon.New(host, &n.settings, n.features, l.log).Run(ctx); err != nil && ctx.Err() == nil {
 			l.t.Errorf("%s ended: %v", n.name, err)
 		}
 	})
--- a/internal/simulation/system_test.go
+++ b/internal/simulation/system_test.go
@@ -126,7 +126,8 @@
 	warm, _ := s.state.List(storage.WarmPrefix)
 	l := &leading{rev: liveRev}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	l.core = scheduler.New(s.now, s.cfg, log, s.term, rev, s.types, live, pages, warm, s.now.Milliseconds())
+	l.core = scheduler.New(s.now, s.cfg, log, scheduler.Term{Number: s.term, Stamp: rev},
+		scheduler.Records{Types: s.types, Live: live, Pages: pages, Warm: warm}, s.now.Milliseconds(), nil)
 	s.leaders = append(s.leaders, l)
 	s.tickLeader(l)
 }
