--- a/internal/coordination/scheduler/borrow.go
+++ b/internal/coordination/scheduler/borrow.go
@@ -120,7 +120,8 @@
 			continue
 		}
 		gang := pl.Job != nil && pl.Job.Shape == protocol.Gang
-		cost := k.core.lostBy(k.now, pl) * pl.Need.Share(capacity)
+		// Who has lent before is the more likely to be late for it.
+		cost := k.core.lostBy(k.now, pl)*pl.Need.Share(capacity) + float64(k.core.returning.lentBy[pl.Task.Job])
 		if gang {
 			cost += room.x.kind.BootS // all of it has to find room, and often its image, again
 		}
@@ -274,6 +275,7 @@
 	}
 	for _, loan := range loans {
 		z.untaken[loan.Lender] = true
+		z.lentBy[loan.Lender.Job]++
 		c.decide(zones.LoanMade{Loan: loan})
 	}
 	z.records.dirty = z.records.dirty || len(loans) > 0
--- a/internal/coordination/scheduler/zonereturn.go
+++ b/internal/coordination/scheduler/zonereturn.go
@@ -22,6 +22,7 @@
 	several   bool // there is more than one zone
 	number    uint64
 	untaken   map[zones.LentTask]bool // made in this term, and its lender not told to stop yet
+	lentBy    map[string]int          // how many loans a job has made in this term
 	decisions []zones.Decision        // not told yet
 	records   zoneRecords
 }
@@ -39,7 +40,7 @@
 func (c *Core) startZoneReturn(now time.Duration, order *zones.Order, pages []protocol.Pair) {
 	names := c.zones(&protocol.Job{})
 	z := &zoneReturn{
-		order: order, several: len(names) > 1, untaken: map[zones.LentTask]bool{}, records: newZoneRecords(),
+		order: order, several: len(names) > 1, untaken: map[zones.LentTask]bool{}, lentBy: map[string]int{}, records: newZoneRecords(),
 		monitor: zones.NewMonitor(now, config.Seconds(c.cfg.Workers.LeaseS), names),
 		ledger:  zones.NewLedger(c.pagesPerTransaction() * c.loansPerPage()),
 	}
@@ -120,6 +121,7 @@
 	c.setZonePolicies()
 	c.fenceForReturn(now, jobs)
 	if !z.monitor.Any(zones.Suspected, zones.Lost, zones.Returning) {
+		clear(z.lentBy)
 		for _, j := range jobs {
 			j.displacedFrom = ""
 		}
