--- /dev/null
+++ b/internal/coordination/zones/monitor_test.go
@@ -0,0 +1,133 @@
+package zones
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+const hold = 10 * time.Second
+
+// elsewhere are the machines of another zone, all of them heard.
+var elsewhere = Facts{Zone: "b", Machines: 10, Heard: 10}
+
+// TestZoneStates plays a zone through what may happen to it, a second a row.
+func TestZoneStates(t *testing.T) {
+	heard := Facts{Zone: "a", Machines: 10, Heard: 10}
+	silent := Facts{Zone: "a", Machines: 10, Silent: 10}
+	expired := Facts{Zone: "a", Machines: 10, Silent: 10, Expired: 10}
+	half := Facts{Zone: "a", Machines: 10, Heard: 5, Silent: 5, Expired: 5}
+	someHung := Facts{Zone: "a", Machines: 10, Heard: 6, Silent: 4, Expired: 4}
+	unheard := Facts{Zone: "a", Machines: 10}
+	network := Facts{Zone: "b", Machines: 10, Heard: 2, Silent: 8}
+	type row struct {
+		a, b  Facts
+		after time.Duration
+		want  State
+	}
+	for _, x := range []struct {
+		name string
+		rows []row
+	}{
+		{"lost and back", []row{{silent, elsewhere, 1, Suspected}, {expired, elsewhere, 1, Lost}, {heard, elsewhere, 1, Returning},
+			{heard, elsewhere, hold - 1, Returning}, {heard, elsewhere, 2, Available}}},
+		{"silent for a moment", []row{{silent, elsewhere, 1, Suspected}, {heard, elsewhere, 1, Available}}},
+		{"our own network", []row{{expired, network, 1, Available}, {expired, network, hold, Available}}},
+		{"suspected, then our own network", []row{{silent, elsewhere, 1, Suspected}, {expired, network, 1, Suspected}, {expired, elsewhere, 1, Lost}}},
+		{"a few machines", []row{{someHung, elsewhere, 1, Available}}},
+		{"half of it", []row{{expired, elsewhere, 1, Suspected}, {expired, elsewhere, 1, Lost}, {half, elsewhere, 1, Returning}, {half, elsewhere, hold, Available}}},
+		{"its tasks still run", []row{{silent, elsewhere, 1, Suspected}, {silent, elsewhere, hold, Suspected}}},
+		{"a new leader has not heard it yet", []row{{unheard, elsewhere, 1, Available}, {unheard, elsewhere, hold, Available}}},
+		{"it flaps", []row{{silent, elsewhere, 1, Suspected}, {expired, elsewhere, 1, Lost}, {heard, elsewhere, 1, Returning}, {silent, elsewhere, 1, Suspected},
+			{heard, elsewhere, 1, Returning}, {heard, elsewhere, hold + 1, Returning}, {heard, elsewhere, hold, Available}}},
+		{"single zone", []row{{expired, Facts{}, 1, Available}}},
+	} {
+		m := NewMonitor(0, hold, []string{"a", "b"})
+		now := time.Duration(0)
+		for i, r := range x.rows {
+			now += r.after
+			m.Step(now, []Facts{r.a, r.b})
+			if got := m.State("a"); got != r.want {
+				t.Errorf("%s: row %d: %s, want %s", x.name, i, got, r.want)
+				break
+			}
+		}
+	}
+}
+
+// TestZoneInvariants: whatever the facts, a zone is lost only when most of it is beyond its
+// lease and others are heard, is trusted after a loss only when it has been heard for its
+// holding time, and the holding time stays within its bounds.
+func TestZoneInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMonitor(0, hold, []string{"a", "b"})
+		now := time.Duration(0)
+		var lost, heardSince time.Duration = -1, -1
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 8).Draw(t, "seconds")) * time.Second
+			var facts []Facts
+			for _, zone := range []string{"a", "b"} {
+				f := Facts{Zone: zone, Machines: rapid.IntRange(0, 8).Draw(t, "machines")}
+				f.Heard = rapid.IntRange(0, f.Machines).Draw(t, "heard")
+				f.Silent = f.Machines - f.Heard
+				f.Expired = rapid.IntRange(0, f.Silent).Draw(t, "expired")
+				facts = append(facts, f)
+			}
+			for _, c := range m.Step(now, facts) {
+				if c.Zone != "a" {
+					continue
+				}
+				f, other := facts[0], facts[1]
+				if c.To == Lost && (4*f.Expired < 3*f.Machines || 2*other.Heard < other.Machines) {
+					t.Fatalf("lost with %+v and %+v", f, other)
+				}
+				if c.To == Available && lost >= 0 && (heardSince < 0 || now-heardSince < hold) {
+					t.Fatalf("trusted %v after it was heard again", now-heardSince)
+				}
+				if c.Hold < hold || c.Hold > hold<<mostDoublings {
+					t.Fatalf("held for %v", c.Hold)
+				}
+				switch c.To {
+				case Lost:
+					lost, heardSince = now, -1
+				case Returning:
+					heardSince = now
+				case Available:
+					lost = -1
+				}
+			}
+		}
+	})
+}
+
+// TestFlapsAreForgotten: a zone that stays is trusted as quickly again as one that never left.
+func TestFlapsAreForgotten(t *testing.T) {
+	m := NewMonitor(0, hold, []string{"a", "b"})
+	m.Restore(Zone{Name: "a", State: Available, Flaps: 2})
+	for now := time.Duration(0); now <= 2*decayHolds*hold; now += time.Second {
+		m.Step(now, []Facts{{Zone: "a", Machines: 4, Heard: 4}, elsewhere})
+	}
+	if got := m.Zones()[0].Flaps; got != 0 {
+		t.Errorf("%d flaps are remembered", got)
+	}
+}
+
+// TestRestoredState: what an earlier leader recorded goes on, and what cannot be is not
+// taken over.
+func TestRestoredState(t *testing.T) {
+	m := NewMonitor(time.Minute, hold, []string{"a", "b"})
+	m.Restore(Zone{Name: "a", State: Lost, Since: 20 * time.Second, Flaps: -3})
+	m.Restore(Zone{Name: "b", State: Returning + 1})
+	m.Restore(Zone{Name: "elsewhere", State: Lost})
+	if since, ok := m.LostSince("a"); !ok || since != 20*time.Second || m.Zones()[0].Flaps != 0 || m.State("b") != Available || len(m.Zones()) != 2 {
+		t.Errorf("%+v", m.Zones())
+	}
+	if c := m.Step(time.Minute, []Facts{{Zone: "a", Machines: 4, Heard: 2}, elsewhere}); len(c) != 1 || c[0].To != Returning {
+		t.Errorf("%+v", c)
+	}
+}
--- /dev/null
+++ b/internal/coordination/zones/order_test.go
@@ -0,0 +1,117 @@
+package zones
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+)
+
+func settings() *config.Deployment {
+	d := &config.Deployment{Teams: []config.Team{{Name: "red"}, {Name: "blue team"}}}
+	for _, class := range []string{"a", "b", "c", "d-1", "team"} {
+		d.Objectives = append(d.Objectives, config.Objective{Kind: "wait", Class: class})
+	}
+	return d
+}
+
+// TestStatedOrders: what can be stated and what not, each error in one line that names what
+// is wrong.
+func TestStatedOrders(t *testing.T) {
+	for _, row := range []struct {
+		text, want string
+		err        error
+	}{
+		{"a", "class a > the rest by priority, aim and age", nil},
+		{"a > b > c", "class a > class b > class c > the rest by priority, aim and age", nil},
+		{"class c>team red ; a > c", "class a > class c > team red > the rest by priority, aim and age", nil},
+		{`"d-1" > team "blue team"`, "class d-1 > team blue team > the rest by priority, aim and age", nil},
+		{"b > c; a > c; c > d-1", "class b > class a > class c > class d-1 > the rest by priority, aim and age", nil},
+		{"class team", "class team > the rest by priority, aim and age", nil},
+		{"", "", ErrOrderSyntax},
+		{"a >", "", ErrOrderSyntax},
+		{"a b", "", ErrOrderSyntax},
+		{"a & b", "", ErrOrderSyntax},
+		{"team", "class team > the rest by priority, aim and age", nil}, // a class of that name
+		{"team red blue", "", ErrOrderSyntax},
+		{"a > x", "class x", ErrUnknownName},
+		{"team green", "team green", ErrUnknownName},
+		{"a > b > a", "class a", ErrNamedTwice},
+		{"a > b; b > c; c > a", "class a", ErrOrderIsCycle},
+	} {
+		o, err := ParseOrder(row.text, settings())
+		switch {
+		case row.err == nil && (err != nil || o.String() != row.want):
+			t.Errorf("%q: %v %v, want %q", row.text, o, err, row.want)
+		case row.err != nil && (!errors.Is(err, row.err) || strings.Contains(err.Error(), "\n") || !strings.Contains(err.Error(), row.want)):
+			t.Errorf("%q: %v, want %v that names %q", row.text, err, row.err, row.want)
+		}
+	}
+}
+
+// TestOrderKeepsAllChains: whatever chains are stated without contradiction, the row keeps all
+// of them, and reading it again gives the same row.
+func TestOrderKeepsAllChains(t *testing.T) {
+	names := []string{"a", "b", "c", "d-1", "team red"}
+	rapid.Check(t, func(t *rapid.T) {
+		var chains []string
+		for range rapid.IntRange(1, 4).Draw(t, "chains") {
+			picked := rapid.Permutation(names).Draw(t, "chain")[:rapid.IntRange(1, 3).Draw(t, "length")]
+			chains = append(chains, strings.Join(picked, " > "))
+		}
+		text := strings.Join(chains, "; ")
+		o, err := ParseOrder(text, settings())
+		if errors.Is(err, ErrOrderIsCycle) {
+			return
+		}
+		if err != nil {
+			t.Fatalf("%q: %v", text, err)
+		}
+		position := func(name string) int {
+			if team, ok := strings.CutPrefix(name, "team "); ok {
+				return o.Position("", team)
+			}
+			return o.Position(name, "")
+		}
+		for _, chain := range chains {
+			row := strings.Split(chain, " > ")
+			for i := range row[1:] {
+				if position(row[i]) >= position(row[i+1]) {
+					t.Fatalf("%q: %s is not before %s in %s", text, row[i], row[i+1], o)
+				}
+			}
+		}
+		again, err := ParseOrder(strings.TrimSuffix(o.String(), " > the rest by priority, aim and age"), settings())
+		if err != nil || again.String() != o.String() {
+			t.Fatalf("%s, read again: %v %v", o, again, err)
+		}
+	})
+}
+
+// TestPosition: a class goes before its team, and what is not named comes last.
+func TestPosition(t *testing.T) {
+	o, err := ParseOrder("team red > a", settings())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.Position("a", "red") != 1 || o.Position("b", "red") != 0 || o.Position("b", "blue team") != 2 {
+		t.Errorf("%d %d %d", o.Position("a", "red"), o.Position("b", "red"), o.Position("b", "blue team"))
+	}
+	if d := DefaultOrder(); d.Position("a", "red") != 0 || d.Position("b", "blue team") != 0 {
+		t.Error("the default order names something")
+	}
+}
+
+// FuzzOrder: nothing that an operator types ends the program.
+func FuzzOrder(f *testing.F) {
+	f.Add("a > b; team red > c")
+	f.Add(`"a`)
+	f.Fuzz(func(t *testing.T, text string) {
+		if o, err := ParseOrder(text, settings()); err == nil && o.String() == "" {
+			t.Error("an order without words")
+		}
+	})
+}
