--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -27,17 +27,18 @@
 // kept is room for jobs to come of a class, against work of the given rank that
 // can wait for longer. Of the class's own rank, it could not be preempted for them.
 type kept struct {
-	rank int
-	aim  float64 // the class's on waiting, in seconds
-	need partition.Need
+	rank     int
+	aim      float64 // the class's on waiting, in seconds
+	position int     // the class's in the order of return, while that is in force
+	need     partition.Need
 }
 
 // less is what is left of the free room for work of the rank with that aim on
-// waiting.
-func (x *candidate) less(rank int, aim float64) partition.Need {
+// waiting, and that position in the order of return.
+func (x *candidate) less(rank int, aim float64, position int) partition.Need {
 	n := x.free
 	for _, k := range x.kept {
-		if k.rank == rank && k.aim < aim {
+		if k.rank == rank && k.aim < aim && k.position <= position {
 			n = n.Minus(k.need)
 		}
 	}
@@ -49,22 +50,24 @@
 	if len(x.kept) == 0 {
 		return x.free
 	}
-	return x.less(j.rank, c.waitAim(j.spec.Class))
+	return x.less(j.rank, c.waitAim(j.spec.Class), c.returnPosition(&j.spec))
 }
 
 // keep sets aside the room that classes with an aim on waiting are likely to
 // want soon. Against lower work it needs no keeping where there is time to
-// preempt that.
+// preempt that. While the order of return is in force, lower work must not have what
+// is kept from higher work.
 func (c *Core) keep(now time.Duration, cands []*candidate) {
 	none := &limits{}
+	recovering := c.recovering()
 	for _, u := range c.spareNow {
 		j := &job{spec: *u.Job, need: partition.NeedOf(u.Job), rank: u.Job.Priority.Rank()}
-		aim := c.waitAim(u.Job.Class)
+		aim, position := c.waitAim(u.Job.Class), c.returnPosition(u.Job)
 		for range u.Count {
 			var best *candidate
 			bestScore := 0.0
 			for _, x := range cands {
-				if u.Zone != "" && u.Zone != x.m.Zone || !j.need.Fits(x.less(j.rank, math.Inf(1))) ||
+				if u.Zone != "" && u.Zone != x.m.Zone || !j.need.Fits(x.less(j.rank, math.Inf(1), math.MaxInt)) ||
 					x.m.Spot && !j.spec.Spot || !x.kind.Allows(&j.spec) {
 					continue
 				}
@@ -75,8 +78,8 @@
 			if best == nil {
 				break
 			}
-			for rank := j.rank; rank == j.rank || u.Quick && rank < fleet.Ranks; rank++ {
-				best.kept = append(best.kept, kept{rank, aim, j.need})
+			for rank := j.rank; rank == j.rank || (u.Quick || recovering) && rank < fleet.Ranks; rank++ {
+				best.kept = append(best.kept, kept{rank, aim, position, j.need})
 			}
 		}
 	}
@@ -93,29 +96,32 @@
 		}
 	}
 	c.byDeadline(now, waiting)
-	recovering := c.recovering()
 	var cands []*candidate
 	c.machines.Each(func(m *partition.Machine) {
 		if t := c.machines.Type(m.Type); t != nil && c.machines.Open(now, m) {
 			cands = append(cands, &candidate{m: m, kind: t, free: c.machines.Free(m)})
 		}
 	})
-	if !recovering {
-		c.keep(now, cands)
-	}
+	c.keep(now, cands)
 	failed := map[kind]int{}
+	if c.recovering() {
+		c.placeGuaranteed(now, waiting, cands)
+	}
 	for len(waiting) > 0 {
 		i := c.next(waiting)
 		j := waiting[i]
 		waiting = append(waiting[:i], waiting[i+1:]...)
 		j.served = c.cycles
+		if j.counts[pending] == 0 {
+			continue // placed within its team's guarantee just now
+		}
 		k := j.kind()
 		if failed[k] >= manyAlike {
 			j.short++
 			continue
 		}
 		before := j.counts[pending]
-		c.place(now, j, cands)
+		c.place(now, j, cands, c.allowance(j))
 		if j.spec.Shape != protocol.Gang && j.counts[pending] == before {
 			failed[k]++
 		}
@@ -127,10 +133,9 @@
 	c.consolidate(now, cands)
 }
 
-// place allocates as much of a job as there is room for: up to minAvailable
-// or nothing for a gang, task by task for the others.
-func (c *Core) place(now time.Duration, j *job, cands []*candidate) {
-	allowed := c.allowance(j)
+// place allocates as much of a job as there is room for, of so many tasks that are
+// allowed: up to minAvailable or nothing for a gang, task by task for the others.
+func (c *Core) place(now time.Duration, j *job, cands []*candidate, allowed int) {
 	gang := j.spec.Shape == protocol.Gang
 	if gang && allowed < j.spec.Tasks {
 		return
@@ -230,7 +235,7 @@
 	j.short++
 	missing := j.spec.Tasks - len(got)
 	c.preempt(now, j, cands, l, missing)
-	if j.short%(shortCycles+1) == 0 {
+	if j.short%(shortCycles+1) == 0 && !c.awaitsLoan(now, j, cands) {
 		release(j, got)
 		return
 	}
--- a/internal/coordination/scheduler/borrow.go
+++ b/internal/coordination/scheduler/borrow.go
@@ -22,6 +22,15 @@
 	return c.returning.monitor.State(j.displacedFrom) != zones.Available
 }
 
+// awaitsLoan says whether room that a job was lent is about to come free. Backfill would take
+// what it has meanwhile, only to be stopped for it at once.
+func (c *Core) awaitsLoan(now time.Duration, j *job, cands []*candidate) bool {
+	if !c.mayBorrow(j) {
+		return false
+	}
+	return slices.ContainsFunc(cands, func(x *candidate) bool { return x.m.ReservedFor(now, j.spec.ID) })
+}
+
 // market is the room outside the lost zones, free or held by work that may lend it, while
 // it is dealt out to jobs one after the other.
 type market struct {
@@ -116,7 +125,7 @@
 func (k *market) lendersFor(j *job, room *marketRoom) (lenders []zones.Lender) {
 	capacity := partition.CapacityOf(room.x.kind)
 	for _, pl := range room.lenders {
-		if pl.Rank <= j.rank || k.leaves[lentTask(pl)] || k.protected(pl) {
+		if pl.Rank <= j.rank || k.core.returnsBefore(pl, j) || k.leaves[lentTask(pl)] || k.protected(pl) {
 			continue
 		}
 		gang := pl.Job != nil && pl.Job.Shape == protocol.Gang
@@ -220,11 +229,15 @@
 	if l.zone != "" {
 		request.PerZone = map[string]int{l.zone: request.PerZone[l.zone]}
 	}
+	if !c.maySearch(now, j) {
+		return waits > 0
+	}
 	k := c.marketOf(now, cands)
 	choice := k.choose(j, request, func(x *candidate) bool {
 		return c.fits(now, j, x, l) && !x.m.ReservedFor(now, j.spec.ID)
 	})
 	if len(choice.Picks) == 0 || j.spec.Shape == protocol.Gang && len(choice.Picks) < n || k.unsafe(choice) {
+		j.searchAgain = now + searchPause
 		return waits > 0
 	}
 	if err := c.lend(now, j, k, choice); err != nil {
@@ -235,6 +248,19 @@
 	return true
 }
 
+// maySearch says whether room to borrow may be looked for now, and counts that it is.
+func (c *Core) maySearch(now time.Duration, j *job) bool {
+	z := c.returning
+	if now < j.searchAgain {
+		return false
+	}
+	if now-z.searchedAt >= Cycle {
+		z.searchedAt, z.searched = now, 0
+	}
+	z.searched++
+	return z.searched <= c.searches()
+}
+
 // unsafe says whether a choice, taken as a whole, would take a team into its guarantee: each
 // lender alone is beyond it, but several of them may not be.
 func (k *market) unsafe(choice zones.Choice) bool {
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -54,6 +54,8 @@
 	failedOn  map[string]bool
 	// displacedFrom is the zone that it lost tasks with, or "".
 	displacedFrom string
+	// searchAgain is when room outside a lost zone is looked for again, after none was found.
+	searchAgain time.Duration
 }
 
 // page is a run of tasks that share a record.
--- a/internal/coordination/scheduler/preempt.go
+++ b/internal/coordination/scheduler/preempt.go
@@ -165,6 +165,9 @@
 // yield to another team. Lower work of other teams had been spared altogether: a guest's
 // idle-time batch then kept whole machines while urgent gangs waited for minutes.
 func (c *Core) mayPreempt(j *job, pl *partition.Placement, rank int) bool {
+	if c.returnsBefore(pl, j) {
+		return false
+	}
 	if pl.Team == j.spec.Team {
 		return pl.Rank >= rank
 	}
--- a/internal/coordination/scheduler/teams.go
+++ b/internal/coordination/scheduler/teams.go
@@ -16,7 +16,7 @@
 		return 0
 	}
 	if c.recovering() {
-		return c.nextToReturn(waiting)
+		return 0 // what goes before the order of return has been placed
 	}
 	for i, j := range waiting[1:] {
 		b := waiting[best]
@@ -77,6 +77,21 @@
 	return withinGuarantee(c.cfg.Team(j.spec.Team), c.machines.Usage(j.spec.Team).Plus(j.need))
 }
 
+// tasksWithinGuarantee is how many more of a job's tasks its team can run within its guarantee.
+func (c *Core) tasksWithinGuarantee(j *job) int {
+	if !c.owed(j) {
+		return 0
+	}
+	t, used := c.cfg.Team(j.spec.Team), c.machines.Usage(j.spec.Team)
+	n := j.counts[pending]
+	for _, r := range [][3]float64{{t.CPUs, used.CPUs, j.need.CPUs}, {t.GPUs, used.GPUs, j.need.GPUs}} {
+		if guarantee, taken, each := r[0], r[1], r[2]; guarantee > 0 && each > 0 {
+			n = min(n, int((guarantee-taken)/each+1e-9))
+		}
+	}
+	return n
+}
+
 // withinGuarantee says whether a team that uses so much has a guarantee and fits into
 // it. A resource that no guarantee names does not count.
 func withinGuarantee(t *config.Team, used partition.Need) bool {
--- a/internal/coordination/scheduler/zonereturn.go
+++ b/internal/coordination/scheduler/zonereturn.go
@@ -16,15 +16,17 @@
 // zoneReturn is the part of the core that acts when a zone is lost and when it comes back
 // (docs/zone-return.md). It is nil unless an operator has turned it on.
 type zoneReturn struct {
-	order     *zones.Order
-	monitor   *zones.Monitor
-	ledger    *zones.Ledger
-	several   bool // there is more than one zone
-	number    uint64
-	untaken   map[zones.LentTask]bool // made in this term, and its lender not told to stop yet
-	lentBy    map[string]int          // how many loans a job has made in this term
-	decisions []zones.Decision        // not told yet
-	records   zoneRecords
+	order      *zones.Order
+	monitor    *zones.Monitor
+	ledger     *zones.Ledger
+	several    bool // there is more than one zone
+	number     uint64
+	untaken    map[zones.LentTask]bool // made in this term, and its lender not told to stop yet
+	lentBy     map[string]int          // how many loans a job has made in this term
+	searched   int                     // for how many jobs room was looked for since searchedAt
+	searchedAt time.Duration
+	decisions  []zones.Decision // not told yet
+	records    zoneRecords
 }
 
 // Intervals of zone return.
@@ -180,7 +182,7 @@
 	for _, zone := range c.returning.monitor.Zones() {
 		switch zone.State {
 		case zones.Suspected:
-			policies[zone.Name] = fleet.ZonePolicy{Closed: true}
+			policies[zone.Name] = fleet.ZonePolicy{Closed: true, KeepUntil: zone.Since + 2*c.leaseOver()}
 		case zones.Lost:
 			policies[zone.Name] = fleet.ZonePolicy{Closed: true, Uncounted: true, KeepUntil: zone.Since + keepLeases*lease}
 		case zones.Returning:
@@ -230,10 +232,46 @@
 	})
 }
 
-// nextToReturn picks the job to serve while the order of return is in force: the first one,
-// but that teams within their guarantee need not wait for others.
-func (c *Core) nextToReturn(waiting []*job) int {
-	return max(0, slices.IndexFunc(waiting, c.owed))
+// returnsBefore says whether, by the order in force, the work of a placement goes before a
+// job, whatever their priorities are.
+func (c *Core) returnsBefore(pl *partition.Placement, j *job) bool {
+	if !c.recovering() {
+		return false
+	}
+	class := ""
+	if pl.Job != nil {
+		class = pl.Job.Class
+	}
+	order := c.returning.order
+	return order.Position(class, pl.Team) < order.Position(j.spec.Class, j.spec.Team)
+}
+
+// returnPosition is a job's position in the order of return, while that is in force.
+func (c *Core) returnPosition(spec *protocol.Job) int {
+	if !c.recovering() {
+		return 0
+	}
+	return c.returning.order.Position(spec.Class, spec.Team)
+}
+
+// placeGuaranteed places what teams run within their guarantee, which need not wait for
+// other teams, in the order of return. What is beyond it has its turn with the others, and
+// so have the team's jobs after it: a guarantee is held against other teams, not within one.
+func (c *Core) placeGuaranteed(now time.Duration, waiting []*job, cands []*candidate) {
+	beyond := map[string]bool{} // teams
+	for _, j := range waiting {
+		if beyond[j.spec.Team] {
+			continue
+		}
+		least := 1
+		if j.spec.Shape == protocol.Gang {
+			least = j.spec.Tasks
+		}
+		if n := min(c.allowance(j), c.tasksWithinGuarantee(j)); n >= least {
+			c.place(now, j, cands, n)
+		}
+		beyond[j.spec.Team] = j.counts[pending] > 0
+	}
 }
 
 // distrust is what a start of a critical replica costs more, in seconds, in a zone that may
@@ -248,11 +286,18 @@
 // Bounds of what one look at a lost zone may cost and do.
 const (
 	fenceShare = 20 // of a zone's machines, one in so many may be fenced in a cycle
-	fenceTries = 16 // jobs for which room elsewhere is looked for in a cycle
 	// mostWaiting is for how many of a job's waiting tasks room is set aside before that.
 	mostWaiting = 32
+	// searchesPerCore is for how many jobs a whole core looks for room in a cycle, next to
+	// its other work: a search among a hundred full machines takes it a millisecond or two.
+	searchesPerCore = 100
+	// searchPause is the time until the next search for a job for which there was no room.
+	searchPause = 3 * Cycle
 )
 
+// searches is for how many jobs room may be looked for in a cycle.
+func (c *Core) searches() int { return max(2, int(searchesPerCore*c.cfg.Quota.CoreShare)) }
+
 // fenceForReturn returns machines of lost zones whose tasks would find room elsewhere, in the
 // order of return: only that proves the tasks gone. What would find no room stays, and goes
 // on at once when the zone comes back.
@@ -262,14 +307,14 @@
 	}
 	budget := c.fenceBudget()
 	market := c.newMarket(now)
-	tries := fenceTries
+	tries := c.searches()
 	for _, j := range jobs {
 		if budget <= 0 || tries <= 0 {
 			return
 		}
 		held := c.heldByLostZones(now, j)
 		waiting := min(j.counts[pending], c.allowance(j), mostWaiting)
-		if c.held(j) || len(held)+waiting == 0 {
+		if c.held(j) || len(held)+waiting == 0 || now < j.searchAgain {
 			continue
 		}
 		whole := j.spec.Shape == protocol.Gang || j.spec.SameZone
@@ -284,6 +329,9 @@
 		tries--
 		// What waits already takes its room first.
 		found := market.place(j, request, whole) - waiting
+		if found <= 0 && len(held) > 0 {
+			j.searchAgain = now + searchPause
+		}
 		for _, pl := range held[:max(0, min(found, len(held)))] {
 			budget -= c.fenceMachineOf(now, j, pl)
 		}
--- a/internal/coordination/zones/monitor.go
+++ b/internal/coordination/zones/monitor.go
@@ -65,6 +65,10 @@
 	relapseShare = 1. / 2 // fewer heard, of the most since its return began, are a relapse
 )
 
+// fewMachines is how many machines a zone must have for their silence to say something of the
+// zone; fewer are fenced one by one, as ever.
+const fewMachines = 3
+
 // Holding times, in times of the base that a monitor is made with.
 const (
 	mostDoublings = 3 // of the holding time
@@ -216,7 +220,7 @@
 
 // suspicious says whether most of the zone's machines are silent while others are heard.
 func (e Evidence) suspicious() bool {
-	return e.Machines > 1 && float64(e.Silent) > suspectShare*float64(e.Machines) && e.reference()
+	return e.Machines >= fewMachines && float64(e.Silent) > suspectShare*float64(e.Machines) && e.reference()
 }
 
 // reference says whether the machines elsewhere are heard. Without it nothing can be said
--- /dev/null
+++ b/internal/simulation/zone_oracle_test.go
@@ -0,0 +1,74 @@
+package simulation
+
+import (
+	"strings"
+	"testing"
+
+	"pinebay/internal/coordination/partition"
+	"pinebay/internal/storage"
+)
+
+// TestOrderOracle: the oracle sees a start that takes an earlier job's room, and no other.
+func TestOrderOracle(t *testing.T) {
+	need := func(n float64) partition.Need { return partition.Need{GPUs: n} }
+	job := func(id string, position, rank, tasks int, n float64) ReturnJob {
+		return ReturnJob{ID: id, Position: position, Rank: rank, Tasks: tasks, Need: need(n), PerZone: map[string]int{"b": 2}}
+	}
+	rooms := map[string]ReturnRoom{"m1": {"b", need(1)}, "m2": {"b", need(0)}}
+	late := job("late", 1, 0, 1, 4)
+	for _, row := range []struct {
+		name   string
+		starts []ReturnStart
+		waits  ReturnJob
+		broken bool
+	}{
+		{"an earlier job waits for the room", []ReturnStart{{late, "m1", false}}, job("early", 0, 2, 1, 4), true},
+		{"within its team's guarantee", []ReturnStart{{late, "m1", true}}, job("early", 0, 2, 1, 4), false},
+		{"of the same item, lower priority first", []ReturnStart{{job("low", 0, 2, 1, 4), "m1", false}}, job("early", 0, 1, 1, 4), true},
+		{"room that it could not use", []ReturnStart{{late, "m1", false}}, job("early", 0, 0, 1, 8), false},
+		{"in the order", []ReturnStart{{late, "m1", false}}, job("later", 2, 0, 1, 4), false},
+		{"a gang that is short all the same", []ReturnStart{{late, "m1", false}}, job("early", 0, 0, 2, 4), false},
+		{"a gang that had been whole", []ReturnStart{{late, "m1", false}, {late, "m2", false}}, job("early", 0, 0, 2, 4), true},
+		{"a machine that it must not use", []ReturnStart{{late, "m1", false}}, ReturnJob{ID: "early", Tasks: 1, Need: need(4),
+			PerZone: map[string]int{"b": 2}, Barred: map[string]bool{"m1": true}}, false},
+		{"a zone that it must not use", []ReturnStart{{late, "m1", false}}, ReturnJob{ID: "early", Tasks: 1, Need: need(4)}, false},
+	} {
+		var o OrderOracle
+		o.Cycle(row.starts, []ReturnJob{row.waits}, rooms)
+		if (len(o.Broken) > 0) != row.broken {
+			t.Errorf("%s: %v", row.name, o.Broken)
+		}
+	}
+}
+
+// TestLoanOracle: each way to break the rules on lending is seen.
+func TestLoanOracle(t *testing.T) {
+	row := func(number uint64, attempt uint64) storage.LoanRow {
+		return storage.LoanRow{Term: 1, Number: number, Lender: "j-1", Attempt: attempt, Borrower: "j-2"}
+	}
+	fair := LenderFacts{LenderRank: 2, BorrowerRank: 0}
+	for _, x := range []struct {
+		name  string
+		facts LenderFacts
+		steps [][]storage.LoanRow
+		want  string
+	}{
+		{"fair", fair, [][]storage.LoanRow{{row(1, 1)}, {row(1, 1)}, {}, {row(2, 2)}, {}}, ""},
+		{"twice at a time", fair, [][]storage.LoanRow{{row(1, 1), row(2, 1)}, {}}, "twice"},
+		{"twice", fair, [][]storage.LoanRow{{row(1, 1)}, {row(2, 1)}, {}}, "lent twice"},
+		{"again after its end", fair, [][]storage.LoanRow{{row(1, 1)}, {}, {row(1, 1)}, {}}, "again"},
+		{"of the same priority", LenderFacts{LenderRank: 2, BorrowerRank: 2}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
+		{"critical", LenderFacts{LenderRank: 0, BorrowerRank: -1}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
+		{"within its guarantee", LenderFacts{LenderRank: 2, Protected: true}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
+		{"never closed", fair, [][]storage.LoanRow{{row(1, 1)}}, "never closed"},
+	} {
+		o := NewLoanOracle()
+		for _, rows := range x.steps {
+			o.Records(rows, func(storage.LoanRow) LenderFacts { return x.facts })
+		}
+		o.Calm()
+		if got := strings.Join(o.Broken, "; "); (got == "") != (x.want == "") || !strings.Contains(got, x.want) {
+			t.Errorf("%s: %q, want %q", x.name, got, x.want)
+		}
+	}
+}
