--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -70,12 +70,15 @@
 	returned  map[string]time.Duration
 	darkUntil map[string]time.Duration // zones of which much has been silent lately
 	policies  map[string]ZonePolicy
+	coming    map[string]int // machines on their way, by zone
 }
 
 // ZonePolicy is how the fleet treats a zone that is not as it should be.
 type ZonePolicy struct {
 	// Closed: nothing is rented there, as it would not come up.
 	Closed bool
+	// Probe: one machine at a time is rented there, which shows when others would come up.
+	Probe bool
 	// Uncounted: machines that are silent there are no room for work that waits.
 	Uncounted bool
 	// KeepUntil is until when machines there are not fenced for their silence alone:
@@ -258,6 +261,25 @@
 	return min(config.Seconds(f.workers.LeaseS)*3/4, report*3/2+protocol.ReportPatience+protocol.ReportPause)
 }
 
+// opens says whether machines may be rented in a zone now.
+func (f *Fleet) opens(zone string) bool {
+	policy := f.policies[zone]
+	return !policy.Closed && !(policy.Probe && f.coming[zone] > 0)
+}
+
+// countComing counts the machines that are on their way.
+func (f *Fleet) countComing(p *partition.Partition) {
+	f.coming = map[string]int{}
+	p.Each(func(m *partition.Machine) {
+		if !m.Up && m.Count() == 0 && !m.Condemned {
+			f.coming[m.Zone]++
+		}
+	})
+	for request, pl := range f.pending {
+		f.coming[pl.zone] += f.counts[request]
+	}
+}
+
 // Plan compares what is wanted with what there is.
 func (f *Fleet) Plan(now time.Duration, p *partition.Partition, units []Unit) (effects []Effect) {
 	if !f.listing && now-f.listedAt >= config.Seconds(f.cloud.ListLagS/2) {
@@ -301,6 +323,9 @@
 func (f *Fleet) rent(now time.Duration, p *partition.Partition, units []Unit) (effects []Effect, used map[string]bool) {
 	var rooms []*room
 	perZone := map[string]int{}
+	if len(f.policies) > 0 {
+		f.countComing(p)
+	}
 	used = map[string]bool{}
 	p.Each(func(m *partition.Machine) {
 		t := p.Type(m.Type)
@@ -356,6 +381,9 @@
 				rooms = append(rooms, best)
 				wanted[pl]++
 				perZone[pl.zone]++
+				if f.coming != nil {
+					f.coming[pl.zone]++
+				}
 				total++
 			}
 			used[best.name] = true
@@ -409,7 +437,7 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if f.policies[z].Closed || u.Zone != "" && z != u.Zone || u.Job.Zone != "" && z != u.Job.Zone {
+			if !f.opens(z) || u.Zone != "" && z != u.Zone || u.Job.Zone != "" && z != u.Job.Zone {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
@@ -450,7 +478,7 @@
 		boot := config.Seconds(t.BootS)
 		switch {
 		case m.Sick && m.Count() == 0, m.Notice && m.Count() == 0, m.Condemned:
-		case !m.Up && now-m.Rented > 4*boot && now-m.Heard > boot:
+		case !m.Up && now-m.Rented > 4*boot && now-m.Heard > boot && (m.Count() == 0 || now >= f.policies[m.Zone].KeepUntil):
 			// It never came up, and is charged until it is deleted.
 		case m.Up && m.Count() == 0 && !used[m.Name] && f.Known() && now-m.IdleSince > boot/8 && now-m.Rented > time.Minute &&
 			now-m.Heard <= p.Silent():
--- a/internal/coordination/scheduler/zonereturn.go
+++ b/internal/coordination/scheduler/zonereturn.go
@@ -36,6 +36,9 @@
 	// keepLeases is for how many leases a lost zone's machines are kept that hold work for
 	// which there is no room elsewhere. They have its images when they come back.
 	keepLeases = 12
+	// probeLeases is after how many leases a machine is rented in a lost zone, if work waits
+	// that can be nowhere else: a zone without machines could not be heard again.
+	probeLeases = 2
 )
 
 // startZoneReturn turns zone return on, with what an earlier leader recorded.
@@ -120,7 +123,7 @@
 		}
 	}
 	c.settleLoans(now)
-	c.setZonePolicies()
+	c.setZonePolicies(now)
 	c.fenceForReturn(now, jobs)
 	if !z.monitor.Any(zones.Suspected, zones.Lost, zones.Returning) {
 		clear(z.lentBy)
@@ -176,7 +179,7 @@
 }
 
 // setZonePolicies tells the fleet how to treat zones that are not as they should be.
-func (c *Core) setZonePolicies() {
+func (c *Core) setZonePolicies(now time.Duration) {
 	policies := map[string]fleet.ZonePolicy{}
 	lease := config.Seconds(c.cfg.Workers.LeaseS)
 	for _, zone := range c.returning.monitor.Zones() {
@@ -184,7 +187,8 @@
 		case zones.Suspected:
 			policies[zone.Name] = fleet.ZonePolicy{Closed: true, KeepUntil: zone.Since + 2*c.leaseOver()}
 		case zones.Lost:
-			policies[zone.Name] = fleet.ZonePolicy{Closed: true, Uncounted: true, KeepUntil: zone.Since + keepLeases*lease}
+			probe := now-zone.Since > probeLeases*lease
+			policies[zone.Name] = fleet.ZonePolicy{Closed: !probe, Probe: probe, Uncounted: true, KeepUntil: zone.Since + keepLeases*lease}
 		case zones.Returning:
 			policies[zone.Name] = fleet.ZonePolicy{KeepUntil: zone.Since + lease}
 		}
--- a/internal/simulation/scenarios_test.go
+++ b/internal/simulation/scenarios_test.go
@@ -267,11 +267,7 @@
 // calm.
 func (l *live) carryOut(steps []step, happened []string) {
 	l.settle(12)
-	from := l.now()
-	for _, st := range steps {
-		time.Sleep(from + st.at - l.now())
-		st.do(l)
-	}
+	l.playSteps(steps)
 	time.Sleep(2*config.Seconds(l.cfg.Workers.CancelS) + 6*time.Minute)
 	l.calm()
 	for _, h := range happened {
@@ -281,6 +277,15 @@
 	}
 }
 
+// playSteps has every step happen at its time from now.
+func (l *live) playSteps(steps []step) {
+	from := l.now()
+	for _, st := range steps {
+		time.Sleep(from + st.at - l.now())
+		st.do(l)
+	}
+}
+
 // drawScenario makes up a scenario of three to six troubles within a minute.
 func drawScenario(rng *rand.Rand) (steps []step, names []string) {
 	lasts := func(least, most int) time.Duration {
--- a/internal/simulation/zone_oracle_test.go
+++ b/internal/simulation/zone_oracle_test.go
@@ -46,6 +46,8 @@
 	row := func(number uint64, attempt uint64) storage.LoanRow {
 		return storage.LoanRow{Term: 1, Number: number, Lender: "j-1", Attempt: attempt, Borrower: "j-2"}
 	}
+	later := row(1, 1)
+	later.Term = 2
 	fair := LenderFacts{LenderRank: 2, BorrowerRank: 0}
 	for _, x := range []struct {
 		name  string
@@ -56,6 +58,7 @@
 		{"fair", fair, [][]storage.LoanRow{{row(1, 1)}, {row(1, 1)}, {}, {row(2, 2)}, {}}, ""},
 		{"twice at a time", fair, [][]storage.LoanRow{{row(1, 1), row(2, 1)}, {}}, "twice"},
 		{"twice", fair, [][]storage.LoanRow{{row(1, 1)}, {row(2, 1)}, {}}, "lent twice"},
+		{"twice, as the first leader ended too soon", fair, [][]storage.LoanRow{{row(1, 1)}, {later}, {}}, ""},
 		{"again after its end", fair, [][]storage.LoanRow{{row(1, 1)}, {}, {row(1, 1)}, {}}, "again"},
 		{"of the same priority", LenderFacts{LenderRank: 2, BorrowerRank: 2}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
 		{"critical", LenderFacts{LenderRank: 0, BorrowerRank: -1}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
