Zone return: a gang waits for room in a zone that is there

Scenarios on real controllers showed lost gangs without a loan while lower work ran: of zones with as little room the first by name was taken, which may be the lost one, so nothing could be lent there. Available zones are tried first, and silent machines of a lost zone are no room for gathering a gang.

--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -214,7 +214,7 @@
 		}
 		return got, zl, s
 	}
-	for _, z := range c.zones(&j.spec) {
+	for _, z := range c.zonesToTry(&j.spec) {
 		got, _, s := try(z)
 		release(j, got)
 		if len(got) > bestN || len(got) == bestN && s < bestScore {
--- a/internal/coordination/scheduler/demand.go
+++ b/internal/coordination/scheduler/demand.go
@@ -55,7 +55,7 @@
 	room := map[string]int{}
 	c.machines.Each(func(m *partition.Machine) {
 		t := c.machines.Type(m.Type)
-		if t == nil || !t.Allows(&j.spec) || m.Condemned || m.Notice || m.Sick || m.Spot && !j.spec.Spot {
+		if t == nil || !t.Allows(&j.spec) || m.Condemned || m.Notice || m.Sick || m.Spot && !j.spec.Spot || c.lostZone(m.Zone) {
 			return
 		}
 		free := c.machines.Free(m)
@@ -65,7 +65,7 @@
 		}
 	})
 	best, bestRoom := "", -1
-	for _, z := range c.zones(&j.spec) {
+	for _, z := range c.zonesToTry(&j.spec) {
 		n := room[z]
 		if n < j.spec.Tasks && c.fleet.CanRent(now, c.machines, &j.spec, z) {
 			n += j.spec.Tasks
--- a/internal/coordination/scheduler/zonereturn.go
+++ b/internal/coordination/scheduler/zonereturn.go
@@ -236,6 +236,24 @@
 	})
 }
 
+// zonesToTry lists the zones that a job allows, those that are available first: where several
+// have as little room, a lost one must not be where it waits for some.
+func (c *Core) zonesToTry(spec *protocol.Job) []string {
+	names := c.zones(spec)
+	if c.returning == nil {
+		return names
+	}
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(c.returning.monitor.State(a), c.returning.monitor.State(b))
+	})
+	return names
+}
+
+// lostZone says whether a zone is lost.
+func (c *Core) lostZone(zone string) bool {
+	return c.returning != nil && c.returning.monitor.State(zone) == zones.Lost
+}
+
 // returnsBefore says whether, by the order in force, the work of a placement goes before a
 // job, whatever their priorities are.
 func (c *Core) returnsBefore(pl *partition.Placement, j *job) bool {
