--- a/cmd/pinebay/main_test.go
+++ b/cmd/pinebay/main_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"pinebay/internal/config"
 )
 
 func TestCommandLine(t *testing.T) {
@@ -41,3 +43,34 @@
 		t.Error("an unknown level was taken")
 	}
 }
+
+// TestZoneReturnFlags: an order that cannot be kept ends the program in one line that names
+// what is wrong, and without the flag nothing is on.
+func TestZoneReturnFlags(t *testing.T) {
+	cfg := &config.Settings{Deploy: config.Deployment{
+		Teams:      []config.Team{{Name: "red"}},
+		Objectives: []config.Objective{{Kind: "wait", Class: "serve"}, {Kind: "finished", Class: "sweep"}},
+	}}
+	for _, row := range []struct {
+		flags zoneReturnFlags
+		on    bool
+		want  string // in the error
+	}{
+		{zoneReturnFlags{}, false, ""},
+		{zoneReturnFlags{on: true}, true, ""},
+		{zoneReturnFlags{on: true, order: "serve > team red"}, true, ""},
+		{zoneReturnFlags{order: "serve"}, false, "--zone-return"},
+		{zoneReturnFlags{on: true, order: "serve > nobody"}, false, "nobody"},
+		{zoneReturnFlags{on: true, order: "serve > serve"}, false, "serve"},
+		{zoneReturnFlags{on: true, order: "serve > sweep; sweep > serve"}, false, "contradicts"},
+		{zoneReturnFlags{on: true, order: "serve >"}, false, "out of form"},
+	} {
+		features, err := row.flags.features(cfg)
+		switch {
+		case (features.ZoneReturn != nil) != row.on, (err != nil) != (row.want != ""):
+			t.Errorf("%+v: %v %v", row.flags, features, err)
+		case err != nil && (!strings.Contains(err.Error(), row.want) || strings.Contains(err.Error(), "\n")):
+			t.Errorf("%+v: %v, want %q", row.flags, err, row.want)
+		}
+	}
+}
--- a/internal/coordination/scheduler/cost_test.go
+++ b/internal/coordination/scheduler/cost_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"pinebay/internal/coordination/zones"
 	"pinebay/internal/protocol"
 )
 
@@ -81,3 +82,21 @@
 	}
 	runtime.KeepAlive(b)
 }
+
+// TestCostOfZoneReturn: while no zone is lost, watching the zones costs a second's planning few
+// allocations, however many machines there are, and writes nothing.
+func TestCostOfZoneReturn(t *testing.T) {
+	const most = 8
+	b := largeBench(200)
+	b.c.startZoneReturn(b.now, zones.DefaultOrder(), nil)
+	jobs := b.c.sorted()
+	allocations := testing.AllocsPerRun(100, func() {
+		b.c.watchZones(b.now, jobs)
+		b.c.sortForReturn(jobs)
+		b.c.writeZoneReturn(b.now)
+	})
+	t.Logf("%.0f allocations", allocations)
+	if allocations > most || len(b.c.writes) > 0 {
+		t.Errorf("%.0f allocations and %d writes, want %d and none", allocations, len(b.c.writes), most)
+	}
+}
--- a/internal/coordination/scheduler/zonereturn_test.go
+++ b/internal/coordination/scheduler/zonereturn_test.go
@@ -236,7 +236,7 @@
 func (b *zoneBench) returnJob(j *job) simulation.ReturnJob {
 	r := simulation.ReturnJob{ID: j.spec.ID, Position: b.order.Position(j.spec.Class, j.spec.Team), Rank: j.rank, Need: j.need, Tasks: 1, PerZone: map[string]int{}}
 	if j.spec.Shape == protocol.Gang {
-		r.Tasks = j.spec.Tasks
+		r.Tasks, r.SameZone = j.spec.Tasks, j.spec.SameZone
 	}
 	r.Barred = map[string]bool{}
 	b.c.machines.Each(func(m *partition.Machine) {
--- a/internal/simulation/zone_oracle.go
+++ b/internal/simulation/zone_oracle.go
@@ -20,6 +20,8 @@
 	Need           partition.Need
 	// Tasks must be placed together; 1 for a job whose tasks start one by one.
 	Tasks int
+	// SameZone says that they must be in one zone.
+	SameZone bool
 	// PerZone is how many tasks of it each zone may still take.
 	PerZone map[string]int
 	// Barred are machines that must not have it, as an earlier attempt of it was there.
@@ -70,17 +72,22 @@
 
 // fits says whether the job's tasks fit into the rooms.
 func (j ReturnJob) fits(rooms map[string]ReturnRoom) bool {
-	fit := 0
 	perZone := map[string]int{}
 	for name, room := range rooms {
 		free := room.Free
-		for !j.Barred[name] && j.Need.Fits(free) && perZone[room.Zone] < j.PerZone[room.Zone] && fit < j.Tasks {
+		for !j.Barred[name] && j.Need.Fits(free) && perZone[room.Zone] < min(j.PerZone[room.Zone], j.Tasks) {
 			free = free.Minus(j.Need)
 			perZone[room.Zone]++
-			fit++
 		}
 	}
-	return fit >= j.Tasks
+	all := 0
+	for _, n := range perZone {
+		if j.SameZone && n >= j.Tasks {
+			return true
+		}
+		all += n
+	}
+	return !j.SameZone && all >= j.Tasks
 }
 
 // LenderFacts is what the rules on lending ask of a lender, when a loan of it is first seen.
--- a/internal/simulation/zone_oracle_test.go
+++ b/internal/simulation/zone_oracle_test.go
@@ -14,7 +14,7 @@
 	job := func(id string, position, rank, tasks int, n float64) ReturnJob {
 		return ReturnJob{ID: id, Position: position, Rank: rank, Tasks: tasks, Need: need(n), PerZone: map[string]int{"b": 2}}
 	}
-	rooms := map[string]ReturnRoom{"m1": {"b", need(1)}, "m2": {"b", need(0)}}
+	rooms := map[string]ReturnRoom{"m1": {"b", need(1)}, "m2": {"b", need(0)}, "m3": {"c", need(0)}}
 	late := job("late", 1, 0, 1, 4)
 	for _, row := range []struct {
 		name   string
@@ -31,6 +31,8 @@
 		{"a gang that had been whole", []ReturnStart{{late, "m1", false}, {late, "m2", false}}, job("early", 0, 0, 2, 4), true},
 		{"a machine that it must not use", []ReturnStart{{late, "m1", false}}, ReturnJob{ID: "early", Tasks: 1, Need: need(4),
 			PerZone: map[string]int{"b": 2}, Barred: map[string]bool{"m1": true}}, false},
+		{"a gang of one zone with room in two", []ReturnStart{{late, "m1", false}, {late, "m3", false}},
+			ReturnJob{ID: "early", Tasks: 2, SameZone: true, Need: need(4), PerZone: map[string]int{"b": 2, "c": 2}}, false},
 		{"a zone that it must not use", []ReturnStart{{late, "m1", false}}, ReturnJob{ID: "early", Tasks: 1, Need: need(4)}, false},
 	} {
 		var o OrderOracle
--- a/internal/simulation/zone_test.go
+++ b/internal/simulation/zone_test.go
@@ -249,7 +249,7 @@
 	happened []string
 }{
 	{"cut off and back", brisk, []step{{0, moreLow(12)}, {8 * s, during(60*s, zoneSilent(ofGangs, 1))}},
-		[]string{"zone silent", "is lost", "is returning", "loan"}},
+		[]string{"zone silent", "is lost", "order of return", "loan", "decision=\"loan", ": repaid", "is returning"}},
 	{"dead and back", brisk, []step{{0, during(70*s, zoneDead("b"))}, {10 * s, moreLow(6)}}, []string{"zone dead"}},
 	{"flaps twice in a minute", brisk, []step{{0, during(20*s, zoneSilent("b", 1))}, {5 * s, moreLow(4)}, {25 * s, during(20*s, zoneSilent("b", 1))}},
 		[]string{"is lost", "was returning and is suspected"}},
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -209,3 +209,43 @@
 		t.Errorf("an answer is not noted: %v", err)
 	}
 }
+
+// TestZoneReturnPages: what is written is read again, a full page stays inside a value, and
+// what is cut, of another format or out of form is refused.
+func TestZoneReturnPages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		valueKB := float64(rapid.SampledFrom([]int{1, 8, 64}).Draw(t, "value"))
+		rec := storage.ZoneReturnRecord{Format: storage.ZoneReturnFormat, Write: "123456.123456", Zones: []storage.ZoneRow{{Name: "shannonside", State: 2, SinceMS: 1 << 41, Flaps: 3}}}
+		for i := range rapid.IntRange(0, storage.LoansPerPage(valueKB)).Draw(t, "loans") {
+			rec.Loans = append(rec.Loans, storage.LoanRow{Term: 1 << 20, Number: uint64(i), Lender: "j-123456", Task: 99_999, Attempt: 1 << 20, Borrower: "j-654321",
+				Machine: "host-123456", Zone: "shannonside", LostS: 123.456789012345, AtMS: 1 << 41, UntilMS: 1 << 41})
+		}
+		raw, err := protocol.Encode(rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var plain any
+		if err := protocol.Decode(raw, &plain); err != nil {
+			t.Fatal(err)
+		}
+		if text, err := json.Marshal(plain); err != nil || float64(len(text)) > valueKB*1024 {
+			t.Fatalf("%d bytes of %v KiB, %v", len(text), valueKB, err)
+		}
+		got, err := storage.DecodeZoneReturn(protocol.Pair{Key: storage.ZoneReturnKey(0), Value: raw})
+		if err != nil || !reflect.DeepEqual(*got, rec) {
+			t.Fatalf("%+v %v", got, err)
+		}
+		if cut := rapid.IntRange(0, len(raw)-1).Draw(t, "cut"); cut > 0 {
+			if _, err := storage.DecodeZoneReturn(protocol.Pair{Key: storage.ZoneReturnKey(0), Value: raw[:cut]}); err == nil {
+				t.Fatalf("%d of %d bytes were taken", cut, len(raw))
+			}
+		}
+		rec.Format = rapid.SampledFrom([]int{-1, 0, storage.ZoneReturnFormat + 1}).Draw(t, "format")
+		if raw, err = protocol.Encode(rec); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := storage.DecodeZoneReturn(protocol.Pair{Key: storage.ZoneReturnKey(0), Value: raw}); (err == nil) || errors.Is(err, storage.ErrNewerFormat) != (rec.Format > storage.ZoneReturnFormat) {
+			t.Fatalf("format %d: %v", rec.Format, err)
+		}
+	})
+}
