Zone return: machines of a lost zone are waited for as long as a boot takes

Fencing starts when the silence has lasted as long as a machine takes to boot, about what going elsewhere costs.

--- a/internal/coordination/scheduler/zonereturn.go
+++ b/internal/coordination/scheduler/zonereturn.go
@@ -327,6 +327,7 @@
 	if !c.returning.monitor.Any(zones.Lost) {
 		return
 	}
+	patience := c.returnPatience()
 	budget := c.fenceBudget()
 	market := c.newMarket(now)
 	tries := c.searches()
@@ -334,7 +335,7 @@
 		if budget <= 0 || tries <= 0 {
 			return
 		}
-		held := c.heldByLostZones(now, j)
+		held := c.heldByLostZones(now, j, patience)
 		waiting := min(j.counts[pending], c.allowance(j), mostWaiting)
 		if c.held(j) || len(held)+waiting == 0 || now < j.searchAgain {
 			continue
@@ -371,12 +372,24 @@
 	return max(1, n/fenceShare)
 }
 
-// heldByLostZones returns the placements of a job on machines of lost zones whose leases are
-// surely over.
-func (c *Core) heldByLostZones(now time.Duration, j *job) (held []*partition.Placement) {
+// returnPatience is for how long a machine of a lost zone is waited for: until its leases are
+// surely over, and as long as a machine takes to boot. Work that goes elsewhere pays about
+// that much once more, for a fetch there and for a boot when the zone is back; whoever waits as
+// long as it would pay never pays more than twice what foresight would.
+func (c *Core) returnPatience() time.Duration {
+	patience := c.leaseOver()
+	for _, t := range c.machines.Types() {
+		patience = max(patience, config.Seconds(t.BootS))
+	}
+	return patience
+}
+
+// heldByLostZones returns the placements of a job on machines of lost zones that have been
+// silent for longer than the patience.
+func (c *Core) heldByLostZones(now time.Duration, j *job, patience time.Duration) (held []*partition.Placement) {
 	for _, pl := range placements(j) {
 		m := c.machines.Machine(pl.Machine)
-		if _, lost := c.returning.monitor.LostSince(pl.Zone); lost && m != nil && now-m.Heard > c.leaseOver() {
+		if _, lost := c.returning.monitor.LostSince(pl.Zone); lost && m != nil && now-m.Heard > patience {
 			held = append(held, pl)
 		}
 	}
