Zone return: a zone whose machines are gone opens again

Its machines left the cloud's list before they were beyond their leases, so it stayed suspected, and closed to rentals, for good. A zone whose machines have failed or left the list counts as lost and is open to rentals, for the cloud knows better than we whether it has any; a zone whose machines were all returned is available.

--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -150,8 +150,14 @@
 			break
 		}
 		c.inspectListed(now, e.Machines)
+		for i := range e.Machines {
+			if e.Machines[i].State == protocol.MachineFailed {
+				c.left(e.Machines[i].Name)
+			}
+		}
 		for _, name := range c.fleet.Listed(now, e.Asked, c.machines, e.Machines) {
 			c.log.Info("machine has left the list", "machine", name)
+			c.left(name)
 			c.facts(now, c.machines.Lost(now, name))
 		}
 	case Rented:
--- a/internal/coordination/scheduler/zonereturn.go
+++ b/internal/coordination/scheduler/zonereturn.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -22,6 +23,7 @@
 	several    bool // there is more than one zone
 	number     uint64
 	untaken    map[zones.LentTask]bool // made in this term, and its lender not told to stop yet
+	left       map[string]string       // machines that have failed or left the cloud's list, and their zones
 	lentBy     map[string]int          // how many loans a job has made in this term
 	searched   int                     // for how many jobs room was looked for since searchedAt
 	searchedAt time.Duration
@@ -45,7 +47,7 @@
 func (c *Core) startZoneReturn(now time.Duration, order *zones.Order, pages []protocol.Pair) {
 	names := c.zones(&protocol.Job{})
 	z := &zoneReturn{
-		order: order, several: len(names) > 1, untaken: map[zones.LentTask]bool{}, lentBy: map[string]int{}, records: newZoneRecords(),
+		order: order, several: len(names) > 1, untaken: map[zones.LentTask]bool{}, left: map[string]string{}, lentBy: map[string]int{}, records: newZoneRecords(),
 		monitor: zones.NewMonitor(now, config.Seconds(c.cfg.Workers.LeaseS), names),
 		ledger:  zones.NewLedger(c.pagesPerTransaction() * c.loansPerPage()),
 	}
@@ -120,6 +122,8 @@
 			c.decide(zones.OrderInForce{Order: z.order.String(), Zones: len(z.monitor.Zones())})
 		case zones.Returning:
 			c.inspectZone(change.Zone)
+		case zones.Available:
+			maps.DeleteFunc(z.left, func(_, zone string) bool { return zone == change.Zone })
 		}
 	}
 	c.settleLoans(now)
@@ -141,6 +145,9 @@
 		index[zone.Name] = len(facts)
 		facts = append(facts, zones.Facts{Zone: zone.Name})
 	}
+	for _, zone := range c.returning.left {
+		facts[index[zone]].Left++
+	}
 	expired := c.leaseOver()
 	c.machines.Each(func(m *partition.Machine) {
 		i, ok := index[m.Zone]
@@ -187,8 +194,7 @@
 		case zones.Suspected:
 			policies[zone.Name] = fleet.ZonePolicy{Closed: true, KeepUntil: zone.Since + 2*c.leaseOver()}
 		case zones.Lost:
-			probe := now-zone.Since > probeLeases*lease
-			policies[zone.Name] = fleet.ZonePolicy{Closed: !probe, Probe: probe, Uncounted: true, KeepUntil: zone.Since + keepLeases*lease}
+			policies[zone.Name] = c.lostPolicy(now, zone)
 		case zones.Returning:
 			policies[zone.Name] = fleet.ZonePolicy{KeepUntil: zone.Since + lease}
 		}
@@ -196,6 +202,28 @@
 	c.fleet.SetZones(policies)
 }
 
+// lostPolicy is how the fleet treats a lost zone. Where machines are cut off, new ones would not
+// be heard either, and are tried one at a time. Where all have died, new ones will do as soon
+// as the cloud has some.
+func (c *Core) lostPolicy(now time.Duration, zone zones.Zone) fleet.ZonePolicy {
+	lease := config.Seconds(c.cfg.Workers.LeaseS)
+	if zone.Evidence.Machines == 0 && zone.Evidence.Left > 0 {
+		return fleet.ZonePolicy{}
+	}
+	probe := now-zone.Since > probeLeases*lease
+	return fleet.ZonePolicy{Closed: !probe, Probe: probe, Uncounted: true, KeepUntil: zone.Since + keepLeases*lease}
+}
+
+// left notes that a machine has failed, or has left the cloud's list by itself, while its zone
+// is not as it should be.
+func (c *Core) left(name string) {
+	m := c.machines.Machine(name)
+	if c.returning == nil || m == nil || c.returning.monitor.State(m.Zone) == zones.Available {
+		return
+	}
+	c.returning.left[name] = m.Zone
+}
+
 // displaced notes that a job has lost a task, which counts if it went with its zone.
 func (c *Core) displaced(j *job, pl *partition.Placement) {
 	if c.returning == nil || j.over {
--- a/internal/coordination/zones/monitor.go
+++ b/internal/coordination/zones/monitor.go
@@ -41,6 +41,7 @@
 	Heard    int // report, to whichever controller
 	Silent   int // have not been heard for a while
 	Expired  int // silent for so long that no lease there can still be renewed
+	Left     int // have left the cloud's list by themselves since the zone was last available
 }
 
 // Evidence is what a zone's state was concluded from.
@@ -53,8 +54,8 @@
 
 // String returns the evidence in a form for logs.
 func (e Evidence) String() string {
-	return fmt.Sprintf("%d machines, %d heard, %d silent, %d beyond their lease; elsewhere %d of %d heard",
-		e.Machines, e.Heard, e.Silent, e.Expired, e.OtherHeard, e.OtherMachines)
+	return fmt.Sprintf("%d machines, %d heard, %d silent, %d beyond their lease, %d left; elsewhere %d of %d heard",
+		e.Machines, e.Heard, e.Silent, e.Expired, e.Left, e.OtherHeard, e.OtherMachines)
 }
 
 // Shares of a zone's machines that decide its state.
@@ -201,6 +202,10 @@
 			return Available
 		case e.suspicious() && float64(e.Expired) >= lostShare*all:
 			return Lost
+		case e.Machines == 0 && e.Left > 0:
+			return Lost // they are proven gone
+		case e.Machines == 0:
+			return Available // they were returned; nothing speaks against the zone
 		}
 	case Lost:
 		if e.Heard > 0 {
--- a/internal/simulation/zone_test.go
+++ b/internal/simulation/zone_test.go
@@ -100,6 +100,7 @@
 func zoneDead(zone string) trouble {
 	return func(l *live) func() {
 		l.note("zone dead")
+		zone := l.named(zone)
 		l.setDead(zone, true)
 		for _, r := range l.machines(99, inZone(zone)) {
 			l.mu.Lock()
