--- /dev/null
+++ b/internal/coordination/scheduler/loans_test.go
@@ -0,0 +1,149 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/zones"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// lendingBench is a fleet of three machines a zone, all of them full. Zone a has an urgent gang
+// of one task, and arrays that cannot be elsewhere; zone b has lower arrays that lend.
+func lendingBench(t *testing.T) *zoneBench {
+	t.Helper()
+	b := newZoneBench(zones.DefaultOrder(), config.Team{Name: "red"})
+	for i := range 6 {
+		name := fmt.Sprintf("m%02d", i)
+		b.tasks[name], b.zone[name] = map[protocol.TaskID]protocol.TaskReport{}, []string{"a", "b"}[i%2]
+	}
+	b.seconds(2)
+	gang := spec("j-0", protocol.Gang, "urgent", 1, 8)
+	gang.Zone = "a"
+	b.submit(gang)
+	b.seconds(3)
+	b.c.jobs["j-0"].spec.Zone = "" // it was there by chance, and may go anywhere
+	for i, id := range []string{"j-1", "j-2", "j-3", "j-4", "j-5"} {
+		low := spec(id, protocol.Array, "best_effort", 2, 4)
+		low.Zone = []string{"b", "a"}[i%2]
+		b.submit(low)
+	}
+	b.seconds(4)
+	if n := len(b.placed()); n != 11 {
+		t.Fatalf("%d of 11 tasks are placed", n)
+	}
+	b.lose()
+	return b
+}
+
+// TestLoanIsRepaid: a lost gang takes the room of least-lost lower work, which has room again
+// when the zone is back.
+func TestLoanIsRepaid(t *testing.T) {
+	b := lendingBench(t)
+	b.untilLoan(t)
+	b.seconds(5)
+	if b.c.jobs["j-0"].counts[placed] != 1 {
+		t.Fatal("the gang is not back")
+	}
+	for _, id := range []string{"j-1", "j-3", "j-5"} {
+		b.c.jobs[id].spec.Zone = "" // so that the lenders may go where room comes back
+	}
+	b.giveBack(func(int) bool { return true })
+	b.seconds(30)
+	b.onlyEnds(t, zones.Repaid)
+	if fenced := countOf[zones.MachineFenced](b.decisions); fenced != 1 {
+		t.Errorf("%d machines fenced, want the gang's alone", fenced)
+	}
+}
+
+// TestLoanIsRecordedFirst: while its record is not written no lender is stopped.
+func TestLoanIsRecordedFirst(t *testing.T) {
+	b := lendingBench(t)
+	for range 60 {
+		b.refuse = b.c.jobs["j-0"].counts[pending] > 0 || b.c.jobs["j-0"].displacedFrom != ""
+		b.second()
+	}
+	if countOf[zones.LoanMade](b.decisions) == 0 {
+		t.Fatal("no loan was made")
+	}
+	if len(b.stops) > 0 || b.c.jobs["j-1"].leaving() || b.c.jobs["j-3"].leaving() || b.c.jobs["j-5"].leaving() {
+		t.Error("a lender is stopped by a loan that is not recorded")
+	}
+	b.refuse = false
+	b.seconds(10)
+	if b.c.jobs["j-0"].counts[placed] != 1 {
+		t.Error("the gang is not back after the record was written")
+	}
+}
+
+// TestLeaderEndsBeforeTaking: a loan that is recorded, but whose leader ended before it stopped
+// the lender, is found and ended by the next leader without harm to the lender.
+func TestLeaderEndsBeforeTaking(t *testing.T) {
+	b := lendingBench(t)
+	b.untilLoan(t)
+	loan := b.c.returning.ledger.Loans()[0]
+	rec := &storage.ZoneReturnRecord{Format: storage.ZoneReturnFormat, Loans: []storage.LoanRow{rowOf(loan)},
+		Zones: []storage.ZoneRow{{Name: "a", State: int(zones.Lost), SinceMS: b.now.Milliseconds()}}}
+	value, err := protocol.Encode(rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := newZoneBench(zones.DefaultOrder(), config.Team{Name: "red"})
+	next.now = b.now
+	next.records[storage.ZoneReturnKey(0)] = protocol.Pair{Key: storage.ZoneReturnKey(0), Value: value, Version: 3}
+	page := storage.PageRecord{Attempts: loan.Lender.Attempt, Team: "red", GPUs: 4, CPUs: 1, MemoryGB: 1, Zones: []string{"b"},
+		Places: []storage.Place{{Task: loan.Lender.Task, Machine: loan.Machine, Session: 1, Attempt: loan.Lender.Attempt}}}
+	raw, err := protocol.Encode(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	low := spec(loan.Lender.Job, protocol.Array, "best_effort", 2, 4)
+	live, err := protocol.Encode(storage.LiveRecord{Job: low})
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.c = New(next.now, next.c.cfg, next.c.log, Term{6, 6}, Records{
+		Types: []protocol.MachineType{*b.c.machines.Type("g8")}, Live: []protocol.Pair{{Key: storage.LiveKey(low.ID), Value: live, Version: 1}},
+		Pages: []protocol.Pair{{Key: storage.PageKey(low.ID, 0), Value: raw, Version: 2}}, ZonePages: []protocol.Pair{next.records[storage.ZoneReturnKey(0)]},
+	}, next.now.Milliseconds(), next.order)
+	if next.c.returning.monitor.State("a") != zones.Lost || next.c.returning.ledger.Len() != 1 {
+		t.Fatalf("the records are not taken over: %+v", next.c.returning.monitor.Zones())
+	}
+	next.tasks[loan.Machine], next.zone[loan.Machine] = map[protocol.TaskID]protocol.TaskReport{
+		{Job: low.ID, Task: loan.Lender.Task}: running(protocol.TaskID{Job: low.ID, Task: loan.Lender.Task}, loan.Lender.Attempt)}, "b"
+	next.seq[loan.Machine], next.token[loan.Machine] = 100, protocol.Token(5, 0)
+	next.seconds(3)
+	if ends := next.ends(); len(ends) != 1 || ends[0] != zones.NotTaken {
+		t.Errorf("ended as %v", ends)
+	}
+	if len(next.stops) > 0 {
+		t.Errorf("the lender was stopped: %v", next.stops)
+	}
+	if rows := next.recordedLoans(); len(rows) != 0 {
+		t.Errorf("still recorded: %+v", rows)
+	}
+}
+
+// TestLoanEndsWithItsJobs: a lender that is cancelled ends its loan, and a borrower that ends
+// early gives the room back.
+func TestLoanEndsWithItsJobs(t *testing.T) {
+	b := lendingBench(t)
+	b.untilLoan(t)
+	b.seconds(3)
+	lender := b.c.returning.ledger.Loans()[0].Lender.Job
+	b.step(JobDropped{ID: lender})
+	b.seconds(5)
+	if !slices.Contains(b.ends(), zones.LenderEnded) {
+		t.Errorf("the cancelled lender's loan: %v", b.ends())
+	}
+
+	b = lendingBench(t)
+	b.untilLoan(t)
+	b.seconds(3)
+	b.step(JobDropped{ID: "j-0"})
+	b.seconds(30)
+	b.onlyEnds(t, zones.Repaid)
+}
--- /dev/null
+++ b/internal/coordination/scheduler/returnfence.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/partition"
+	"pinebay/internal/coordination/zones"
+	"pinebay/internal/protocol"
+)
+
+// Bounds of what one look at a lost zone may cost and do.
+const (
+	fenceShare = 20 // of a zone's machines, one in so many may be fenced in a cycle
+	// mostWaiting is for how many of a job's waiting tasks room is set aside before that.
+	mostWaiting = 32
+	// searchesPerCore is for how many jobs a whole core looks for room in a cycle, next to
+	// its other work: a search among a hundred full machines takes it a millisecond or two.
+	searchesPerCore = 100
+	// searchPause is the time until the next search for a job for which there was no room.
+	searchPause = 3 * Cycle
+)
+
+// searches is for how many jobs room may be looked for in a cycle.
+func (c *Core) searches() int { return max(2, int(searchesPerCore*c.cfg.Quota.CoreShare)) }
+
+// fenceForReturn returns machines of lost zones whose tasks would find room elsewhere, in the
+// order of return: only that proves the tasks gone. What would find no room stays, and goes
+// on at once when the zone comes back.
+func (c *Core) fenceForReturn(now time.Duration, jobs []*job) {
+	if !c.returning.monitor.Any(zones.Lost) {
+		return
+	}
+	patience := c.returnPatience()
+	budget := c.fenceBudget()
+	market := c.newMarket(now)
+	tries := c.searches()
+	for _, j := range jobs {
+		if budget <= 0 || tries <= 0 {
+			return
+		}
+		held := c.heldByLostZones(now, j, patience)
+		waiting := min(j.counts[pending], c.allowance(j), mostWaiting)
+		if c.held(j) || len(held)+waiting == 0 || now < j.searchAgain {
+			continue
+		}
+		whole := j.spec.Shape == protocol.Gang || j.spec.SameZone
+		wanted := waiting + len(held)
+		if whole {
+			wanted = j.counts[pending] + len(j.places)
+		}
+		request, ok := c.requestElsewhere(j, wanted)
+		if !ok {
+			continue
+		}
+		tries--
+		// What waits already takes its room first.
+		found := market.place(j, request, whole) - waiting
+		if found <= 0 && len(held) > 0 {
+			j.searchAgain = now + searchPause
+		}
+		for _, pl := range held[:max(0, min(found, len(held)))] {
+			budget -= c.fenceMachineOf(now, j, pl)
+		}
+	}
+}
+
+// fenceBudget is how many machines may be fenced in this cycle.
+func (c *Core) fenceBudget() int {
+	n := 0
+	c.machines.Each(func(m *partition.Machine) {
+		if _, lost := c.returning.monitor.LostSince(m.Zone); lost {
+			n++
+		}
+	})
+	return max(1, n/fenceShare)
+}
+
+// returnPatience is for how long a machine of a lost zone is waited for: until its leases are
+// surely over, and as long as a machine takes to boot. Work that goes elsewhere pays about
+// that much once more, for a fetch there and for a boot when the zone is back; whoever waits as
+// long as it would pay never pays more than twice what foresight would.
+func (c *Core) returnPatience() time.Duration {
+	patience := c.leaseOver()
+	for _, t := range c.machines.Types() {
+		patience = max(patience, config.Seconds(t.BootS))
+	}
+	return patience
+}
+
+// heldByLostZones returns the placements of a job on machines of lost zones that have been
+// silent for longer than the patience.
+func (c *Core) heldByLostZones(now time.Duration, j *job, patience time.Duration) (held []*partition.Placement) {
+	for _, pl := range placements(j) {
+		m := c.machines.Machine(pl.Machine)
+		if _, lost := c.returning.monitor.LostSince(pl.Zone); lost && m != nil && now-m.Heard > patience {
+			held = append(held, pl)
+		}
+	}
+	return held
+}
+
+// fenceMachineOf has the machine of a placement returned, and says how many that makes.
+func (c *Core) fenceMachineOf(now time.Duration, j *job, pl *partition.Placement) int {
+	m := c.machines.Machine(pl.Machine)
+	if m == nil || m.Condemned {
+		return 0
+	}
+	since, _ := c.returning.monitor.LostSince(pl.Zone)
+	m.Condemned = true
+	c.decide(zones.MachineFenced{Machine: m.Name, Zone: m.Zone, Job: j.spec.ID, LostFor: now - since})
+	return 1
+}
+
+// requestElsewhere is the room that tasks of a job may take outside the lost zones; false if
+// its limits allow none.
+func (c *Core) requestElsewhere(j *job, tasks int) (zones.Request, bool) {
+	perZone := map[string]int{}
+	counts := map[string]int{}
+	for _, pl := range j.places {
+		counts[pl.Zone]++
+	}
+	most := math.MaxInt32
+	if j.spec.Spread {
+		most = (j.spec.Tasks + 1) / 2
+	}
+	total := 0
+	for _, zone := range c.returning.monitor.Zones() {
+		allowed := j.spec.Zone == "" || j.spec.Zone == zone.Name
+		if left := min(tasks, most-counts[zone.Name]); allowed && left > 0 && zone.State == zones.Available {
+			perZone[zone.Name] = left
+			total += left
+		}
+	}
+	return zones.Request{Need: j.need, Tasks: min(tasks, total), PerZone: perZone, JobCost: c.jobCost()}, total > 0
+}
--- /dev/null
+++ b/internal/coordination/scheduler/zonebench_test.go
@@ -0,0 +1,367 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/fleet"
+	"pinebay/internal/coordination/partition"
+	"pinebay/internal/coordination/zones"
+	"pinebay/internal/protocol"
+	"pinebay/internal/simulation"
+	"pinebay/internal/storage"
+)
+
+// zoneBench drives a core with zone return through the loss and return of zone a, under the
+// oracles of order and loans.
+type zoneBench struct {
+	*bench
+	order     *zones.Order
+	silent    map[string]bool // machines that are not heard
+	session   map[string]uint64
+	decisions []zones.Decision
+	records   map[string]protocol.Pair // of zone return, as written
+	orders    simulation.OrderOracle
+	loans     *simulation.LoanOracle
+	refuse    bool     // the state service does not answer
+	later     []func() // what the cloud answers, after the cycle
+}
+
+func newZoneBench(order *zones.Order, teams ...config.Team) *zoneBench {
+	b := &zoneBench{bench: newBench(teams, "a", "b"), order: order, silent: map[string]bool{}, session: map[string]uint64{},
+		records: map[string]protocol.Pair{}, loans: simulation.NewLoanOracle()}
+	b.c.cfg.Quota.CoreShare = 1
+	b.c.cfg.Workers.CancelS = 12 // so that a loan that is never repaid is written off soon
+	b.takeOver(5)
+	return b
+}
+
+// takeOver begins a term with what the last one recorded.
+func (b *zoneBench) takeOver(term uint64) {
+	var pages []protocol.Pair
+	for _, p := range b.records {
+		pages = append(pages, p)
+	}
+	records := Records{Types: []protocol.MachineType{*b.c.machines.Type("g8")}, ZonePages: pages}
+	b.c = New(b.now, b.c.cfg, b.c.log, Term{term, term}, records, b.now.Milliseconds(), b.order)
+}
+
+// step hands an event to the core and carries out what it asks for.
+func (b *zoneBench) step(e Event) {
+	for _, out := range b.c.Step(b.now, e) {
+		switch o := out.(type) {
+		case Decided:
+			b.decisions = append(b.decisions, o.Decision)
+		case Write:
+			b.write(o)
+		case Order:
+			if b.silent[o.Machine] || b.tasks[o.Machine] == nil {
+				b.step(OrdersDone{Machine: o.Machine})
+				continue
+			}
+			b.take(o.Machine, o.Orders.Token, o.Orders.Commands)
+			b.step(OrdersDone{Machine: o.Machine, OK: true, Report: b.reportOf(o.Machine)})
+		case Answer:
+			b.take(o.Tag.(string), o.Body.Token, o.Body.Commands)
+		case Fleet:
+			b.callCloud(o.Effect)
+		}
+	}
+}
+
+func (b *zoneBench) callCloud(e fleet.Effect) {
+	switch e := e.(type) {
+	case fleet.List:
+		b.after(Listed{Asked: b.now, Failed: true})
+	case fleet.Rent:
+		b.after(Rented{Request: e.Rental.Request, Asked: b.now, Refused: true})
+	case fleet.Release:
+		for _, name := range e.Names {
+			b.removeMachine(name)
+		}
+		b.after(Released{Names: e.Names, OK: true})
+	}
+}
+
+// after hands an event to the core when the cycle is over.
+func (b *zoneBench) after(e Event) { b.later = append(b.later, func() { b.step(e) }) }
+
+func (b *zoneBench) removeMachine(name string) {
+	delete(b.tasks, name)
+	delete(b.silent, name)
+}
+
+// write carries out a transaction, unless the state service is out.
+func (b *zoneBench) write(w Write) {
+	if b.refuse {
+		b.later = append(b.later, func() { b.write(w) })
+		return
+	}
+	b.rev++
+	zone := false
+	for _, op := range w.Txn.Then {
+		if strings.HasPrefix(op.Put, storage.ZoneReturnPrefix) {
+			b.records[op.Put] = protocol.Pair{Key: op.Put, Value: op.Value, Version: b.rev}
+			zone = true
+		}
+		if strings.HasPrefix(op.Delete, storage.ZoneReturnPrefix) {
+			delete(b.records, op.Delete)
+			zone = true
+		}
+	}
+	if zone {
+		b.loans.Records(b.recordedLoans(), b.lenderFacts)
+	}
+	b.step(Written{Write: w.ID, OK: true, Rev: b.rev})
+}
+
+func (b *zoneBench) recordedLoans() (rows []storage.LoanRow) {
+	for _, p := range b.records {
+		rec, err := storage.DecodeZoneReturn(p)
+		if err != nil {
+			continue // one that it must leave alone
+		}
+		rows = append(rows, rec.Loans...)
+	}
+	return rows
+}
+
+// lenderFacts tells of a loan's lender, from the core's books when the loan was made.
+func (b *zoneBench) lenderFacts(row storage.LoanRow) simulation.LenderFacts {
+	lender, borrower := b.c.jobs[row.Lender], b.c.jobs[row.Borrower]
+	return simulation.LenderFacts{LenderRank: lender.rank, BorrowerRank: borrower.rank,
+		Protected: withinGuarantee(b.c.cfg.Team(lender.spec.Team), b.c.machines.Usage(lender.spec.Team))}
+}
+
+func (b *zoneBench) reportOf(name string) *protocol.Report {
+	r := b.report(name)
+	r.Session = max(1, b.session[name])
+	return r
+}
+
+// second lets a second pass: machines report, images arrive, stopped tasks exit, and the
+// core has its cycle, which the oracle of order checks.
+func (b *zoneBench) second() {
+	b.now += Cycle
+	later := b.later
+	b.later = nil
+	for _, f := range later {
+		f()
+	}
+	b.moveTasks()
+	for _, name := range b.names() {
+		if !b.silent[name] {
+			b.step(Reported{Tag: name, Report: b.reportOf(name)})
+		}
+	}
+	before := b.placed()
+	used := map[string]partition.Need{"red": b.c.machines.Usage("red"), "blue": b.c.machines.Usage("blue")}
+	b.step(Tick{})
+	if b.c.recovering() {
+		b.orders.Cycle(b.startsSince(before, used), b.waitingJobs(), b.rooms())
+	}
+}
+
+func (b *zoneBench) names() (names []string) {
+	for name := range b.tasks {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// moveTasks lets what fetches run, and what was told to stop exit.
+func (b *zoneBench) moveTasks() {
+	for name, tasks := range b.tasks {
+		for id, t := range tasks {
+			if _, stopped := b.stops[id]; stopped && t.State != protocol.Exited {
+				t.State, t.Cause = protocol.Exited, protocol.CauseStopped
+				delete(b.stops, id)
+			} else if t.State == protocol.Fetching && !b.silent[name] {
+				t.State = protocol.TaskRunning
+			}
+			tasks[id] = t
+		}
+	}
+}
+
+type placement struct {
+	id      protocol.TaskID
+	attempt uint64
+}
+
+func (b *zoneBench) placed() map[placement]bool {
+	on := map[placement]bool{}
+	for _, j := range b.c.jobs {
+		for _, pl := range j.places {
+			on[placement{pl.Task, pl.Attempt}] = true
+		}
+	}
+	return on
+}
+
+// startsSince returns what was placed since, with what teams used before. What fits into its
+// team's guarantee besides that waits for nobody.
+func (b *zoneBench) startsSince(before map[placement]bool, used map[string]partition.Need) (starts []simulation.ReturnStart) {
+	for _, j := range b.c.jobs {
+		team := used[j.spec.Team]
+		for _, pl := range placements(j) {
+			if !before[placement{pl.Task, pl.Attempt}] {
+				team = team.Plus(pl.Need)
+				guaranteed := withinGuarantee(b.c.cfg.Team(pl.Team), team)
+				starts = append(starts, simulation.ReturnStart{Job: b.returnJob(j), Machine: pl.Machine, Guaranteed: guaranteed})
+			}
+		}
+	}
+	return starts
+}
+
+// waitingJobs returns the jobs that wait for room, but those that stand back for another
+// reason: their team's limit, a record under way, or that backfill is allowed just now.
+func (b *zoneBench) waitingJobs() (waiting []simulation.ReturnJob) {
+	for _, j := range b.c.jobs {
+		if !b.c.waits(b.now, j) || b.c.allowance(j) == 0 || j.spec.Shape == protocol.Gang && (b.c.allowance(j) < j.spec.Tasks || j.short%(shortCycles+1) == 0) {
+			continue
+		}
+		waiting = append(waiting, b.returnJob(j))
+	}
+	return waiting
+}
+
+func (b *zoneBench) returnJob(j *job) simulation.ReturnJob {
+	r := simulation.ReturnJob{ID: j.spec.ID, Position: b.order.Position(j.spec.Class, j.spec.Team), Rank: j.rank, Need: j.need, Tasks: 1, PerZone: map[string]int{}}
+	if j.spec.Shape == protocol.Gang {
+		r.Tasks, r.SameZone = j.spec.Tasks, j.spec.SameZone
+	}
+	r.Barred = map[string]bool{}
+	b.c.machines.Each(func(m *partition.Machine) {
+		for t := j.nextPending(0); t >= 0; t = j.nextPending(t + 1) {
+			r.Barred[m.Name] = r.Barred[m.Name] || m.HasAttempt(protocol.TaskID{Job: j.spec.ID, Task: t})
+		}
+	})
+	l := b.c.limits(j)
+	for _, zone := range []string{"a", "b"} {
+		if l.allow(zone) {
+			r.PerZone[zone] = min(j.spec.Tasks, l.most-l.perZone[zone])
+		}
+	}
+	return r
+}
+
+func (b *zoneBench) rooms() map[string]simulation.ReturnRoom {
+	rooms := map[string]simulation.ReturnRoom{}
+	b.c.machines.Each(func(m *partition.Machine) {
+		if b.c.machines.Open(b.now, m) && m.Reserved == "" {
+			rooms[m.Name] = simulation.ReturnRoom{Zone: m.Zone, Free: b.c.machines.Free(m)}
+		}
+	})
+	return rooms
+}
+
+// lose makes the machines of zone a silent; their tasks end with their leases.
+func (b *zoneBench) lose() {
+	for name, zone := range b.zone {
+		if zone == "a" && b.tasks[name] != nil {
+			b.silent[name] = true
+		}
+	}
+}
+
+// giveBack lets the named machines of zone a be heard again, with nothing on them.
+func (b *zoneBench) giveBack(which func(i int) bool) {
+	i := 0
+	for _, name := range b.names() {
+		if !b.silent[name] {
+			continue
+		}
+		if i++; which(i) {
+			delete(b.silent, name)
+			b.session[name]++
+			b.session[name] = max(2, b.session[name])
+			b.tasks[name] = map[protocol.TaskID]protocol.TaskReport{}
+		}
+	}
+}
+
+func (b *zoneBench) describe() (lines []string) {
+	for _, d := range b.decisions {
+		lines = append(lines, d.Describe())
+	}
+	return lines
+}
+
+func (b *zoneBench) seconds(n int) {
+	for range n {
+		b.second()
+	}
+}
+
+func countOf[D zones.Decision](decisions []zones.Decision) (n int) {
+	for _, d := range decisions {
+		if _, ok := d.(D); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// drawJobs submits a mixture of jobs that asks for so many GPUs in all.
+func (b *zoneBench) drawJobs(t *rapid.T, gpus int) {
+	for i := 0; gpus > 0; i++ {
+		shape := rapid.SampledFrom([]protocol.Shape{protocol.Array, protocol.Array, protocol.Gang, protocol.Service}).Draw(t, "shape")
+		prio := rapid.SampledFrom([]protocol.Priority{"critical", "urgent", "normal", "best_effort"}).Draw(t, "prio")
+		j := spec(fmt.Sprintf("j-%d", i), shape, prio, rapid.IntRange(1, 4).Draw(t, "tasks"), float64(rapid.IntRange(1, 8).Draw(t, "gpus")))
+		j.Class = rapid.SampledFrom([]string{"c", "d", "e"}).Draw(t, "class")
+		j.Team = rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team")
+		j.Spread = shape == protocol.Service && rapid.Bool().Draw(t, "spread")
+		j.SameZone = shape == protocol.Gang && rapid.Bool().Draw(t, "same")
+		if rapid.Bool().Draw(t, "saves") {
+			j.CheckpointS, j.SaveS = 10, 2
+		}
+		gpus -= j.Tasks * int(j.GPUs)
+		b.step(JobSet{Record: storage.LiveRecord{Job: j, AtMS: b.now.Milliseconds()}, Stamp: uint64(i + 1)})
+	}
+}
+
+func (b *zoneBench) submit(j protocol.Job) {
+	b.rev++
+	b.step(JobSet{Record: storage.LiveRecord{Job: j, AtMS: b.now.Milliseconds()}, Stamp: b.rev})
+}
+
+// untilLoan lets time pass until a loan is made.
+func (b *zoneBench) untilLoan(t *testing.T) {
+	t.Helper()
+	for range 60 {
+		b.second()
+		if countOf[zones.LoanMade](b.decisions) > 0 {
+			return
+		}
+	}
+	t.Fatalf("no loan was made:\n%s", strings.Join(b.describe(), "\n"))
+}
+
+func (b *zoneBench) ends() (ends []zones.End) {
+	for _, d := range b.decisions {
+		if e, ok := d.(zones.LoanEnded); ok {
+			ends = append(ends, e.End)
+		}
+	}
+	return ends
+}
+
+func (b *zoneBench) onlyEnds(t *testing.T, want zones.End) {
+	t.Helper()
+	ends := b.ends()
+	if len(ends) == 0 || slices.ContainsFunc(ends, func(e zones.End) bool { return e != want }) {
+		t.Errorf("loans ended as %v, want %s:\n%s", ends, want, strings.Join(b.describe(), "\n"))
+	}
+	b.loans.Calm()
+	if len(b.loans.Broken) > 0 {
+		t.Error(b.loans.Broken[0])
+	}
+}
