--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -204,9 +204,16 @@
 }
 
 // TestCancelledTasksAreFencedInADarkZone: when most of a zone is silent it is given
-// time, but not those machines that may still have a cancelled task beyond its day.
+// time, but not those machines that may still have a cancelled task beyond its day. That
+// holds as well while somebody else decides on the zone's machines.
 func TestCancelledTasksAreFencedInADarkZone(t *testing.T) {
+	t.Run("usual", func(t *testing.T) { fencesCancelled(t, nil) })
+	t.Run("kept", func(t *testing.T) { fencesCancelled(t, map[string]ZonePolicy{"a": {KeepUntil: time.Hour}}) })
+}
+
+func fencesCancelled(t *testing.T, policies map[string]ZonePolicy) {
 	f, p := setup()
+	f.SetZones(policies)
 	f.Listed(1*s, 0, p, nil)
 	for i := range 9 {
 		p.Report(10*s, &protocol.Report{Machine: fmt.Sprintf("m%d", i), Addr: "x", Type: "g8", Zone: "a", Session: 1, Seq: 1})
@@ -288,3 +295,47 @@
 		}
 	}
 }
+
+// TestZonePolicies: nothing is rented in a closed zone and one machine at a time in one that is
+// probed, silent machines of an uncounted one are no room, and those of a kept one stay until
+// its time is over.
+func TestZonePolicies(t *testing.T) {
+	f, p := setup()
+	f.Listed(1*s, 0, p, nil)
+	there := func(policy ZonePolicy, now time.Duration) map[string]int {
+		f.SetZones(map[string]ZonePolicy{"a": policy})
+		counts := map[string]int{}
+		for _, r := range rentals(f.Plan(now, p, []Unit{{Job: &protocol.Job{ID: "j-1", GPUs: 8, Zone: "a"}, Count: 3}, {Job: &protocol.Job{ID: "j-2", GPUs: 8, Zone: "b"}, Count: 2}})) {
+			counts[r.Zone] += r.Count
+			f.Rented(now, now, p, r.Request, nil, false)
+		}
+		clear(f.blocked)
+		return counts
+	}
+	for i, row := range []struct {
+		policy ZonePolicy
+		want   int
+	}{{ZonePolicy{Closed: true}, 0}, {ZonePolicy{Probe: true}, 1}, {ZonePolicy{}, 3}} {
+		if got := there(row.policy, time.Duration(2+i)*s); got["a"] != row.want || got["b"] != 2 {
+			t.Errorf("%+v: %v, want %d in a and 2 in b", row.policy, got, row.want)
+		}
+	}
+	f, p = setup()
+	f.Listed(1*s, 0, p, nil)
+	for i := range 4 {
+		p.Report(10*s, &protocol.Report{Machine: fmt.Sprintf("m%d", i), Addr: "x", Type: "g8", Zone: "a", Session: 1, Seq: 1})
+	}
+	f.SetZones(map[string]ZonePolicy{"a": {Uncounted: true, KeepUntil: 60 * s}})
+	for now := 11 * s; now < 60*s; now += s {
+		effects := f.Plan(now, p, []Unit{{Job: &protocol.Job{ID: "j-1", GPUs: 8}, Count: 1}})
+		if got := released(effects); len(got) > 0 {
+			t.Fatalf("returned %v at %v", got, now)
+		}
+		if got := rentals(effects); now == 20*s && f.counts["r-3-1"] != 1 {
+			t.Errorf("silent machines counted as room: %v", got)
+		}
+	}
+	if got := released(f.Plan(120*s, p, nil)); len(got) == 0 {
+		t.Error("kept beyond their time")
+	}
+}
--- a/internal/coordination/scheduler/loans_test.go
+++ b/internal/coordination/scheduler/loans_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"pinebay/internal/config"
@@ -147,3 +148,33 @@
 	b.seconds(30)
 	b.onlyEnds(t, zones.Repaid)
 }
+
+// TestGangShortByOne: for a lost gang of two there is room for one task elsewhere. Nobody lends for
+// that, no machine is returned for it, and the gang starts whole when the zone is back.
+func TestGangShortByOne(t *testing.T) {
+	b := newZoneBench(zones.DefaultOrder(), config.Team{Name: "red"})
+	for i := range 6 {
+		name := fmt.Sprintf("m%02d", i)
+		b.tasks[name], b.zone[name] = map[protocol.TaskID]protocol.TaskReport{}, []string{"a", "b"}[i%2]
+	}
+	b.seconds(2)
+	for i, j := range []protocol.Job{spec("j-0", protocol.Gang, "urgent", 2, 8), spec("j-1", protocol.Service, "critical", 2, 8), spec("j-2", protocol.Service, "critical", 1, 8)} {
+		j.Zone = []string{"a", "b", "a"}[i]
+		b.submit(j)
+	}
+	low := spec("j-3", protocol.Array, "best_effort", 2, 4)
+	low.Zone = "b"
+	b.submit(low)
+	b.seconds(5)
+	b.c.jobs["j-0"].spec.Zone = "" // it was there by chance, and may go anywhere
+	b.lose()
+	b.seconds(60)
+	if countOf[zones.LoanMade](b.decisions)+countOf[zones.MachineFenced](b.decisions) > 0 || len(b.stops) > 0 {
+		t.Fatalf("room is taken for half of a gang:\n%s", strings.Join(b.describe(), "\n"))
+	}
+	b.giveBack(func(int) bool { return true })
+	b.seconds(5)
+	if got := b.c.jobs["j-0"].counts[placed]; got != 2 {
+		t.Errorf("%d of 2 tasks are placed when the zone is back", got)
+	}
+}
