Zone return: tests that see a lender stopped too soon and backfill of lent room

Taken out one at a time, two guards were missed by the tests: the record before the stop (the test let the write through in the second of the loan), and no backfill while lent room comes free. Both have a test now that fails without them.

--- a/internal/coordination/scheduler/loans_test.go
+++ b/internal/coordination/scheduler/loans_test.go
@@ -63,17 +63,15 @@
 // TestLoanIsRecordedFirst: while its record is not written no lender is stopped.
 func TestLoanIsRecordedFirst(t *testing.T) {
 	b := lendingBench(t)
-	for range 60 {
-		b.refuse = b.c.jobs["j-0"].counts[pending] > 0 || b.c.jobs["j-0"].displacedFrom != ""
-		b.second()
-	}
+	b.refuse = func(w Write) bool { return strings.HasPrefix(w.Verify, storage.ZoneReturnPrefix) }
+	b.seconds(60)
 	if countOf[zones.LoanMade](b.decisions) == 0 {
 		t.Fatal("no loan was made")
 	}
 	if len(b.stops) > 0 || b.c.jobs["j-1"].leaving() || b.c.jobs["j-3"].leaving() || b.c.jobs["j-5"].leaving() {
 		t.Error("a lender is stopped by a loan that is not recorded")
 	}
-	b.refuse = false
+	b.refuse = nil
 	b.seconds(10)
 	if b.c.jobs["j-0"].counts[placed] != 1 {
 		t.Error("the gang is not back after the record was written")
@@ -178,3 +176,32 @@
 		t.Errorf("%d of 2 tasks are placed when the zone is back", got)
 	}
 }
+
+// TestNoBackfillWhileRoomIsLent: in its fourth short cycle a gang opens the room that it has to
+// smaller jobs, but not while the rest of its room is lent and coming free.
+func TestNoBackfillWhileRoomIsLent(t *testing.T) {
+	b := lendingBench(t)
+	b.seconds(20)
+	if b.c.returning.monitor.State("a") != zones.Lost {
+		t.Fatal("zone a is not lost")
+	}
+	b.step(JobDropped{ID: "j-1"}) // its machine comes free with the next second
+	b.second()
+	gang := spec("j-8", protocol.Gang, "urgent", 2, 8)
+	small := spec("j-9", protocol.Array, "normal", 1, 8)
+	gang.Zone, small.Zone = "b", "b"
+	b.submit(gang)
+	b.submit(small)
+	b.c.jobs["j-8"].displacedFrom, b.c.jobs["j-8"].short = "a", shortCycles
+	b.second()
+	if countOf[zones.LoanMade](b.decisions) == 0 {
+		t.Fatalf("nothing was lent:\n%s", strings.Join(b.describe(), "\n"))
+	}
+	if b.c.jobs["j-9"].counts[placed] > 0 {
+		t.Error("a smaller job has the room")
+	}
+	b.seconds(5)
+	if got := b.c.jobs["j-8"].counts[placed]; got != 2 {
+		t.Errorf("%d of 2 tasks of the gang are placed", got)
+	}
+}
--- a/internal/coordination/scheduler/zonebench_test.go
+++ b/internal/coordination/scheduler/zonebench_test.go
@@ -28,8 +28,8 @@
 	records   map[string]protocol.Pair // of zone return, as written
 	orders    simulation.OrderOracle
 	loans     *simulation.LoanOracle
-	refuse    bool     // the state service does not answer
-	later     []func() // what the cloud answers, after the cycle
+	refuse    func(Write) bool // writes that the state service does not answer
+	later     []func()         // what the cloud answers, after the cycle
 }
 
 func newZoneBench(order *zones.Order, teams ...config.Team) *zoneBench {
@@ -98,7 +98,7 @@
 
 // write carries out a transaction, unless the state service is out.
 func (b *zoneBench) write(w Write) {
-	if b.refuse {
+	if b.refuse != nil && b.refuse(w) {
 		b.later = append(b.later, func() { b.write(w) })
 		return
 	}
