Zone return: displaced work gets lower work's room by the ledger only

Ordinary preemption still ran for jobs that had lost tasks with a zone: for gangs that could not be whole, for critical replicas that cleared warm room, and so without a loan. What the ledger can't give they wait for now; only when it is full preemption is as ever. Tests that see part of a gang lent for, and lenders stopped before the record.

--- a/internal/coordination/scheduler/borrow.go
+++ b/internal/coordination/scheduler/borrow.go
@@ -30,40 +30,37 @@
 	return slices.ContainsFunc(cands, func(x *candidate) bool { return x.m.ReservedFor(now, j.spec.ID) })
 }
 
-// borrow finds room for up to n tasks of a job that lost them with a zone, and says whether it
-// has found any, or waits for room that it was lent. What is to be stopped for it is
-// recorded first: should we end in between, the next leader finds who was to lend to whom.
+// borrow finds room for up to n tasks of a job that lost them with a zone. What is to be
+// stopped for it is recorded first: should we end in between, the next leader finds who
+// was to lend to whom. It says whether that is how the job gets room: not when no further
+// loan can be recorded.
 func (c *Core) borrow(now time.Duration, j *job, cands []*candidate, l *limits, n int) bool {
-	waits := 0
 	for _, x := range cands {
 		if x.m.ReservedFor(now, j.spec.ID) {
-			waits++
+			n-- // lent already, and not yet free
 		}
 	}
-	if n -= waits; n <= 0 {
+	if n <= 0 {
 		return true
 	}
 	request, ok := c.requestElsewhere(j, n)
-	if !ok {
-		return waits > 0
+	if !ok || !c.maySearch(now, j) {
+		return true
 	}
 	if l.zone != "" {
 		request.PerZone = map[string]int{l.zone: request.PerZone[l.zone]}
 	}
-	if !c.maySearch(now, j) {
-		return waits > 0
-	}
 	k := c.marketOf(now, cands)
 	choice := k.choose(j, request, func(x *candidate) bool {
 		return c.fits(now, j, x, l) && !x.m.ReservedFor(now, j.spec.ID)
 	})
 	if len(choice.Picks) == 0 || j.spec.Shape == protocol.Gang && len(choice.Picks) < n || k.unsafe(choice) {
 		j.searchAgain = now + searchPause
-		return waits > 0
+		return true
 	}
 	if err := c.lend(now, j, k, choice); err != nil {
 		c.log.Info("no loan", "job", j.spec.ID, "err", err)
-		return waits > 0
+		return false
 	}
 	c.reserve(now, j, cands, l, choice)
 	return true
--- a/internal/coordination/scheduler/loans_test.go
+++ b/internal/coordination/scheduler/loans_test.go
@@ -13,8 +13,9 @@
 )
 
 // lendingBench is a fleet of three machines a zone, all of them full. Zone a has an urgent gang
-// of one task, and arrays that cannot be elsewhere; zone b has lower arrays that lend.
-func lendingBench(t *testing.T) *zoneBench {
+// of one task, and arrays that cannot be elsewhere; zone b has lower arrays that lend. An
+// array has so many tasks, which fill a machine together.
+func lendingBench(t *testing.T, tasks int) *zoneBench {
 	t.Helper()
 	b := newZoneBench(zones.DefaultOrder(), config.Team{Name: "red"})
 	for i := range 6 {
@@ -28,13 +29,13 @@
 	b.seconds(3)
 	b.c.jobs["j-0"].spec.Zone = "" // it was there by chance, and may go anywhere
 	for i, id := range []string{"j-1", "j-2", "j-3", "j-4", "j-5"} {
-		low := spec(id, protocol.Array, "best_effort", 2, 4)
+		low := spec(id, protocol.Array, "best_effort", tasks, float64(8/tasks))
 		low.Zone = []string{"b", "a"}[i%2]
 		b.submit(low)
 	}
 	b.seconds(4)
-	if n := len(b.placed()); n != 11 {
-		t.Fatalf("%d of 11 tasks are placed", n)
+	if n, want := len(b.placed()), 1+5*tasks; n != want {
+		t.Fatalf("%d of %d tasks are placed", n, want)
 	}
 	b.lose()
 	return b
@@ -43,7 +44,7 @@
 // TestLoanIsRepaid: a lost gang takes the room of least-lost lower work, which has room again
 // when the zone is back.
 func TestLoanIsRepaid(t *testing.T) {
-	b := lendingBench(t)
+	b := lendingBench(t, 2)
 	b.untilLoan(t)
 	b.seconds(5)
 	if b.c.jobs["j-0"].counts[placed] != 1 {
@@ -62,14 +63,17 @@
 
 // TestLoanIsRecordedFirst: while its record is not written no lender is stopped.
 func TestLoanIsRecordedFirst(t *testing.T) {
-	b := lendingBench(t)
+	b := lendingBench(t, 2)
+	before := b.placed()
 	b.refuse = func(w Write) bool { return strings.HasPrefix(w.Verify, storage.ZoneReturnPrefix) }
 	b.seconds(60)
 	if countOf[zones.LoanMade](b.decisions) == 0 {
 		t.Fatal("no loan was made")
 	}
-	if len(b.stops) > 0 || b.c.jobs["j-1"].leaving() || b.c.jobs["j-3"].leaving() || b.c.jobs["j-5"].leaving() {
-		t.Error("a lender is stopped by a loan that is not recorded")
+	for on := range before {
+		if lender := on.id.Job; (lender == "j-1" || lender == "j-3" || lender == "j-5") && !b.placed()[on] {
+			t.Errorf("%v is stopped by a loan that is not recorded", on.id)
+		}
 	}
 	b.refuse = nil
 	b.seconds(10)
@@ -81,7 +85,7 @@
 // TestLeaderEndsBeforeTaking: a loan that is recorded, but whose leader ended before it stopped
 // the lender, is found and ended by the next leader without harm to the lender.
 func TestLeaderEndsBeforeTaking(t *testing.T) {
-	b := lendingBench(t)
+	b := lendingBench(t, 2)
 	b.untilLoan(t)
 	loan := b.c.returning.ledger.Loans()[0]
 	rec := &storage.ZoneReturnRecord{Format: storage.ZoneReturnFormat, Loans: []storage.LoanRow{rowOf(loan)},
@@ -129,7 +133,7 @@
 // TestLoanEndsWithItsJobs: a lender that is cancelled ends its loan, and a borrower that ends
 // early gives the room back.
 func TestLoanEndsWithItsJobs(t *testing.T) {
-	b := lendingBench(t)
+	b := lendingBench(t, 2)
 	b.untilLoan(t)
 	b.seconds(3)
 	lender := b.c.returning.ledger.Loans()[0].Lender.Job
@@ -139,7 +143,7 @@
 		t.Errorf("the cancelled lender's loan: %v", b.ends())
 	}
 
-	b = lendingBench(t)
+	b = lendingBench(t, 2)
 	b.untilLoan(t)
 	b.seconds(3)
 	b.step(JobDropped{ID: "j-0"})
@@ -180,7 +184,7 @@
 // TestNoBackfillWhileRoomIsLent: in its fourth short cycle a gang opens the room that it has to
 // smaller jobs, but not while the rest of its room is lent and coming free.
 func TestNoBackfillWhileRoomIsLent(t *testing.T) {
-	b := lendingBench(t)
+	b := lendingBench(t, 1)
 	b.seconds(20)
 	if b.c.returning.monitor.State("a") != zones.Lost {
 		t.Fatal("zone a is not lost")
@@ -205,3 +209,24 @@
 		t.Errorf("%d of 2 tasks of the gang are placed", got)
 	}
 }
+
+// TestNobodyLendsForPartOfAGang: a gang that would not be whole with all that may be lent gets
+// nothing, and nobody is stopped for it in another way.
+func TestNobodyLendsForPartOfAGang(t *testing.T) {
+	b := lendingBench(t, 1)
+	b.seconds(20)
+	gang := spec("j-8", protocol.Gang, "urgent", 4, 8)
+	gang.Zone = "b"
+	b.submit(gang)
+	b.c.jobs["j-8"].displacedFrom = "a"
+	before := b.placed()
+	b.seconds(8)
+	if countOf[zones.LoanMade](b.decisions) > 0 {
+		t.Errorf("room was lent:\n%s", strings.Join(b.describe(), "\n"))
+	}
+	for on := range before {
+		if !b.placed()[on] {
+			t.Errorf("%v was stopped", on.id)
+		}
+	}
+}
--- a/internal/coordination/scheduler/preempt.go
+++ b/internal/coordination/scheduler/preempt.go
@@ -17,7 +17,7 @@
 // a critical replica wait for a fetch of most of a minute.
 func (c *Core) displace(now time.Duration, j *job, task int, x *candidate, cands []*candidate, l *limits) bool {
 	within := c.waitAim(j.spec.Class)
-	if math.IsInf(within, 1) {
+	if math.IsInf(within, 1) || c.mayBorrow(j) {
 		return false
 	}
 	left := config.Seconds(within) - (now - j.known)
@@ -43,7 +43,7 @@
 // machines where least is lost, and reserves the room.
 func (c *Core) preempt(now time.Duration, j *job, cands []*candidate, l *limits, n int) {
 	if c.mayBorrow(j) && c.borrow(now, j, cands, l, n) {
-		return
+		return // its room comes by the ledger, or not at all
 	}
 	if j.short < 2 {
 		return
--- a/internal/coordination/scheduler/zonereturn_test.go
+++ b/internal/coordination/scheduler/zonereturn_test.go
@@ -119,7 +119,7 @@
 // TestZoneReturnOffCostsNothing: without the flag no decision is made and nothing is written,
 // whatever happens to a zone.
 func TestZoneReturnOffCostsNothing(t *testing.T) {
-	b := lendingBench(t)
+	b := lendingBench(t, 2)
 	b.c.returning = nil
 	b.decisions = nil
 	b.seconds(60)
