--- a/internal/coordination/scheduler/loans_test.go
+++ b/internal/coordination/scheduler/loans_test.go
@@ -230,3 +230,42 @@
 		}
 	}
 }
+
+// TestGuaranteeBoundsWhatIsLent: each task of a team is beyond its guarantee, but not all of them
+// together; they do not lend together what the team is guaranteed.
+func TestGuaranteeBoundsWhatIsLent(t *testing.T) {
+	for _, row := range []struct {
+		guarantee float64
+		lends     bool
+	}{{8, false}, {4, true}} {
+		b := newZoneBench(zones.DefaultOrder(), config.Team{Name: "red", GPUs: row.guarantee}, config.Team{Name: "blue"})
+		for i := range 6 {
+			name := fmt.Sprintf("m%02d", i)
+			b.tasks[name], b.zone[name] = map[protocol.TaskID]protocol.TaskReport{}, []string{"a", "b"}[i%2]
+		}
+		b.seconds(2)
+		for _, j := range []protocol.Job{
+			spec("j-1", protocol.Array, "best_effort", 2, 4), // of red, the only ones whose machine could be had
+			spec("j-2", protocol.Array, "critical", 2, 6),
+			spec("j-3", protocol.Array, "best_effort", 1, 2), // of red, beside a critical one
+		} {
+			j.Zone = "b"
+			if j.Priority == "critical" {
+				j.Team = "blue"
+			}
+			b.submit(j)
+			b.seconds(2)
+		}
+		b.lose()
+		b.seconds(20)
+		gang := spec("j-8", protocol.Gang, "urgent", 1, 8)
+		gang.Zone, gang.Team = "b", "blue"
+		b.submit(gang)
+		b.c.jobs["j-8"].displacedFrom = "a"
+		b.c.returning.monitor.Restore(zones.Zone{Name: "a", State: zones.Lost, Since: b.now})
+		b.seconds(5)
+		if got := countOf[zones.LoanMade](b.decisions) > 0; got != row.lends {
+			t.Errorf("guarantee %v: lent %v, want %v\n%s", row.guarantee, got, row.lends, strings.Join(b.describe(), "\n"))
+		}
+	}
+}
