--- a/internal/coordination/scheduler/loans_test.go
+++ b/internal/coordination/scheduler/loans_test.go
@@ -245,8 +245,8 @@
 		}
 		b.seconds(2)
 		for _, j := range []protocol.Job{
-			spec("j-1", protocol.Array, "best_effort", 2, 4), // of red, the only ones whose machine could be had
 			spec("j-2", protocol.Array, "critical", 2, 6),
+			spec("j-1", protocol.Array, "best_effort", 2, 4), // of red, the only ones whose machine could be had
 			spec("j-3", protocol.Array, "best_effort", 1, 2), // of red, beside a critical one
 		} {
 			j.Zone = "b"
@@ -256,6 +256,9 @@
 			b.submit(j)
 			b.seconds(2)
 		}
+		if used := b.c.machines.Usage("red").GPUs; used != 10 {
+			t.Fatalf("red uses %v of 10 GPUs", used)
+		}
 		b.lose()
 		b.seconds(20)
 		gang := spec("j-8", protocol.Gang, "urgent", 1, 8)
