--- a/internal/coordination/scheduler/zonebench_test.go
+++ b/internal/coordination/scheduler/zonebench_test.go
@@ -28,8 +28,9 @@
 	records   map[string]protocol.Pair // of zone return, as written
 	orders    simulation.OrderOracle
 	loans     *simulation.LoanOracle
-	refuse    func(Write) bool // writes that the state service does not answer
-	later     []func()         // what the cloud answers, after the cycle
+	barred    map[string]map[string]bool // machines that jobs could not have in the last cycle
+	refuse    func(Write) bool           // writes that the state service does not answer
+	later     []func()                   // what the cloud answers, after the cycle
 }
 
 func newZoneBench(order *zones.Order, teams ...config.Team) *zoneBench {
@@ -161,6 +162,7 @@
 	}
 	before := b.placed()
 	used := map[string]partition.Need{"red": b.c.machines.Usage("red"), "blue": b.c.machines.Usage("blue")}
+	b.barred = b.barredMachines() // some are free for another attempt once the cycle is over
 	b.step(Tick{})
 	if b.c.recovering() {
 		b.orders.Cycle(b.startsSince(before, used), b.waitingJobs(), b.rooms())
@@ -233,17 +235,27 @@
 	return waiting
 }
 
+// barredMachines names, for each job, the machines that hold on to an earlier attempt of a task
+// that waits.
+func (b *zoneBench) barredMachines() map[string]map[string]bool {
+	barred := map[string]map[string]bool{}
+	for id, j := range b.c.jobs {
+		barred[id] = map[string]bool{}
+		b.c.machines.Each(func(m *partition.Machine) {
+			for t := j.nextPending(0); t >= 0; t = j.nextPending(t + 1) {
+				barred[id][m.Name] = barred[id][m.Name] || m.HasAttempt(protocol.TaskID{Job: id, Task: t})
+			}
+		})
+	}
+	return barred
+}
+
 func (b *zoneBench) returnJob(j *job) simulation.ReturnJob {
 	r := simulation.ReturnJob{ID: j.spec.ID, Position: b.order.Position(j.spec.Class, j.spec.Team), Rank: j.rank, Need: j.need, Tasks: 1, PerZone: map[string]int{}}
 	if j.spec.Shape == protocol.Gang {
 		r.Tasks, r.SameZone = j.spec.Tasks, j.spec.SameZone
 	}
-	r.Barred = map[string]bool{}
-	b.c.machines.Each(func(m *partition.Machine) {
-		for t := j.nextPending(0); t >= 0; t = j.nextPending(t + 1) {
-			r.Barred[m.Name] = r.Barred[m.Name] || m.HasAttempt(protocol.TaskID{Job: j.spec.ID, Task: t})
-		}
-	})
+	r.Barred = b.barred[j.spec.ID]
 	l := b.c.limits(j)
 	for _, zone := range []string{"a", "b"} {
 		if l.allow(zone) {
