--- a/internal/simulation/figures_test.go
+++ b/internal/simulation/figures_test.go
@@ -30,6 +30,7 @@
 	down   map[protocol.Shape]float64
 	whole  map[protocol.Shape]time.Duration
 	lent   int
+	lostS  float64 // by lenders
 	starts int
 }
 
@@ -50,7 +51,7 @@
 				for _, shape := range []protocol.Shape{protocol.Service, protocol.Gang, protocol.Array} {
 					t.Logf("FIGURE %-10s on=%-5v %-7s down %6.0f s, whole after %5.0f s", loss.name, on, shape, sum.down[shape]/seeds, sum.whole[shape].Seconds()/seeds)
 				}
-				t.Logf("FIGURE %-10s on=%-5v %.1f loans, %.0f starts", loss.name, on, float64(sum.lent)/seeds, float64(sum.starts)/seeds)
+				t.Logf("FIGURE %-10s on=%-5v %.1f loans, %.0f s lost by lenders, %.0f starts", loss.name, on, float64(sum.lent)/seeds, sum.lostS/seeds, float64(sum.starts)/seeds)
 			})
 		}
 	}
@@ -64,7 +65,9 @@
 	l.moreArrays(12)
 	time.Sleep(30 * s)
 	before := l.runningByShape()
+	l.mu.Lock()
 	starts := l.world.Starts
+	l.mu.Unlock()
 	loss(l)
 	last := map[protocol.Shape]time.Duration{}
 	from := l.now()
@@ -80,7 +83,10 @@
 	for shape, at := range last {
 		sum.whole[shape] += at
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	sum.lent += loans.Seen
+	sum.lostS += loans.LostS
 	sum.starts += l.world.Starts - starts
 }
 
--- a/internal/simulation/zone_oracle.go
+++ b/internal/simulation/zone_oracle.go
@@ -102,6 +102,7 @@
 type LoanOracle struct {
 	Broken []string
 	Seen   int
+	LostS  float64 // work that lenders lost, in seconds
 	open   map[lentTask]storage.LoanRow
 	ever   map[lentTask][2]uint64
 }
@@ -135,6 +136,7 @@
 		}
 		o.ever[task] = number
 		o.Seen++
+		o.LostS += row.LostS
 		if f := facts(row); f.LenderRank <= f.BorrowerRank || f.LenderRank == 0 || f.Protected {
 			o.broken("a protected lender: %+v, %+v", row, f)
 		}
--- a/internal/simulation/zone_test.go
+++ b/internal/simulation/zone_test.go
@@ -217,6 +217,22 @@
 	l.happened["loan"] = o.Seen
 }
 
+// checkLoans demands that all loans have ended, and that no rule on lending was broken.
+func (l *live) checkLoans(loans *LoanOracle) {
+	l.t.Helper()
+	on := l.leader().features.ZoneReturn != nil
+	fenced := l.logCount("is returned for")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if on {
+		loans.Calm() // a leader without it leaves the records alone
+	}
+	for _, broken := range loans.Broken {
+		l.t.Error(broken)
+	}
+	l.t.Logf("%d loans, %d machines fenced for a return", loans.Seen, fenced)
+}
+
 // playZone plays a scenario of a zone's loss under all oracles.
 func playZone(t *testing.T, seed uint64, w config.Workers, steps []step, happened []string, options ...func(*live)) {
 	play(t, seed, 3, w, func(l *live) {
@@ -227,13 +243,7 @@
 		l.playSteps(steps)
 		time.Sleep(20*config.Seconds(l.cfg.Workers.CancelS) + 2*time.Minute) // until what is never repaid is written off
 		l.calm()
-		if l.leader().features.ZoneReturn != nil {
-			loans.Calm() // a leader without it leaves the records alone
-		}
-		for _, broken := range loans.Broken {
-			t.Error(broken)
-		}
-		t.Logf("%d loans, %d machines fenced for a return", loans.Seen, l.logCount("is returned for"))
+		l.checkLoans(loans)
 		for _, what := range happened {
 			if l.count(what) == 0 && l.logCount(what) == 0 {
 				t.Errorf("%s did not happen", what)
