Simulation: rules checked without walking all workers, a cloud, agents and users in the package

A start, a gang's meeting and a cancellation were checked by walking every task of every worker, and time passed on all workers at each step. Now counts by task, job, team and gang answer, and only workers on which something is due are looked at. The cloud, a worker's process and users' requests were in test files; they move into the package, and the state service keeps to the limits of the settings if told so (requests, writes, sizes, the last 10,000 changes).

--- a/internal/simulation/live_test.go
+++ b/internal/simulation/live_test.go
@@ -36,7 +36,7 @@
 	log    *slog.Logger
 	logs   *bytes.Buffer
 	logged *locked // guards logs
-	users  *transport.Client
+	users  *Users
 	ctx    context.Context
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
@@ -45,11 +45,7 @@
 	rng      *rand.Rand
 	world    *World
 	rigs     map[string]*rig
-	rentals  map[string][]string
-	rented   map[string]protocol.ListedMachine
-	seen     map[string]time.Duration // when rented
-	gone     map[string]time.Duration
-	names    int
+	rented   *Cloud
 	boot     func() time.Duration
 	reports  func(r *protocol.Report) // sees every report that is sent
 	cuts     map[string]int           // "from>to" to how often it is cut
@@ -97,8 +93,7 @@
 		},
 		types: []protocol.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 256, CacheGB: 100, FetchGBPerS: 4, Price: 10,
 			SpotPrice: 4, BootS: 8, Zones: []string{"a", "b"}}},
-		logs: &bytes.Buffer{}, rigs: map[string]*rig{}, rentals: map[string][]string{}, rented: map[string]protocol.ListedMachine{},
-		seen: map[string]time.Duration{}, gone: map[string]time.Duration{}, cuts: map[string]int{}, happened: map[string]int{},
+		logs: &bytes.Buffer{}, rigs: map[string]*rig{}, cuts: map[string]int{}, happened: map[string]int{},
 		features: func(int) daemon.Features { return daemon.Features{} }, dead: map[string]bool{}, room: 12,
 	}
 	for _, option := range options {
@@ -117,14 +112,16 @@
 	}
 	l.logged = &locked{w: l.logs}
 	l.log = slog.New(slog.NewTextHandler(l.logged, &slog.HandlerOptions{Level: level}))
-	l.users = transport.NewClient(l.net.Host(usersHost), 64, 256, time.Minute)
+	l.users = &Users{Client: transport.NewClient(l.net.Host(usersHost), 64, 256, time.Minute), Ledger: l.ledger, Now: l.now,
+		Fault: func(err error) { l.t.Error(err) }}
+	l.rented = l.newCloud()
 	l.net.Cut(func(from, to string) bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		return l.cuts[from+">"+to] > 0 || l.cuts[from+">*"] > 0 || l.cuts["*>"+to] > 0
 	})
 	l.serve(stateAddr, l.state)
-	l.serve(cloudAddr, http.HandlerFunc(l.cloud))
+	l.serve(cloudAddr, l.rented)
 	for i := range controllers {
 		ip := fmt.Sprintf("10.0.0.%d", i+1)
 		s := config.Settings{Node: fmt.Sprintf("n-%d", i), Location: "a", Listen: ip + ":8080", MeshAddr: ip + ":8081",
@@ -248,8 +245,9 @@
 		n.host.Kill()
 	}
 	l.mu.Lock()
+	l.rented.Close()
 	for _, r := range l.rigs {
-		r.stop()
+		r.Stop()
 	}
 	l.mu.Unlock()
 	l.net.Close()
--- a/internal/simulation/live_user_test.go
+++ b/internal/simulation/live_user_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"time"
 
 	"pinebay/internal/protocol"
@@ -30,31 +29,10 @@
 
 // request sends a user's request to a controller, and the ledger hears the answer.
 func (l *live) request(n *controller, kind, id string) (int, protocol.JobStatus) {
-	method, path, patience := http.MethodGet, "/submissions/"+id, 2*time.Second
-	var body any
-	switch kind {
-	case Submits:
-		l.mu.Lock()
-		body = l.world.Jobs[id]
-		l.mu.Unlock()
-		method, path, patience = http.MethodPost, "/submissions", 5*time.Second
-	case Cancels:
-		method, path, patience = http.MethodPost, path+"/withdraw", 5*time.Second
-	}
-	l.ledger.Sent(kind, id)
-	sent := l.now()
-	status, raw, err := l.users.Do(l.ctx, patience, method, "http://"+n.ip+":8080"+path, body)
-	if err != nil {
-		return 0, protocol.JobStatus{}
-	}
-	var st protocol.JobStatus
-	if status < 300 {
-		if err := protocol.Decode(raw, &st); err != nil {
-			l.t.Error(err)
-		}
-	}
-	l.ledger.Answered(kind, id, sent, l.now(), status, st)
-	return status, st
+	l.mu.Lock()
+	job := l.world.Jobs[id]
+	l.mu.Unlock()
+	return l.users.Request(l.ctx, n.ip+":8080", kind, id, job)
 }
 
 // call is a user's request; with looks, all controllers are asked about the job at
--- /dev/null
+++ b/internal/simulation/occupancy.go
@@ -0,0 +1,113 @@
+package simulation
+
+import (
+	"cmp"
+	"slices"
+
+	"pinebay/internal/protocol"
+)
+
+// occupancy counts the tasks that are on machines, so that a rule is checked without
+// walking all machines.
+type occupancy struct {
+	tasks map[protocol.TaskID]int       // attempts of a task
+	zones map[string]map[string]int     // tasks of a job, by zone
+	teams map[string]*teamUsage         // what the tasks of a team take
+	gangs map[gangAttempt]map[int]*Task // those that wait for each other or run, by number
+}
+
+type teamUsage struct {
+	tasks  int
+	amount [2]float64 // CPUs and GPUs
+}
+
+type gangAttempt struct {
+	job     string
+	attempt uint64
+}
+
+func newOccupancy() occupancy {
+	return occupancy{tasks: map[protocol.TaskID]int{}, zones: map[string]map[string]int{}, teams: map[string]*teamUsage{},
+		gangs: map[gangAttempt]map[int]*Task{}}
+}
+
+// usage returns the CPUs and GPUs that a team's tasks take.
+func (o *occupancy) usage(team string) [2]float64 {
+	if u := o.teams[team]; u != nil {
+		return u.amount
+	}
+	return [2]float64{}
+}
+
+// enter counts a task that gets onto its machine.
+func (o *occupancy) enter(id protocol.TaskID, j *protocol.Job, zone string) {
+	o.tasks[id]++
+	if o.zones[j.ID] == nil {
+		o.zones[j.ID] = map[string]int{}
+	}
+	o.zones[j.ID][zone]++
+	u := o.teams[j.Team]
+	if u == nil {
+		u = &teamUsage{}
+		o.teams[j.Team] = u
+	}
+	u.tasks++
+	u.amount[0] += j.CPUs
+	u.amount[1] += j.GPUs
+}
+
+// leave takes a task off the counts.
+func (o *occupancy) leave(id protocol.TaskID, j *protocol.Job, zone string) {
+	if o.tasks[id]--; o.tasks[id] == 0 {
+		delete(o.tasks, id)
+	}
+	zones := o.zones[j.ID]
+	if zones[zone]--; zones[zone] == 0 {
+		delete(zones, zone)
+	}
+	if len(zones) == 0 {
+		delete(o.zones, j.ID)
+	}
+	u := o.teams[j.Team]
+	u.tasks--
+	u.amount[0] -= j.CPUs
+	u.amount[1] -= j.GPUs
+	if u.tasks == 0 {
+		u.amount = [2]float64{} // no rounding error outlives the tasks
+	}
+}
+
+// join counts a task of a gang that waits for the others or runs.
+func (o *occupancy) join(t *Task) {
+	key := gangAttempt{t.ID.Job, t.Attempt}
+	if o.gangs[key] == nil {
+		o.gangs[key] = map[int]*Task{}
+	}
+	o.gangs[key][t.ID.Task] = t
+}
+
+// part takes a task off its gang.
+func (o *occupancy) part(t *Task) {
+	key := gangAttempt{t.ID.Job, t.Attempt}
+	if o.gangs[key][t.ID.Task] == t {
+		delete(o.gangs[key], t.ID.Task)
+	}
+	if len(o.gangs[key]) == 0 {
+		delete(o.gangs, key)
+	}
+}
+
+// gang returns the tasks of an attempt that wait for each other or run, in order.
+func (o *occupancy) gang(job string, attempt uint64) []*Task {
+	var tasks []*Task
+	for _, t := range o.gangs[gangAttempt{job, attempt}] {
+		tasks = append(tasks, t)
+	}
+	slices.SortFunc(tasks, func(a, b *Task) int { return cmp.Compare(a.ID.Task, b.ID.Task) })
+	return tasks
+}
+
+// together says whether all tasks of a gang's attempt wait for each other or run.
+func (o *occupancy) together(j *protocol.Job, attempt uint64) bool {
+	return len(o.gangs[gangAttempt{j.ID, attempt}]) == j.Tasks
+}
--- a/internal/simulation/scenarios_test.go
+++ b/internal/simulation/scenarios_test.go
@@ -87,8 +87,8 @@
 				r.hang(cancel * 3 / 2)
 			}
 		case "mute":
-			r.mute = true
-			time.AfterFunc(cancel*3/2, func() { l.mu.Lock(); r.mute = false; l.mu.Unlock() })
+			r.Mute = true
+			time.AfterFunc(cancel*3/2, func() { l.mu.Lock(); r.Mute = false; l.mu.Unlock() })
 		case "deaf":
 			deaf = append(deaf, r)
 		}
--- a/internal/simulation/state.go
+++ b/internal/simulation/state.go
@@ -5,14 +5,15 @@
 
 import (
 	"encoding/json"
-	"io"
-	"net/http"
 	"sort"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/tidwall/btree"
+	"golang.org/x/time/rate"
+
+	"pinebay/internal/config"
 	"pinebay/internal/protocol"
 )
 
@@ -26,7 +27,7 @@
 type State struct {
 	mu     sync.Mutex
 	rev    uint64
-	keys   map[string]entry
+	keys   *btree.Map[string, entry]
 	leases map[uint64]*lease
 	next   uint64
 	now    time.Duration
@@ -40,6 +41,86 @@
 	fate      func(host string, t *protocol.Txn) Fate
 	refused   map[string]bool // hosts that alone get no service
 	bell      chan struct{}   // closed when something has changed
+	limits    *stateLimits    // nil: none
+	use       StateUse
+}
+
+// StateUse counts what was asked of a state service.
+type StateUse struct {
+	Requests, Writes, Refused int
+	Keys                      int // at this moment
+}
+
+// Use returns what was asked of the state service so far.
+func (s *State) Use() StateUse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	use := s.use
+	use.Keys = s.keys.Len()
+	return use
+}
+
+// stateLimits are the limits that the protocol names, with bursts of a second's worth.
+type stateLimits struct {
+	requests, writes *rate.Limiter
+	operations       int // puts and deletes of a transaction
+	valueBytes       int
+}
+
+// Limit has the state service keep to the limits of the settings.
+func (s *State) Limit(cfg config.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = &stateLimits{
+		requests:   rate.NewLimiter(rate.Limit(cfg.RPS), int(cfg.RPS)),
+		writes:     rate.NewLimiter(rate.Limit(cfg.WriteRPS), int(cfg.WriteRPS)),
+		operations: cfg.TxnOps, valueBytes: int(cfg.ValueKB * 1024),
+	}
+}
+
+// admits counts a request, and says whether it is within the limit.
+func (s *State) admits() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.use.Requests++
+	ok := s.limits == nil || s.limits.requests.Allow()
+	if !ok {
+		s.use.Refused++
+	}
+	return ok
+}
+
+// admitsWrites counts the writes of a transaction, and says whether they are within the limit.
+func (s *State) admitsWrites(n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ok := s.limits == nil || n == 0 || s.limits.writes.AllowN(time.Now(), n)
+	if ok {
+		s.use.Writes += n
+	} else {
+		s.use.Refused++
+	}
+	return ok
+}
+
+// wellFormed says whether a transaction keeps to the limits on its size.
+func (s *State) wellFormed(t *protocol.Txn) bool {
+	s.mu.Lock()
+	limits := s.limits
+	s.mu.Unlock()
+	if limits == nil {
+		return true
+	}
+	if len(t.Then) > limits.operations || len(t.If) > 4*limits.operations {
+		return false
+	}
+	for i := range t.Then {
+		// MessagePack is shorter than JSON, in which the limit counts: most values need no second look.
+		if v := t.Then[i].Value; len(v) > limits.valueBytes/4 && jsonSize(v) > limits.valueBytes {
+			return false
+		}
+	}
+	return true
 }
 
 // Fate is what becomes of a transaction.
@@ -58,7 +139,7 @@
 
 // NewState returns an empty state service.
 func NewState() *State {
-	return &State{keys: map[string]entry{}, leases: map[uint64]*lease{}, refused: map[string]bool{}, bell: make(chan struct{})}
+	return &State{keys: &btree.Map[string, entry]{}, leases: map[uint64]*lease{}, refused: map[string]bool{}, bell: make(chan struct{})}
 }
 
 // ring wakes open watches; s.mu is held.
@@ -113,40 +194,78 @@
 // end ends a lease, with the keys attached to it; s.mu is held.
 func (s *State) end(id uint64) {
 	delete(s.leases, id)
-	for k, e := range s.keys {
+	var attached []string
+	s.keys.Scan(func(key string, e entry) bool {
 		if e.lease == id {
-			s.rev++
-			s.remove(k)
+			attached = append(attached, key)
 		}
+		return true
+	})
+	for _, key := range attached {
+		s.rev++
+		s.remove(key)
 	}
 	s.ring()
 }
 
 func (s *State) remove(key string) {
-	delete(s.keys, key)
-	s.events = append(s.events, event{s.rev, protocol.Event{Delete: key, Version: s.rev}, key})
+	s.keys.Delete(key)
+	s.tell(event{s.rev, protocol.Event{Delete: key, Version: s.rev}, key})
+}
+
+// history is how many changes the service keeps, by the protocol.
+const history = 10_000
+
+// tell keeps a change for watches; the oldest are dropped a run at a time.
+func (s *State) tell(e event) {
+	s.events = append(s.events, e)
+	if len(s.events) >= 2*history {
+		s.events = append([]event{}, s.events[len(s.events)-history:]...)
+	}
+}
+
+// forgotten says whether changes after a revision are no longer kept.
+func (s *State) forgotten(rev uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.events) >= history && rev+1 < s.events[0].rev
 }
 
 // Get reads a key; a version of 0 means that there is none.
 func (s *State) Get(key string) protocol.Pair {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.keys[key]
+	e, _ := s.keys.Get(key)
 	return protocol.Pair{Key: key, Value: e.value, Version: e.version, Lease: e.lease}
 }
 
 // List returns all keys with a prefix, and the revision.
 func (s *State) List(prefix string) ([]protocol.Pair, uint64) {
+	pairs, _, rev := s.page(prefix, "", int(^uint(0)>>1), int(^uint(0)>>1))
+	return pairs, rev
+}
+
+// page returns keys with a prefix that come after another one, up to a number and a size,
+// and whether there are more.
+func (s *State) page(prefix, from string, most, bytes int) (pairs []protocol.Pair, more bool, rev uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []protocol.Pair
-	for k, e := range s.keys {
-		if strings.HasPrefix(k, prefix) {
-			out = append(out, protocol.Pair{Key: k, Value: e.value, Version: e.version})
+	size := 0
+	s.keys.Ascend(max(prefix, from), func(key string, e entry) bool {
+		switch {
+		case key == from && from != "":
+			return true
+		case !strings.HasPrefix(key, prefix):
+			return false
+		case len(pairs) >= most, len(pairs) > 0 && size+len(e.value) > bytes:
+			more = true
+			return false
 		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out, s.rev
+		size += len(key) + len(e.value)
+		pairs = append(pairs, protocol.Pair{Key: key, Value: e.value, Version: e.version})
+		return true
+	})
+	return pairs, more, s.rev
 }
 
 // Since returns the changes after a revision.
@@ -182,7 +301,7 @@
 		}
 	}
 	for _, c := range t.If {
-		if s.keys[c.Key].version != c.Version {
+		if e, _ := s.keys.Get(c.Key); e.version != c.Version {
 			failed = append(failed, c.Key)
 		}
 	}
@@ -195,7 +314,7 @@
 	}
 	for _, op := range t.Then {
 		if op.Delete != "" {
-			if _, ok := s.keys[op.Delete]; ok {
+			if _, ok := s.keys.Get(op.Delete); ok {
 				s.remove(op.Delete)
 			}
 			continue
@@ -203,8 +322,8 @@
 		if s.MaxValue > 0 && jsonSize(op.Value) > s.MaxValue {
 			s.Oversized++
 		}
-		s.keys[op.Put] = entry{op.Value, s.rev, op.Lease}
-		s.events = append(s.events, event{s.rev, protocol.Event{Put: op.Put, Value: op.Value, Version: s.rev}, op.Put})
+		s.keys.Set(op.Put, entry{op.Value, s.rev, op.Lease})
+		s.tell(event{s.rev, protocol.Event{Put: op.Put, Value: op.Value, Version: s.rev}, op.Put})
 	}
 	return s.rev, nil, false
 }
@@ -222,110 +341,6 @@
 	return len(out)
 }
 
-// ServeHTTP speaks the state service's protocol.
-func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	answer := func(status int, body any) {
-		raw, err := protocol.Encode(body)
-		if err != nil {
-			status = http.StatusInternalServerError
-		}
-		w.WriteHeader(status)
-		_, _ = w.Write(raw)
-	}
-	host := HostOf(r.RemoteAddr)
-	if !s.serves(host) {
-		answer(http.StatusServiceUnavailable, protocol.Problem{Error: "down"})
-		return
-	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	q := r.URL.Query()
-	switch {
-	case r.URL.Path == "/kv":
-		pairs, rev := s.List(q.Get("prefix"))
-		from, limit := q.Get("from"), 1000
-		if n, err := strconv.Atoi(q.Get("limit")); err == nil {
-			limit = n
-		}
-		i := sort.Search(len(pairs), func(i int) bool { return pairs[i].Key > from })
-		pairs = pairs[i:]
-		more := len(pairs) > limit
-		answer(http.StatusOK, protocol.Pairs{Items: pairs[:min(limit, len(pairs))], More: more, Revision: rev})
-	case strings.HasPrefix(r.URL.Path, "/kv/"):
-		p := s.Get(strings.TrimPrefix(r.URL.Path, "/kv/"))
-		if p.Version == 0 {
-			answer(http.StatusNotFound, protocol.Pairs{})
-			return
-		}
-		answer(http.StatusOK, p)
-	case r.URL.Path == "/multi":
-		var t protocol.Txn
-		if err := protocol.Decode(body, &t); err != nil {
-			answer(http.StatusBadRequest, protocol.Problem{Error: err.Error()})
-			return
-		}
-		fate := Fate{Answer: true}
-		s.mu.Lock()
-		decide := s.fate
-		s.mu.Unlock()
-		if decide != nil {
-			fate = decide(host, &t)
-		}
-		if !fate.Answer {
-			if fate.Late > 0 {
-				time.AfterFunc(fate.Late, func() { s.Txn(t) })
-			} else {
-				s.Txn(t)
-			}
-			<-r.Context().Done()
-			return
-		}
-		rev, failed, noLease := s.Txn(t)
-		if fate.Late > 0 {
-			time.Sleep(fate.Late)
-		}
-		switch {
-		case noLease:
-			answer(http.StatusBadRequest, protocol.Problem{Error: "no such lease"})
-		case len(failed) > 0:
-			answer(http.StatusConflict, protocol.TxnResult{Revision: rev, Failed: failed})
-		default:
-			answer(http.StatusOK, protocol.TxnResult{Revision: rev})
-		}
-	case r.URL.Path == "/grants":
-		var l protocol.LeaseRequest
-		if err := protocol.Decode(body, &l); err != nil {
-			answer(http.StatusBadRequest, protocol.Problem{Error: err.Error()})
-			return
-		}
-		answer(http.StatusOK, protocol.LeaseResult{Lease: s.Lease(time.Duration(l.TTLMS) * time.Millisecond)})
-	case r.URL.Path == "/changes":
-		rev, err := strconv.ParseUint(q.Get("from"), 10, 64)
-		if err != nil {
-			answer(http.StatusBadRequest, protocol.Problem{Error: err.Error()})
-			return
-		}
-		block, err := strconv.Atoi(q.Get("block_ms"))
-		if err != nil {
-			block = 0
-		}
-		ev, now := s.wait(r, host, q.Get("prefix"), rev, time.Duration(block)*time.Millisecond)
-		answer(http.StatusOK, protocol.Events{Revision: now, Events: ev})
-	case strings.HasPrefix(r.URL.Path, "/grants/"):
-		num, extend := strings.CutSuffix(strings.TrimPrefix(r.URL.Path, "/grants/"), "/extend")
-		id, err := strconv.ParseUint(num, 10, 64)
-		if err != nil || !s.renew(id, extend) {
-			answer(http.StatusNotFound, protocol.Problem{Error: "no such lease"})
-			return
-		}
-		answer(http.StatusOK, protocol.LeaseResult{Lease: id})
-	default:
-		answer(http.StatusNotFound, protocol.Problem{Error: "no such path"})
-	}
-}
-
 // renew extends or ends a lease, and says whether it was there.
 func (s *State) renew(id uint64, extend bool) bool {
 	s.mu.Lock()
@@ -342,30 +357,6 @@
 	return true
 }
 
-// wait is a watch: it ends when something has changed or the time is up, and stays
-// open while the host is not served.
-func (s *State) wait(r *http.Request, host, prefix string, rev uint64, block time.Duration) ([]protocol.Event, uint64) {
-	end := time.NewTimer(block)
-	defer end.Stop()
-	over := block == 0
-	for {
-		s.mu.Lock()
-		bell := s.bell
-		s.mu.Unlock()
-		ev, now := s.Since(prefix, rev)
-		if (len(ev) > 0 || over) && s.serves(host) {
-			return ev, now
-		}
-		select {
-		case <-bell:
-		case <-end.C:
-			over = true
-		case <-r.Context().Done():
-			return nil, now
-		}
-	}
-}
-
 // SetFate replaces what decides on transactions; nil carries all of them out.
 func (s *State) SetFate(f func(host string, t *protocol.Txn) Fate) {
 	s.mu.Lock()
--- a/internal/simulation/system_test.go
+++ b/internal/simulation/system_test.go
@@ -214,7 +214,7 @@
 		s.after(s.upTo(time.Second), func() {
 			for _, n := range e.Names {
 				if s.world.Workers[n] != nil {
-					delete(s.world.Workers, n)
+					s.world.Remove(n)
 					s.gone[n] = s.now - time.Hour // not listed any more
 				}
 			}
@@ -471,7 +471,7 @@
 	m := ws[s.rng.IntN(len(ws))]
 	switch s.rng.IntN(5) {
 	case 0:
-		delete(s.world.Workers, m.Name) // dies, and stays listed for a while
+		s.world.Remove(m.Name) // dies, and stays listed for a while
 		s.gone[m.Name] = s.now
 	case 1:
 		s.unheard[m.Name] = s.now + s.upTo(20*time.Second)
--- a/internal/simulation/trouble_test.go
+++ b/internal/simulation/trouble_test.go
@@ -142,7 +142,7 @@
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			for _, r := range rigs {
-				r.mute = on
+				r.Mute = on
 			}
 		}
 		set(true)
@@ -381,7 +381,7 @@
 		for _, r := range l.machines(n, busy) {
 			l.note("lost")
 			l.mu.Lock()
-			l.remove(r.m.Name)
+			l.rented.Remove(r.m.Name)
 			l.mu.Unlock()
 		}
 	}
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -1,8 +1,9 @@
 package simulation
 
 import (
-	"fmt"
-	"sort"
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"pinebay/internal/protocol"
@@ -16,11 +17,16 @@
 	Cause   protocol.Cause
 	Saved   bool
 	Since   time.Duration
+
+	worker *Worker
 }
 
 // On says whether the task counts as being on its machine.
 func (t *Task) On() bool { return t.State != protocol.Exited && t.State != protocol.Fetching }
 
+// meets says whether a task of a gang waits for the others or runs with them.
+func (t *Task) meets() bool { return t.State == protocol.Waiting || t.State == protocol.TaskRunning }
+
 // Worker is a machine with its worker.
 type Worker struct {
 	Name, Type, Zone string
@@ -38,56 +44,22 @@
 	// Excused is until when commands may have been under way to the machine for long:
 	// when it last hung or was cut off.
 	Excused time.Duration
-	// Changed says that a report is due for a change.
+	// Changed says that a report is due for a change; Notify, if set, is told when it
+	// becomes so.
 	Changed bool
+	Notify  func()
 	// World knows the jobs.
 	World *World
-}
-
-// World is what the workers share: jobs and their gangs, and the watch over
-// the protocol's rules.
-type World struct {
-	Jobs    map[string]*protocol.Job
-	Workers map[string]*Worker
-	Done    map[protocol.TaskID]bool
-	// Cancelled says when users were told that their jobs are cancelled.
-	Cancelled map[string]time.Duration
-	CancelS   time.Duration
-	Limits    map[string][2]float64 // CPUs and GPUs of a team, 0: none
-	Fetch     time.Duration
-	RunTime   time.Duration
-	RunTimes  map[string]time.Duration // of jobs that take another time
-	Starts    int
-	// LateStarts counts commands to start that were executed after the cancellation
-	// was confirmed, on machines to which nothing was held up since.
-	LateStarts int
-	// UnderWay is how long the news of a cancellation to a slow controller, and then its
-	// last command to a worker, take together: such a start was still in flight.
-	UnderWay time.Duration
-	Broken   []string
-}
 
-// NewWorld returns a world without machines or jobs.
-func NewWorld(cancel, fetch, run time.Duration) *World {
-	return &World{
-		Jobs: map[string]*protocol.Job{}, Workers: map[string]*Worker{}, Done: map[protocol.TaskID]bool{},
-		Cancelled: map[string]time.Duration{}, CancelS: cancel, Limits: map[string][2]float64{}, Fetch: fetch, RunTime: run,
-		RunTimes: map[string]time.Duration{},
-	}
-}
-
-func (w *World) broken(format string, args ...any) {
-	w.Broken = append(w.Broken, fmt.Sprintf(format, args...))
+	due time.Duration // when it must be looked at next, at the earliest
 }
 
-// Add brings up a machine.
-func (w *World) Add(now time.Duration, name, zone string, spot bool, kind *protocol.MachineType, lease time.Duration) *Worker {
-	m := &Worker{
-		Name: name, Type: kind.Name, Zone: zone, Spot: spot, Room: [3]float64{kind.CPUs, kind.GPUs, kind.MemoryGB},
-		Session: 1, Tasks: map[protocol.TaskID]*Task{}, Lease: lease, answered: now, World: w,
+// change says that a report is due.
+func (m *Worker) change() {
+	m.Changed = true
+	if m.Notify != nil {
+		m.Notify()
 	}
-	w.Workers[name] = m
-	return m
 }
 
 // Report returns the worker's next report.
@@ -105,11 +77,13 @@
 }
 
 func (m *Worker) sorted() []*Task {
-	var ts []*Task
+	ts := make([]*Task, 0, len(m.Tasks))
 	for _, t := range m.Tasks {
 		ts = append(ts, t)
 	}
-	sort.Slice(ts, func(i, j int) bool { return ts[i].ID.String() < ts[j].ID.String() })
+	slices.SortFunc(ts, func(a, b *Task) int {
+		return cmp.Or(cmp.Compare(a.ID.Job, b.ID.Job), cmp.Compare(a.ID.Task, b.ID.Task))
+	})
 	return ts
 }
 
@@ -135,6 +109,9 @@
 }
 
 func (m *Worker) execute(now time.Duration, cmds []protocol.Command) {
+	if len(cmds) == 0 {
+		return
+	}
 	for _, c := range cmds {
 		id, err := protocol.ParseTaskID(c.Name)
 		if err != nil {
@@ -157,7 +134,8 @@
 				grace = *c.GraceS
 			}
 			if t.State == protocol.TaskRunning && j.CheckpointS > 0 && grace >= j.SaveS {
-				t.State, t.Since = protocol.Saving, now
+				m.set(t, protocol.Saving)
+				t.Since = now
 			} else if t.State != protocol.Saving || grace == 0 {
 				m.exit(now, t, protocol.CauseStopped)
 			}
@@ -167,15 +145,61 @@
 			}
 		}
 	}
+	m.World.schedule(m)
+}
+
+// set changes a task's state, and what is counted of it.
+func (m *Worker) set(t *Task, state protocol.TaskState) {
+	on, met := t.On(), t.meets()
+	t.State = state
+	j := m.World.Jobs[t.ID.Job]
+	if j == nil {
+		return // a task that never gets onto the machine
+	}
+	switch {
+	case !on && t.On():
+		m.World.occupied.enter(t.ID, j, m.Zone)
+	case on && !t.On():
+		m.World.occupied.leave(t.ID, j, m.Zone)
+	}
+	if j.Shape != protocol.Gang || met == t.meets() {
+		return
+	}
+	if met {
+		m.World.occupied.part(t)
+	} else {
+		m.World.occupied.join(t)
+	}
+	for _, o := range m.World.occupied.gang(j.ID, t.Attempt) {
+		if o.worker != m {
+			m.World.schedule(o.worker) // it may start, or must end, because of this one
+		}
+	}
+}
+
+// transit is a change of state that is reported.
+func (m *Worker) transit(now time.Duration, t *Task, state protocol.TaskState) {
+	m.set(t, state)
+	t.Since = now
+	m.change()
 }
 
 func (m *Worker) exit(now time.Duration, t *Task, cause protocol.Cause) {
-	t.State, t.Cause, t.Since, m.Changed = protocol.Exited, cause, now, true
+	t.Cause = cause
+	m.transit(now, t, protocol.Exited)
+}
+
+// clear ends all tasks without a trace.
+func (m *Worker) clear() {
+	for _, t := range m.sorted() {
+		m.set(t, protocol.Exited)
+	}
+	m.Tasks = map[protocol.TaskID]*Task{}
 }
 
 func (m *Worker) run(now time.Duration, id protocol.TaskID, attempt uint64, old *Task) {
-	t := &Task{ID: id, Attempt: attempt, State: protocol.Fetching, Since: now}
-	m.Changed = true
+	t := &Task{ID: id, Attempt: attempt, State: protocol.Fetching, Since: now, worker: m}
+	m.change()
 	j := m.World.Jobs[id.Job]
 	if at, ok := m.World.Cancelled[id.Job]; ok && now > at+m.World.UnderWay && m.Excused <= at {
 		m.World.LateStarts++
@@ -203,25 +227,21 @@
 	}
 }
 
-// Advance lets time pass on all machines, and checks the rules at each start.
-func (w *World) Advance(now time.Duration) {
-	for _, m := range w.sorted() {
-		if m.Hung {
-			continue
-		}
-		if now-m.answered > m.Lease {
-			m.Session++
-			m.Seq, m.answered, m.Changed = 0, now, true
-			m.Tasks = map[protocol.TaskID]*Task{}
-		}
-		for _, t := range m.sorted() {
-			m.advance(now, t)
-		}
+// advance lets time pass on the machine.
+func (m *Worker) advance(now time.Duration) {
+	if now-m.answered > m.Lease {
+		m.clear()
+		m.Session++
+		m.Seq, m.answered = 0, now
+		m.change()
 	}
-	w.checkCancelled(now)
+	for _, t := range m.sorted() {
+		m.advanceTask(now, t)
+	}
+	m.World.schedule(m)
 }
 
-func (m *Worker) advance(now time.Duration, t *Task) {
+func (m *Worker) advanceTask(now time.Duration, t *Task) {
 	w := m.World
 	j := w.Jobs[t.ID.Job]
 	switch t.State {
@@ -233,23 +253,21 @@
 		switch {
 		case m.Sick:
 			m.exit(now, t, protocol.CauseError)
-			return
 		case w.Done[t.ID]:
 			m.exit(now, t, protocol.CauseDone)
-			return
-		}
-		t.State, t.Since, m.Changed = protocol.TaskRunning, now, true
-		if j.Shape == protocol.Gang {
-			t.State = protocol.Waiting
+		case j.Shape == protocol.Gang:
+			m.transit(now, t, protocol.Waiting)
+		default:
+			m.transit(now, t, protocol.TaskRunning)
 		}
 	case protocol.Waiting:
-		if w.together(t.ID.Job, j.Tasks, t.Attempt, now) {
-			t.State, t.Since, m.Changed = protocol.TaskRunning, now, true
-		} else if now-t.Since > 10*w.Fetch+10*time.Second {
+		if w.occupied.together(j, t.Attempt) {
+			m.transit(now, t, protocol.TaskRunning)
+		} else if now-t.Since > w.gangPatience() {
 			m.exit(now, t, protocol.CauseIncomplete)
 		}
 	case protocol.TaskRunning:
-		if j.Shape == protocol.Gang && !w.together(t.ID.Job, j.Tasks, t.Attempt, now) {
+		if j.Shape == protocol.Gang && !w.occupied.together(j, t.Attempt) {
 			m.exit(now, t, protocol.CausePeers)
 			return
 		}
@@ -272,99 +290,39 @@
 	}
 }
 
-// runTime is how long a task runs: those of a job end one after the other.
-func (w *World) runTime(id protocol.TaskID) time.Duration {
-	if d, ok := w.RunTimes[id.Job]; ok {
-		return d * time.Duration(1+id.Task)
-	}
-	return w.RunTime
-}
+// gangPatience is how long a task waits for the others of its gang.
+func (w *World) gangPatience() time.Duration { return 10*w.Fetch + 10*time.Second }
 
-// together says whether all tasks of a gang's attempt are waiting or running.
-func (w *World) together(job string, tasks int, attempt uint64, now time.Duration) bool {
-	n := 0
-	for _, m := range w.Workers {
-		for _, t := range m.Tasks {
-			if t.ID.Job == job && t.Attempt == attempt && (t.State == protocol.Waiting || t.State == protocol.TaskRunning) {
-				n++
-			}
-		}
-	}
-	return n == tasks
-}
-
-func (w *World) finishGang(now time.Duration, job string, attempt uint64) {
-	for _, m := range w.sorted() {
-		for _, t := range m.sorted() {
-			if t.ID.Job == job && t.Attempt == attempt && t.State != protocol.Exited {
-				m.exit(now, t, protocol.CauseDone)
-			}
-		}
-	}
-}
-
-func (w *World) sorted() []*Worker {
-	var ms []*Worker
-	for _, m := range w.Workers {
-		ms = append(ms, m)
-	}
-	sort.Slice(ms, func(i, j int) bool { return ms[i].Name < ms[j].Name })
-	return ms
-}
-
-// started checks the rules for a task that gets onto its machine.
-func (w *World) started(now time.Duration, m *Worker, t *Task, j *protocol.Job) {
-	w.Starts++
-	if at, ok := w.Cancelled[j.ID]; ok && now > at+w.CancelS {
-		w.broken("ran_cancelled: %s started %v after its cancellation", t.ID, now-at)
-	}
-	if m.Spot && !j.Spot || j.Zone != "" && j.Zone != m.Zone {
-		w.broken("wrong_place: %s on %s", t.ID, m.Name)
-	}
-	zones := map[string]int{m.Zone: 1}
-	used := [2]float64{j.CPUs, j.GPUs}
-	for _, o := range w.Workers {
-		for _, u := range o.Tasks {
-			if !u.On() || u == t {
-				continue
-			}
-			k := w.Jobs[u.ID.Job]
-			if u.ID == t.ID {
-				w.broken("ran_twice: %s on %s and %s", t.ID, m.Name, o.Name)
-			}
-			if u.ID.Job == j.ID {
-				zones[o.Zone]++
-			}
-			if k.Team == j.Team {
-				used[0] += k.CPUs
-				used[1] += k.GPUs
-			}
-		}
-	}
-	if j.SameZone && len(zones) > 1 {
-		w.broken("wrong_place: %s is in several zones", j.ID)
-	}
-	if j.Spread && zones[m.Zone] > (j.Tasks+1)/2 {
-		w.broken("wrong_place: %s has %d tasks in %s", j.ID, zones[m.Zone], m.Zone)
-	}
-	for i, most := range w.Limits[j.Team] {
-		if most > 0 && used[i] > most+1e-6 {
-			w.broken("quota: %s uses %v of %v", j.Team, used[i], most)
-		}
+// nextDue is when something can happen on the machine by itself.
+func (m *Worker) nextDue() time.Duration {
+	due := m.answered + m.Lease + 1
+	for _, t := range m.Tasks {
+		due = min(due, m.taskDue(t))
 	}
+	return due
 }
 
-func (w *World) checkCancelled(now time.Duration) {
-	for id, at := range w.Cancelled {
-		if now <= at+w.CancelS {
-			continue
+func (m *Worker) taskDue(t *Task) time.Duration {
+	w := m.World
+	j := w.Jobs[t.ID.Job]
+	switch t.State {
+	case protocol.Fetching:
+		return t.Since + w.Fetch
+	case protocol.Waiting:
+		if w.occupied.together(j, t.Attempt) {
+			return t.Since
 		}
-		for _, m := range w.Workers {
-			for _, t := range m.Tasks {
-				if t.ID.Job == id && t.On() {
-					w.broken("ran_cancelled: %s is on %s %v after", t.ID, m.Name, now-at)
-				}
-			}
+		return t.Since + w.gangPatience() + 1
+	case protocol.TaskRunning:
+		switch {
+		case j.Shape == protocol.Service:
+		case j.Shape == protocol.Gang && !w.occupied.together(j, t.Attempt):
+			return t.Since
+		default:
+			return t.Since + w.runTime(t.ID)
 		}
+	case protocol.Saving:
+		return t.Since + time.Duration(j.SaveS*float64(time.Second))
 	}
+	return math.MaxInt64
 }
--- /dev/null
+++ b/internal/simulation/world.go
@@ -0,0 +1,189 @@
+package simulation
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/tidwall/btree"
+
+	"pinebay/internal/protocol"
+)
+
+// World is what the workers share: jobs and their gangs, and the watch over
+// the protocol's rules. Its methods and those of its workers are called by one
+// goroutine at a time. What a step costs grows with the tasks of the workers on
+// which something is due, not with the number of workers.
+type World struct {
+	Jobs    map[string]*protocol.Job
+	Workers map[string]*Worker
+	Done    map[protocol.TaskID]bool
+	// Cancelled says when users were told that their jobs are cancelled.
+	Cancelled map[string]time.Duration
+	CancelS   time.Duration
+	Limits    map[string][2]float64 // CPUs and GPUs of a team, 0: none
+	Fetch     time.Duration
+	RunTime   time.Duration
+	RunTimes  map[string]time.Duration // of jobs that take another time
+	Starts    int
+	// LateStarts counts commands to start that were executed after the cancellation
+	// was confirmed, on machines to which nothing was held up since.
+	LateStarts int
+	// UnderWay is how long the news of a cancellation to a slow controller, and then its
+	// last command to a worker, take together: such a start was still in flight.
+	UnderWay time.Duration
+	// OnStart, if set, is told of every task that gets past its fetch.
+	OnStart func(now time.Duration, id protocol.TaskID)
+	Broken  []string
+
+	occupied occupancy
+	agenda   *btree.BTreeG[*Worker] // by when something is due, then by name
+}
+
+// NewWorld returns a world without machines or jobs.
+func NewWorld(cancel, fetch, run time.Duration) *World {
+	return &World{
+		Jobs: map[string]*protocol.Job{}, Workers: map[string]*Worker{}, Done: map[protocol.TaskID]bool{},
+		Cancelled: map[string]time.Duration{}, CancelS: cancel, Limits: map[string][2]float64{}, Fetch: fetch, RunTime: run,
+		RunTimes: map[string]time.Duration{},
+		occupied: newOccupancy(),
+		agenda:   btree.NewBTreeGOptions(dueBefore, btree.Options{NoLocks: true}),
+	}
+}
+
+func dueBefore(a, b *Worker) bool {
+	if a.due != b.due {
+		return a.due < b.due
+	}
+	return a.Name < b.Name
+}
+
+func (w *World) broken(format string, args ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf(format, args...))
+}
+
+// Add brings up a machine.
+func (w *World) Add(now time.Duration, name, zone string, spot bool, kind *protocol.MachineType, lease time.Duration) *Worker {
+	m := &Worker{
+		Name: name, Type: kind.Name, Zone: zone, Spot: spot, Room: [3]float64{kind.CPUs, kind.GPUs, kind.MemoryGB},
+		Session: 1, Tasks: map[protocol.TaskID]*Task{}, Lease: lease, answered: now, World: w,
+	}
+	w.Workers[name] = m
+	w.schedule(m)
+	return m
+}
+
+// Remove takes a machine away with everything on it.
+func (w *World) Remove(name string) {
+	m := w.Workers[name]
+	if m == nil {
+		return
+	}
+	m.clear()
+	w.agenda.Delete(m)
+	delete(w.Workers, name)
+}
+
+// schedule enters a worker by when it must be looked at next.
+func (w *World) schedule(m *Worker) {
+	if w.Workers[m.Name] != m {
+		return // it was taken away, whatever still arrives for it
+	}
+	w.agenda.Delete(m)
+	m.due = m.nextDue()
+	w.agenda.Set(m)
+}
+
+// Advance lets time pass on all machines, and checks the rules at each start.
+func (w *World) Advance(now time.Duration) {
+	var due []*Worker
+	w.agenda.Scan(func(m *Worker) bool {
+		if m.due <= now {
+			due = append(due, m)
+		}
+		return m.due <= now
+	})
+	sort.Slice(due, func(i, j int) bool { return due[i].Name < due[j].Name })
+	for _, m := range due {
+		if !m.Hung {
+			m.advance(now)
+		}
+	}
+	w.checkCancelled(now)
+}
+
+// runTime is how long a task runs: those of a job end one after the other.
+func (w *World) runTime(id protocol.TaskID) time.Duration {
+	if d, ok := w.RunTimes[id.Job]; ok {
+		return d * time.Duration(1+id.Task)
+	}
+	return w.RunTime
+}
+
+func (w *World) finishGang(now time.Duration, job string, attempt uint64) {
+	for _, t := range w.occupied.gang(job, attempt) {
+		t.worker.exit(now, t, protocol.CauseDone)
+	}
+}
+
+func (w *World) sorted() []*Worker {
+	var ms []*Worker
+	for _, m := range w.Workers {
+		ms = append(ms, m)
+	}
+	sort.Slice(ms, func(i, j int) bool { return ms[i].Name < ms[j].Name })
+	return ms
+}
+
+// started checks the rules for a task that gets onto its machine.
+func (w *World) started(now time.Duration, m *Worker, t *Task, j *protocol.Job) {
+	w.Starts++
+	if w.OnStart != nil {
+		w.OnStart(now, t.ID)
+	}
+	if at, ok := w.Cancelled[j.ID]; ok && now > at+w.CancelS {
+		w.broken("ran_cancelled: %s started %v after its cancellation", t.ID, now-at)
+	}
+	if m.Spot && !j.Spot || j.Zone != "" && j.Zone != m.Zone {
+		w.broken("wrong_place: %s on %s", t.ID, m.Name)
+	}
+	if w.occupied.tasks[t.ID] > 0 {
+		w.broken("ran_twice: %s on %s and elsewhere", t.ID, m.Name)
+	}
+	others := w.occupied.zones[j.ID]
+	elsewhere := 0
+	for zone, n := range others {
+		if zone != m.Zone {
+			elsewhere += n
+		}
+	}
+	if j.SameZone && elsewhere > 0 {
+		w.broken("wrong_place: %s is in several zones", j.ID)
+	}
+	if here := others[m.Zone] + 1; j.Spread && here > (j.Tasks+1)/2 {
+		w.broken("wrong_place: %s has %d tasks in %s", j.ID, here, m.Zone)
+	}
+	used := w.occupied.usage(j.Team)
+	used[0] += j.CPUs
+	used[1] += j.GPUs
+	for i, most := range w.Limits[j.Team] {
+		if most > 0 && used[i] > most+1e-6 {
+			w.broken("quota: %s uses %v of %v", j.Team, used[i], most)
+		}
+	}
+}
+
+func (w *World) checkCancelled(now time.Duration) {
+	for id, at := range w.Cancelled {
+		if now <= at+w.CancelS || len(w.occupied.zones[id]) == 0 {
+			continue
+		}
+		for _, m := range w.Workers {
+			for _, t := range m.Tasks {
+				if t.ID.Job == id && t.On() {
+					w.broken("ran_cancelled: %s is on %s %v after", t.ID, m.Name, now-at)
+				}
+			}
+		}
+	}
+}
--- a/internal/simulation/zone_test.go
+++ b/internal/simulation/zone_test.go
@@ -84,7 +84,7 @@
 			l.mu.Lock()
 			for i, r := range rigs {
 				if float64(i) >= share*float64(len(rigs)) {
-					l.remove(r.m.Name)
+					l.rented.Remove(r.m.Name)
 				}
 			}
 			l.mu.Unlock()
@@ -104,7 +104,7 @@
 		l.setDead(zone, true)
 		for _, r := range l.machines(99, inZone(zone)) {
 			l.mu.Lock()
-			l.remove(r.m.Name)
+			l.rented.Remove(r.m.Name)
 			l.mu.Unlock()
 		}
 		return func() { l.setDead(zone, false) }
