--- a/cmd/pinebay/main.go
+++ b/cmd/pinebay/main.go
@@ -23,6 +23,7 @@
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/zones"
 	"pinebay/internal/daemon"
+	"pinebay/internal/timing"
 	"pinebay/internal/transport"
 )
 
@@ -44,6 +45,7 @@
 
 func command() *cobra.Command {
 	var path string
+	var stepTimes bool
 	var zoneReturn zoneReturnFlags
 	cmd := &cobra.Command{
 		Use:           "pinebay --config FILE",
@@ -64,6 +66,9 @@
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
 			}
+			if stepTimes {
+				features.Timing = timing.NewRecorder()
+			}
 			log, err := logger(os.Stderr, os.Getenv("LOG_LEVEL"))
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
@@ -76,6 +81,7 @@
 	}
 	cmd.SetContext(context.Background())
 	cmd.Flags().StringVar(&path, "config", "", "settings file of this controller (TOML)")
+	cmd.Flags().BoolVar(&stepTimes, "step-times", false, "log how long the leader's steps and heartbeats take")
 	zoneReturn.add(cmd)
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
 	return cmd
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -16,6 +16,7 @@
 	"pinebay/internal/coordination/zones"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
+	"pinebay/internal/timing"
 	"pinebay/internal/transport"
 )
 
@@ -45,6 +46,8 @@
 	ZoneReturn *zones.Order
 	// Types is told of machine types that were read.
 	Types func([]protocol.MachineType)
+	// Timing measures the steps; nil: off.
+	Timing *timing.Recorder
 }
 
 // Leader is one term of leadership.
@@ -139,6 +142,7 @@
 				e.reply <- core.Statuses(e.ids)
 			case scheduler.Event:
 				l.do(core.Step(now, e))
+				l.timed(e, now)
 			}
 			return
 		}
@@ -183,7 +187,11 @@
 		if core == nil || now < rest || !l.stands() {
 			return
 		}
+		cycles := core.Cycles()
 		l.do(core.Step(now, scheduler.Tick{}))
+		if core.Cycles() > cycles {
+			l.Timing.Record(timing.Cycle, l.Now()-now)
+		}
 		// A cycle that takes long is followed by a pause, so that reports and
 		// questions have most of the time, however many jobs wait.
 		rest = l.Now() + cycleShare*(l.Now()-now)
@@ -191,6 +199,18 @@
 	l.Log.Info("term over")
 }
 
+// timed notes how long a step took that began at the given time.
+func (l *Leader) timed(e scheduler.Event, began time.Duration) {
+	if l.Timing == nil {
+		return
+	}
+	kind := timing.Other
+	if _, ok := e.(scheduler.Reported); ok {
+		kind = timing.Report
+	}
+	l.Timing.Record(kind, l.Now()-began)
+}
+
 // cycleShare is how many times as long as a cycle the pause after it is.
 const cycleShare = 3
 
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -196,6 +196,9 @@
 	return j.standing(), true
 }
 
+// Cycles returns how many scheduling cycles have run.
+func (c *Core) Cycles() uint64 { return c.cycles }
+
 // sorted returns the jobs in an order that does not depend on chance.
 func (c *Core) sorted() []*job {
 	list := make([]*job, 0, len(c.jobs))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"pinebay/internal/coordination/leader"
 	"pinebay/internal/coordination/zones"
 	"pinebay/internal/storage"
+	"pinebay/internal/timing"
 	"pinebay/internal/transport"
 )
 
@@ -86,6 +87,8 @@
 type Features struct {
 	// ZoneReturn is the order in which work returns when a zone is lost; nil: off.
 	ZoneReturn *zones.Order
+	// Timing measures the leader's steps and heartbeats and logs them; nil: off.
+	Timing *timing.Recorder
 }
 
 // New returns a controller that is not running yet.
@@ -158,6 +161,9 @@
 	g.Go(func() error { c.watchLeader(ctx); return nil })
 	g.Go(func() error { c.learnTypes(ctx); return nil })
 	g.Go(func() error { c.probe(ctx); return nil })
+	if c.features.Timing != nil {
+		g.Go(func() error { c.features.Timing.Run(ctx, c.log); return nil })
+	}
 	for _, p := range c.mesh.Peers() {
 		g.Go(func() error { c.beat(ctx, p); return nil })
 	}
--- a/internal/daemon/lead.go
+++ b/internal/daemon/lead.go
@@ -41,7 +41,7 @@
 	case election.Lead:
 		l := leader.Start(ctx, leader.Deps{
 			Cfg: &c.cfg.Deploy, Log: c.log, Store: c.store, Cloud: c.cloud, Workers: c.workers, Now: c.now,
-			Types: c.api.SetTypes, ZoneReturn: c.features.ZoneReturn,
+			Types: c.api.SetTypes, ZoneReturn: c.features.ZoneReturn, Timing: c.features.Timing,
 			Confirmed: func() bool {
 				v := c.view.Load()
 				return v.Leading && v.Term == e.Term && c.now() < v.Until
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -10,6 +10,7 @@
 	"pinebay/internal/coordination/cancellation"
 	"pinebay/internal/coordination/election"
 	"pinebay/internal/protocol"
+	"pinebay/internal/timing"
 )
 
 // keepIntents is how long intents are kept: until their tasks must be gone, and
@@ -203,6 +204,7 @@
 		c.intents.Fill(sent, peer, 0, &m)
 		r, err := c.mesh.Call(ctx, peer, m)
 		if err == nil {
+			c.features.Timing.Record(timing.Heartbeat, c.now()-sent)
 			c.answeredBeat(r, sent)
 		}
 		select {
--- /dev/null
+++ b/internal/scale/load.go
@@ -0,0 +1,293 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+	"pinebay/internal/simulation"
+)
+
+// Classes of jobs.
+const (
+	classStanding = "standing" // services that fill half of the room
+	classArray    = "array"
+	classGang     = "gang"
+	classUrgent   = "urgent"
+)
+
+// urgentTeam has no limit, so that only the scheduler can hold its work up.
+const urgentTeam = "urgent"
+
+// Times of users.
+const (
+	pollInterval   = 5 * time.Second
+	retryPause     = time.Second
+	standingShare  = 0.5 // of the room
+	standingTasks  = 96  // of a service
+	cancelAfterRun = 2   // parts of a run time, after which a user calls an array off
+)
+
+func teamName(i int) string { return fmt.Sprintf("team-%03d", i) }
+
+// teamsOf returns the teams with their limits.
+func teamsOf(l Load) []config.Team {
+	teams := []config.Team{{Name: urgentTeam}}
+	for i := range l.Teams {
+		t := config.Team{Name: teamName(i)}
+		if l.TeamsAtLimit {
+			t.CPUsMax = math.Ceil(l.tasksOfATeam()) * taskCPUs
+		}
+		teams = append(teams, t)
+	}
+	return teams
+}
+
+// tasksOfATeam is how many tasks are a team's part of all that are to run.
+func (l Load) tasksOfATeam() float64 { return float64(l.Workers) * l.TasksPerWorker / float64(l.Teams) }
+
+// newJob makes up a job; the caller says what is special about it.
+func (r *run) newJob(class string, shape protocol.Shape, tasks int, team string) protocol.Job {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs++
+	return protocol.Job{
+		ID: fmt.Sprintf("j-%06d", r.jobs), Class: class, Team: team, Shape: shape, Priority: "normal", Tasks: tasks,
+		CPUs: taskCPUs, MemoryGB: taskMemoryGB, Image: fmt.Sprintf("image-%02d", r.rng.IntN(images)), ImageGB: imageGB,
+		EstimateS: r.cfg.RunTime.Seconds(),
+	}
+}
+
+func (r *run) anyTeam() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return teamName(r.rng.IntN(r.load.Teams))
+}
+
+// fill submits the services that run all the time.
+func (r *run) fill() {
+	perTeam := int(r.load.tasksOfATeam() * standingShare)
+	for team := range r.load.Teams {
+		for left := perTeam; left > 0; left -= standingTasks {
+			j := r.newJob(classStanding, protocol.Service, min(left, standingTasks), teamName(team))
+			j.EstimateS = 0
+			r.wg.Go(func() { r.user(j) })
+		}
+	}
+}
+
+// arrive submits arrays, gangs and urgent work for as long as the run lasts.
+func (r *run) arrive() {
+	if r.load.TeamsAtLimit {
+		for team := range r.load.Teams {
+			r.wg.Go(func() { r.press(teamName(team)) })
+		}
+	} else {
+		arrays := r.load.StartsPerS * (1 - r.load.GangShare) / float64(r.load.ArrayTasks)
+		// As many as run at a time once the load is steady.
+		for range int(arrays * r.cfg.RunTime.Seconds()) {
+			r.wg.Go(func() { r.user(r.newArray(r.anyTeam())) })
+		}
+		r.wg.Go(func() { r.every(arrays, func() { r.user(r.newArray(r.anyTeam())) }) })
+		gangs := r.load.StartsPerS * r.load.GangShare / r.meanGang()
+		r.wg.Go(func() { r.every(gangs, func() { r.user(r.newGang(r.anyTeam())) }) })
+	}
+	r.wg.Go(func() { r.every(r.load.UrgentPerS, func() { r.user(r.newUrgent()) }) })
+}
+
+// press keeps a team asking for more than its limit.
+func (r *run) press(team string) {
+	wanted := r.load.tasksOfATeam() * (r.load.Overcommit - standingShare)
+	for range max(1, int(wanted)/r.load.ArrayTasks) {
+		r.wg.Go(func() {
+			for r.ctx.Err() == nil {
+				r.user(r.newArray(team))
+			}
+		})
+	}
+}
+
+// every calls f so many times a second, each call on its own.
+func (r *run) every(rate float64, f func()) {
+	if rate <= 0 {
+		return
+	}
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+			r.wg.Go(f)
+		}
+	}
+}
+
+func (r *run) newArray(team string) protocol.Job {
+	return r.newJob(classArray, protocol.Array, r.load.ArrayTasks, team)
+}
+
+func (r *run) newUrgent() protocol.Job {
+	j := r.newJob(classUrgent, protocol.Array, 1, urgentTeam)
+	j.Priority = "urgent"
+	return j
+}
+
+// gangSizes are powers of two up to the largest gang.
+func (l Load) gangSizes() (sizes []int) {
+	for n := 2; n <= max(2, l.GangTasks); n *= 2 {
+		sizes = append(sizes, n)
+	}
+	return sizes
+}
+
+func (r *run) meanGang() float64 {
+	sum := 0
+	sizes := r.load.gangSizes()
+	for _, n := range sizes {
+		sum += n
+	}
+	return float64(sum) / float64(len(sizes))
+}
+
+func (r *run) newGang(team string) protocol.Job {
+	r.mu.Lock()
+	sizes := r.load.gangSizes()
+	n := sizes[r.rng.IntN(len(sizes))]
+	r.mu.Unlock()
+	j := r.newJob(classGang, protocol.Gang, n, team)
+	j.SameZone = true
+	j.CheckpointS, j.SaveS = r.cfg.RunTime.Seconds()/4, 1
+	return j
+}
+
+// user submits a job, asks for it until it is over, and repeats what is refused. Some call
+// arrays off.
+func (r *run) user(j protocol.Job) {
+	r.mu.Lock()
+	r.world.Jobs[j.ID] = &j
+	off := j.Class == classArray && r.rng.Float64() < r.load.CancelShare
+	r.mu.Unlock()
+	if !r.submit(&j) {
+		return
+	}
+	if off {
+		timer := time.AfterFunc(r.cfg.RunTime/cancelAfterRun, func() { r.cancelJob(j.ID) })
+		defer timer.Stop()
+	}
+	for r.sleep(pollInterval) == nil {
+		if status, st := r.users.Request(r.ctx, r.anyController(), simulation.Asks, j.ID, nil); status == http.StatusOK && st.Standing.Final() {
+			r.finished.Add(1)
+			return
+		}
+	}
+}
+
+// submit submits a job until it is accepted, and says whether it was.
+func (r *run) submit(j *protocol.Job) bool {
+	r.submitted.Add(1)
+	for r.ctx.Err() == nil {
+		status, _ := r.users.Request(r.ctx, r.anyController(), simulation.Submits, j.ID, j)
+		switch status {
+		case http.StatusOK, http.StatusCreated:
+			r.accepted.Add(1)
+			r.awaitStart(j)
+			return true
+		case http.StatusBadRequest, http.StatusUnprocessableEntity:
+			r.fail(fmt.Errorf("%s was refused with status %d", j.ID, status))
+			return false
+		}
+		if r.sleep(retryPause) != nil {
+			return false
+		}
+	}
+	return false
+}
+
+// cancelJob calls a job off until told that it is over.
+func (r *run) cancelJob(id string) {
+	for r.ctx.Err() == nil {
+		if status, st := r.users.Request(r.ctx, r.anyController(), simulation.Cancels, id, nil); status == http.StatusOK && st.Standing.Final() {
+			return
+		}
+		if r.sleep(retryPause) != nil {
+			return
+		}
+	}
+}
+
+func (r *run) anyController() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.controllers[r.rng.IntN(len(r.controllers))].addr
+}
+
+// awaitStart notes that a job was accepted, unless a task of it runs already.
+func (r *run) awaitStart(j *protocol.Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at, ok := r.waiting[j.ID]; ok && at < 0 {
+		delete(r.waiting, j.ID)
+		r.meter.Took(latencyOf(j.Class), 0)
+		return
+	}
+	r.waiting[j.ID] = r.now()
+}
+
+// started takes in a task's start; the lock is held.
+func (r *run) started(now time.Duration, id protocol.TaskID) {
+	if id.Task != 0 {
+		return
+	}
+	at, ok := r.waiting[id.Job]
+	switch {
+	case !ok:
+		// It runs before its user has the answer, or runs again.
+		r.waiting[id.Job] = -1
+	case at >= 0:
+		delete(r.waiting, id.Job)
+		r.meter.Took(latencyOf(r.world.Jobs[id.Job].Class), now-at)
+	}
+}
+
+func latencyOf(class string) Latency {
+	if class == classUrgent {
+		return UrgentStarted
+	}
+	return TaskStarted
+}
+
+// userAnswered takes in how long a user waited for an answer.
+func (r *run) userAnswered(kind string, took time.Duration, status int) {
+	r.meter.Message(LinkUsers, fmt.Sprintf("%s %d", kind, status))
+	switch kind {
+	case simulation.Submits:
+		r.meter.Took(SubmissionAnswered, took)
+	case simulation.Asks:
+		r.meter.Took(QuestionAnswered, took)
+	case simulation.Cancels:
+		r.meter.Took(CancellationAnswered, took)
+	}
+}
+
+func (r *run) allDone(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.world.Jobs[id]
+	for i := range j.Tasks {
+		if !r.world.Done[protocol.TaskID{Job: id, Task: i}] {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *run) toldCancelled(id string, at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.world.Cancelled[id] = at
+}
--- /dev/null
+++ b/internal/scale/measure.go
@@ -0,0 +1,195 @@
+package scale
+
+import (
+	"os"
+	"slices"
+	"time"
+
+	"pinebay/internal/simulation"
+)
+
+// sample is every counter at one moment.
+type sample struct {
+	at       time.Time
+	leader   string
+	process  map[string]usage
+	self     usage
+	state    simulation.StateUse
+	bytes    [links]int64
+	messages [links]int64
+	kinds    map[string]int64
+	starts   int
+	answers  int64
+	accepted int64
+	finished int64
+}
+
+func (r *run) sample() (sample, error) {
+	s := sample{at: time.Now(), process: map[string]usage{}, state: r.state.Use(), kinds: r.meter.kindsNow(),
+		answers: r.answers.Load(), accepted: r.accepted.Load(), finished: r.finished.Load()}
+	if p := r.leader(); p != nil {
+		s.leader = p.node
+	}
+	for _, p := range r.controllers {
+		u, err := p.usage()
+		if err != nil {
+			return s, err
+		}
+		s.process[p.node] = u
+	}
+	var err error
+	if s.self, err = usageOf(os.Getpid()); err != nil {
+		return s, err
+	}
+	for i := range links {
+		s.bytes[i], s.messages[i] = r.meter.bytes[i].Load(), r.meter.messages[i].Load()
+	}
+	r.mu.Lock()
+	s.starts = r.world.Starts
+	r.mu.Unlock()
+	return s, nil
+}
+
+// Figure is something measured: its mean, and the least and most of the slices.
+type Figure struct {
+	Mean float64 `json:"mean"`
+	Min  float64 `json:"min"`
+	Max  float64 `json:"max"`
+}
+
+func figure(values []float64) Figure {
+	if len(values) == 0 {
+		return Figure{}
+	}
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return Figure{Mean: sum / float64(len(values)), Min: slices.Min(values), Max: slices.Max(values)}
+}
+
+// SizeResult is what one size came to.
+type SizeResult struct {
+	Size int  `json:"size"`
+	Load Load `json:"load"`
+	// Filled says whether the standing work ran before the measurement, and Stopped why the
+	// size was broken off, if it was.
+	Filled  bool   `json:"filled"`
+	Stopped string `json:"stopped,omitempty"`
+	// Figures are by name; names end in their unit.
+	Figures  map[string]Figure    `json:"figures"`
+	Messages map[string]float64   `json:"messages_per_s"`
+	Times    map[string]Times     `json:"times"`
+	Steps    map[string]stepTimes `json:"steps"`
+	Troubles []TroubleResult      `json:"troubles,omitempty"`
+	Starts   int                  `json:"starts"`
+	Answers  int                  `json:"answers_judged"`
+}
+
+// Names of figures.
+const (
+	figLeaderCPU       = "leader cpu (cores)"
+	figLeaderMemory    = "leader memory (MB)"
+	figLeaderSockets   = "leader sockets"
+	figLeaderBytes     = "leader traffic (KB/s)"
+	figFollowerCPU     = "follower cpu (cores)"
+	figFollowerMemory  = "follower memory (MB)"
+	figFollowerSockets = "follower sockets"
+	figFollowerBytes   = "follower traffic (KB/s)"
+	figHarnessCPU      = "models cpu (cores)"
+	figReports         = "reports (1/s)"
+	figCommands        = "commands (1/s)"
+	figStarts          = "starts (1/s)"
+	figAccepted        = "jobs accepted (1/s)"
+	figStateRequests   = "state requests (1/s)"
+	figStateWrites     = "state writes (1/s)"
+	figStateRefused    = "state refusals (1/s)"
+	figStateBytes      = "state traffic (KB/s)"
+	figStateKeys       = "state keys"
+	figCloudRequests   = "cloud requests (1/s)"
+	figUserRequests    = "user requests (1/s)"
+	figWorkerMessages  = "worker messages (1/s)"
+	figWorkerBytes     = "worker traffic (KB/s)"
+)
+
+// measure samples for the measured time, and returns the figures of its slices.
+func (r *run) measure(result *SizeResult) error {
+	r.resetTimes()
+	samples := make([]sample, 0, r.cfg.Slices+1)
+	for i := range r.cfg.Slices + 1 {
+		if i > 0 {
+			if err := r.sleep(r.cfg.Measure / time.Duration(r.cfg.Slices)); err != nil {
+				return err
+			}
+		}
+		s, err := r.sample()
+		if err != nil {
+			return err
+		}
+		samples = append(samples, s)
+	}
+	result.Figures = r.figures(samples)
+	result.Messages = rates(samples[0], samples[len(samples)-1])
+	result.Times, result.Steps = r.meter.Times(), r.worstSteps()
+	return nil
+}
+
+// rates are the messages a second of each kind between two samples.
+func rates(a, b sample) map[string]float64 {
+	seconds := b.at.Sub(a.at).Seconds()
+	out := map[string]float64{}
+	for kind, n := range b.kinds {
+		if d := n - a.kinds[kind]; d > 0 {
+			out[kind] = float64(d) / seconds
+		}
+	}
+	return out
+}
+
+// figures computes the figures of each slice between two samples.
+func (r *run) figures(samples []sample) map[string]Figure {
+	values := map[string][]float64{}
+	add := func(name string, v float64) { values[name] = append(values[name], v) }
+	const kilo = 1024
+	for i, b := range samples[1:] {
+		a := samples[i]
+		seconds := b.at.Sub(a.at).Seconds()
+		per := func(d float64) float64 { return d / seconds }
+		for node, u := range b.process {
+			before, ok := a.process[node]
+			if !ok || u.CPU < before.CPU {
+				continue // it was started anew
+			}
+			cpu, traffic := per(u.CPU-before.CPU), per(float64(u.Bytes-before.Bytes))/kilo
+			names := [4]string{figFollowerCPU, figFollowerMemory, figFollowerSockets, figFollowerBytes}
+			if node == b.leader {
+				names = [4]string{figLeaderCPU, figLeaderMemory, figLeaderSockets, figLeaderBytes}
+			}
+			for k, v := range []float64{cpu, u.MemMB, float64(u.Sockets), traffic} {
+				add(names[k], v)
+			}
+		}
+		add(figHarnessCPU, per(b.self.CPU-a.self.CPU))
+		add(figReports, per(float64(b.answers-a.answers)))
+		add(figCommands, per(float64(b.messages[LinkCommands]-a.messages[LinkCommands])))
+		add(figStarts, per(float64(b.starts-a.starts)))
+		add(figAccepted, per(float64(b.accepted-a.accepted)))
+		add(figStateRequests, per(float64(b.state.Requests-a.state.Requests)))
+		add(figStateWrites, per(float64(b.state.Writes-a.state.Writes)))
+		add(figStateRefused, per(float64(b.state.Refused-a.state.Refused)))
+		add(figStateBytes, per(float64(b.bytes[LinkState]-a.bytes[LinkState]))/kilo)
+		add(figStateKeys, float64(b.state.Keys))
+		add(figCloudRequests, per(float64(b.messages[LinkCloud]-a.messages[LinkCloud])))
+		add(figUserRequests, per(float64(b.messages[LinkUsers]-a.messages[LinkUsers])))
+		workers := float64(r.load.Workers)
+		toWorkers := func(s sample) float64 { return float64(s.messages[LinkReports] + s.messages[LinkCommands]) }
+		ofWorkers := func(s sample) float64 { return float64(s.bytes[LinkReports] + s.bytes[LinkCommands]) }
+		add(figWorkerMessages, per(toWorkers(b)-toWorkers(a))/workers)
+		add(figWorkerBytes, per(ofWorkers(b)-ofWorkers(a))/kilo/workers)
+	}
+	out := map[string]Figure{}
+	for name, v := range values {
+		out[name] = figure(v)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,323 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/protocol"
+	"pinebay/internal/simulation"
+	"pinebay/internal/storage"
+	"pinebay/internal/transport"
+)
+
+// ErrBroken is wrapped when an oracle saw a broken rule.
+var ErrBroken = errors.New("a rule was broken")
+
+// run is one size of a run: real controllers, and models of everything around them.
+type run struct {
+	cfg   *Config
+	load  Load
+	log   *slog.Logger
+	ctx   context.Context
+	stop  context.CancelCauseFunc
+	wg    sync.WaitGroup
+	began time.Time
+	meter *Meter
+	teams []config.Team
+	types []protocol.MachineType
+
+	controllers  []*controllerProcess
+	state        *simulation.State
+	cloud        *simulation.Cloud
+	ledger       *simulation.Ledger
+	users        *simulation.Users
+	surroundings *simulation.Surroundings
+
+	mu      sync.Mutex // guards what follows
+	rng     *rand.Rand
+	world   *simulation.World
+	agents  map[string]*simulation.Agent // by the address of their machine
+	names   map[string]string            // addresses by machine
+	waiting map[string]time.Duration     // when jobs were accepted of which no task has started
+	jobs    int
+
+	contact   atomic.Pointer[contact]
+	submitted atomic.Int64
+	accepted  atomic.Int64
+	finished  atomic.Int64
+	answers   atomic.Int64 // of controllers to reports
+}
+
+// What machines and tasks are like: all tasks but those of gangs take the same, and a machine
+// has room for a fifth more tasks than it is meant to run.
+const (
+	machineType      = "hollow"
+	taskCPUs         = 2
+	taskMemoryGB     = 4
+	roomFactor       = 1.2
+	machineGPUs      = 2
+	imageGB          = 1
+	fetchGBPerS      = 100
+	fetch            = 50 * time.Millisecond
+	images           = 30
+	tick             = 20 * time.Millisecond
+	usersConnections = 256
+	// idleReturn keeps machines that have nothing to do: the size is to stay what it is.
+	bootS = 3600
+)
+
+// newRun puts everything in place but starts nothing yet.
+func newRun(ctx context.Context, cfg *Config, load Load, dir string, log *slog.Logger) (*run, error) {
+	slots := float64(int(load.TasksPerWorker*roomFactor + 1))
+	r := &run{
+		cfg: cfg, load: load, log: log, began: time.Now(), meter: NewMeter(), rng: rand.New(rand.NewPCG(cfg.Seed, uint64(load.Workers))),
+		agents: map[string]*simulation.Agent{}, names: map[string]string{}, waiting: map[string]time.Duration{}, state: simulation.NewState(),
+		types: []protocol.MachineType{{Name: machineType, CPUs: slots * taskCPUs, GPUs: machineGPUs, MemoryGB: slots * taskMemoryGB,
+			CacheGB: images * imageGB, FetchGBPerS: fetchGBPerS, Price: 10, SpotPrice: 5, BootS: bootS, Zones: zoneNames(load.Zones)}},
+	}
+	r.teams = teamsOf(load)
+	r.ctx, r.stop = context.WithCancelCause(ctx)
+	r.state.Limit(cfg.stateLimits())
+	r.newWorld()
+	r.newCloud()
+	r.ledger = simulation.NewLedger(r.allDone, r.toldCancelled)
+	network := meteredNetwork{from: []byte{127, 0, 0, 1}, bytes: &r.meter.bytes[LinkUsers]}
+	r.users = &simulation.Users{Client: transport.NewClient(network, usersConnections, usersConnections, time.Minute), Ledger: r.ledger,
+		Now: r.now, Fault: r.fail, OnAnswer: r.userAnswered}
+	r.surroundings = &simulation.Surroundings{Lock: &r.mu, Now: r.now, Draw: r.draw, Interval: cfg.Report, Fault: r.fail}
+	for node := range load.Controllers {
+		s := settingsFor(cfg, load, r.teams, node, cfg.stateAddr(), cfg.cloudAddr())
+		p, err := newController(cfg, dir, s)
+		if err != nil {
+			return nil, err
+		}
+		r.controllers = append(r.controllers, p)
+		r.surroundings.Controllers = append(r.surroundings.Controllers, simulation.Controller{Node: p.node, Addr: p.addr})
+	}
+	return r, nil
+}
+
+func (c *Config) stateAddr() string { return fmt.Sprintf("127.0.0.1:%d", c.Port) }
+
+func (c *Config) cloudAddr() string { return fmt.Sprintf("127.0.0.1:%d", c.Port+1) }
+
+func (c *Config) workersPort() int { return c.Port + 2 }
+
+func (r *run) newWorld() {
+	r.world = simulation.NewWorld(4*r.cfg.Lease, fetch, r.cfg.RunTime)
+	// News of a cancellation and the last command before it may be under way for as long as a
+	// direct command may take.
+	r.world.UnderWay = r.cfg.Report
+	r.world.RunTimeOf = r.runTime
+	r.world.OnStart = r.started
+	for _, t := range r.teams {
+		r.world.Limits[t.Name] = [2]float64{t.CPUsMax, t.GPUsMax}
+	}
+}
+
+// runTime is a half to one and a half times the mean, always the same for a task.
+func (r *run) runTime(id protocol.TaskID) time.Duration {
+	h := fnv.New32a()
+	fmt.Fprint(h, id.Job, id.Task)
+	const parts = 1 << 10
+	return r.cfg.RunTime/2 + r.cfg.RunTime*time.Duration(h.Sum32()%parts)/parts
+}
+
+func (r *run) newCloud() {
+	r.cloud = simulation.NewCloud(&r.mu, r.now)
+	r.cloud.Types, r.cloud.Lag = r.types, config.Seconds(r.cfg.cloudLimits().ListLagS)
+	r.cloud.Capacity = func(protocol.Rental) int { return 0 }
+	r.cloud.Boot = func() time.Duration { return 0 }
+	r.cloud.Address = func(number int) string { return fmt.Sprintf("%s:%d", workerIP(number), r.cfg.workersPort()) }
+	r.cloud.Up, r.cloud.Down = r.up, r.down
+}
+
+func (r *run) now() time.Duration { return time.Since(r.began) }
+
+// draw returns a time up to d; the lock is held.
+func (r *run) draw(d time.Duration) time.Duration { return time.Duration(r.rng.Float64() * float64(d)) }
+
+// fail ends the run.
+func (r *run) fail(err error) { r.stop(err) }
+
+// start brings up the services, the controllers and the workers.
+func (r *run) start() error {
+	for _, s := range []struct {
+		link Link
+		addr string
+		h    http.Handler
+	}{
+		{LinkState, r.cfg.stateAddr(), r.state}, {LinkCloud, r.cfg.cloudAddr(), r.cloud},
+		{LinkCommands, fmt.Sprintf("0.0.0.0:%d", r.cfg.workersPort()), http.HandlerFunc(r.serveCommands)},
+	} {
+		if err := r.serve(s.link, s.addr, s.h); err != nil {
+			return err
+		}
+	}
+	r.wg.Go(r.passTime)
+	for _, p := range r.controllers {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	zones := zoneNames(r.load.Zones)
+	for i := range r.load.Workers {
+		r.cloud.Start(machineType, zones[i%len(zones)], false)
+	}
+	return nil
+}
+
+// passTime lets time pass for the models, and lets the oracles judge.
+func (r *run) passTime() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := r.now()
+		r.state.Advance(now)
+		r.mu.Lock()
+		r.world.Advance(now)
+		r.mu.Unlock()
+		if err := r.judge(); err != nil {
+			r.fail(err)
+			return
+		}
+	}
+}
+
+// judge returns the first broken rule.
+func (r *run) judge() error {
+	r.mu.Lock()
+	broken := append([]string{}, r.world.Broken...)
+	late := r.world.LateStarts
+	r.mu.Unlock()
+	broken = append(broken, r.ledger.Breaches()...)
+	if late > 0 {
+		broken = append(broken, fmt.Sprintf("%d starts after a confirmed cancellation", late))
+	}
+	for _, p := range r.controllers {
+		if p.endedByItself() {
+			return fmt.Errorf("%s ended by itself", p.node)
+		}
+	}
+	if len(broken) > 0 {
+		return fmt.Errorf("%w: %s (%d in all)", ErrBroken, broken[0], len(broken))
+	}
+	return nil
+}
+
+// end ends everything.
+func (r *run) end() {
+	r.stop(context.Canceled)
+	r.mu.Lock()
+	r.cloud.Close()
+	r.mu.Unlock()
+	for _, p := range r.controllers {
+		p.kill()
+	}
+	r.wg.Wait()
+}
+
+// leader returns the controller that the state service names, or nil.
+func (r *run) leader() *controllerProcess {
+	pair := r.state.Get(storage.LeaderKey)
+	var rec storage.LeaderRecord
+	if pair.Version == 0 || protocol.Decode(pair.Value, &rec) != nil {
+		return nil
+	}
+	for _, p := range r.controllers {
+		if p.node == rec.Node {
+			return p
+		}
+	}
+	return nil
+}
+
+// sleep waits, and returns why the run has ended if it has.
+func (r *run) sleep(d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-r.ctx.Done():
+		return context.Cause(r.ctx)
+	}
+}
+
+// until waits until something is so, at most for a time, and says whether it is.
+func (r *run) until(what string, most time.Duration, ok func() bool) (bool, error) {
+	deadline := time.Now().Add(most)
+	const look = 50 * time.Millisecond
+	for time.Now().Before(deadline) {
+		if ok() {
+			return true, nil
+		}
+		if err := r.sleep(look); err != nil {
+			return false, err
+		}
+	}
+	r.log.Info("not reached", "what", what, "within", most)
+	return false, nil
+}
+
+// contact counts the workers that had an answer to a report since some moment.
+type contact struct {
+	since time.Time
+
+	mu    sync.Mutex
+	first time.Time // when the first had one
+	heard map[*simulation.Agent]bool
+}
+
+// answered notes that a worker had an answer.
+func (r *run) answered(a *simulation.Agent) {
+	r.answers.Add(1)
+	c := r.contact.Load()
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.heard) == 0 {
+		c.first = time.Now()
+	}
+	c.heard[a] = true
+}
+
+// count returns how many workers had an answer, and when the first had one.
+func (c *contact) count() (int, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.heard), c.first
+}
+
+// watchContact begins to count anew.
+func (r *run) watchContact() *contact {
+	c := &contact{since: time.Now(), heard: map[*simulation.Agent]bool{}}
+	r.contact.Store(c)
+	return c
+}
+
+// tempDir returns a directory for the settings files, and what removes it.
+func tempDir() (string, func(), error) {
+	dir, err := os.MkdirTemp("", "pinebay-scale-")
+	if err != nil {
+		return "", nil, fmt.Errorf("settings: %w", err)
+	}
+	return dir, func() { _ = os.RemoveAll(dir) }, nil
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,282 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/procfs"
+	"pgregory.net/rapid"
+)
+
+// tiny is a run that is over in seconds, with the built program.
+func tiny(t *testing.T) *Config {
+	t.Helper()
+	return &Config{
+		Program: build(t), Vary: Workers, Sizes: []int{6, 8, 10, 12},
+		Load: Load{Controllers: 3, Workers: 10, Teams: 2, Zones: 2, TasksPerWorker: 4, StartsPerS: 10, ArrayTasks: 5, GangShare: 0.2,
+			GangTasks: 2, UrgentPerS: 2, CancelShare: 0.2, Overcommit: 1.5},
+		Report: 300 * time.Millisecond, Lease: 3 * time.Second, RunTime: time.Second, Warmup: 2 * time.Second, Measure: 2 * time.Second,
+		Slices: 2, Seed: 1, Port: freePort(t), CoreShare: 1, RAMMB: 256, MaxSockets: 500, StateRPS: 600, StateWriteRPS: 180, StateTxnOps: 16, CloudRPS: 4,
+	}
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "pinebay")
+	if out, err := exec.Command("go", "build", "-o", program, "pinebay/cmd/pinebay").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
+// freePort returns a port from which on several are likely to be free.
+func freePort(t *testing.T) int {
+	t.Helper()
+	for port := 23_000; port < 30_000; port += 500 {
+		free := true
+		for i := range 20 {
+			l, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(port+i)))
+			if err != nil {
+				free = false
+				break
+			}
+			l.Close()
+		}
+		if free {
+			return port
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+// left counts processes of a program.
+func left(t *testing.T, program string) (n int) {
+	t.Helper()
+	procs, err := procfs.AllProcs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range procs {
+		if path, err := p.Executable(); err == nil && path == program {
+			n++
+		}
+	}
+	return n
+}
+
+// TestTinyRun plays four sizes with real processes: everything is counted, slopes are fitted,
+// no rule is broken and no process is left.
+func TestTinyRun(t *testing.T) {
+	cfg := tiny(t)
+	cfg.Troubles = []Trouble{KillLeader}
+	if err := cfg.Check(); err != nil {
+		t.Fatal(err)
+	}
+	result, err := Run(t.Context(), cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range result.Sizes {
+		if !s.Filled || s.Starts == 0 || s.Answers == 0 || len(s.Troubles) != 1 {
+			t.Errorf("%d workers: filled %v, %d starts, %d answers judged, %d troubles", s.Size, s.Filled, s.Starts, s.Answers, len(s.Troubles))
+		}
+		for _, name := range []string{figReports, figStateRequests, figLeaderMemory, figFollowerSockets, figWorkerBytes} {
+			if s.Figures[name].Mean <= 0 {
+				t.Errorf("%d workers: %s is missing", s.Size, name)
+			}
+		}
+		if s.Steps["report"].Count == 0 || s.Steps["heartbeat"].Count == 0 {
+			t.Errorf("%d workers: no step times: %v", s.Size, s.Steps)
+		}
+	}
+	if len(result.Slopes) == 0 {
+		t.Error("no slopes from four sizes")
+	}
+	if n := left(t, cfg.Program); n > 0 {
+		t.Errorf("%d processes are left", n)
+	}
+	roundTrip(t, result)
+}
+
+// roundTrip writes a result and reads it again: its tables are the same.
+func roundTrip(t *testing.T, result *Result) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "result.json")
+	if err := result.WriteJSON(path); err != nil {
+		t.Fatal(err)
+	}
+	again, err := ReadResult(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var a, b strings.Builder
+	if err := errors.Join(result.WriteTables(&a), again.WriteTables(&b)); err != nil {
+		t.Fatal(err)
+	}
+	if a.String() != b.String() || !strings.Contains(a.String(), "for each of workers") {
+		t.Errorf("tables differ, or have no slopes:\n%s", b.String())
+	}
+	if err := result.Picture(filepath.Join(t.TempDir(), "picture.png"), PictureFigures()); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestBrokenRuleEndsTheRun: when the oracles see a rule broken, here a limit that the
+// controllers were not told of, the run ends with that, and nothing is left.
+func TestBrokenRuleEndsTheRun(t *testing.T) {
+	cfg := tiny(t)
+	dir := t.TempDir()
+	r, err := newRun(t.Context(), cfg, cfg.loadAt(6), dir, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, team := range r.teams {
+		r.world.Limits[team.Name] = [2]float64{1, 0}
+	}
+	var result SizeResult
+	err = r.play(&result)
+	r.end()
+	if !errors.Is(err, ErrBroken) || !strings.Contains(err.Error(), "quota") {
+		t.Errorf("ended with %v", err)
+	}
+	if n := left(t, cfg.Program); n > 0 {
+		t.Errorf("%d processes are left", n)
+	}
+}
+
+// TestInterruptLeavesNothing: a run that is called off ends its processes.
+func TestInterruptLeavesNothing(t *testing.T) {
+	cfg := tiny(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(time.Second, cancel)
+	if _, err := Run(ctx, cfg, slog.New(slog.DiscardHandler)); !errors.Is(err, context.Canceled) {
+		t.Errorf("ended with %v", err)
+	}
+	if n := left(t, cfg.Program); n > 0 {
+		t.Errorf("%d processes are left", n)
+	}
+}
+
+// TestPortTaken: a port that is taken is a complaint about the configuration.
+func TestPortTaken(t *testing.T) {
+	cfg := tiny(t)
+	l, err := net.Listen("tcp4", cfg.stateAddr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if _, err := Run(t.Context(), cfg, slog.New(slog.DiscardHandler)); !errors.Is(err, ErrConfig) {
+		t.Errorf("ended with %v", err)
+	}
+	if n := left(t, cfg.Program); n > 0 {
+		t.Errorf("%d processes are left", n)
+	}
+}
+
+// TestRefusedConfigurations: each impossible configuration is refused with a line that names
+// what is wrong.
+func TestRefusedConfigurations(t *testing.T) {
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, x := range map[string]struct {
+		change func(*Config)
+		names  string
+	}{
+		"no program":       {func(c *Config) { c.Program = "/nowhere/pinebay" }, "program"},
+		"unknown vary":     {func(c *Config) { c.Vary = "moons" }, "vary"},
+		"no sizes":         {func(c *Config) { c.Sizes = nil }, "sizes"},
+		"no workers":       {func(c *Config) { c.Sizes = []int{0} }, "workers"},
+		"too much memory":  {func(c *Config) { c.Sizes = []int{1_000_000} }, "memory"},
+		"too many sockets": {func(c *Config) { c.Load.TasksPerWorker, c.Sizes = 0.01, []int{1 << 17} }, "sockets"},
+		"many processes":   {func(c *Config) { c.Vary, c.Sizes = Controllers, []int{1000} }, "processes"},
+		"unknown trouble":  {func(c *Config) { c.Troubles = []Trouble{"rain"} }, "rain"},
+		"short lease":      {func(c *Config) { c.Lease = c.Report }, "lease"},
+		"one slice":        {func(c *Config) { c.Slices = 1 }, "slices"},
+		"privileged port":  {func(c *Config) { c.Port = 80 }, "port"},
+		"no time":          {func(c *Config) { c.Measure = 0 }, "measured time"},
+		"no tasks":         {func(c *Config) { c.Load.TasksPerWorker = 0 }, "tasks"},
+		"odd share":        {func(c *Config) { c.Load.GangShare = 2 }, "share"},
+		"no more asked":    {func(c *Config) { c.Load.TeamsAtLimit, c.Load.Overcommit = true, 1 }, "limits"},
+	} {
+		cfg := &Config{Program: program, Vary: Workers, Sizes: []int{10}, Slices: 2, Port: 23_000, Report: time.Second, Lease: 5 * time.Second,
+			RunTime: time.Second, Measure: time.Second,
+			Load: Load{Controllers: 1, Workers: 10, Teams: 1, Zones: 1, TasksPerWorker: 1, ArrayTasks: 1, GangTasks: 1}}
+		if err := cfg.Check(); err != nil {
+			t.Fatalf("the base is refused: %v", err)
+		}
+		x.change(cfg)
+		if err := cfg.Check(); !errors.Is(err, ErrConfig) || !strings.Contains(err.Error(), x.names) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// TestSlopes: a line is found again from points on it, however many and wherever they are, and
+// its spread from points beside it.
+func TestSlopes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slope, at := rapid.Float64Range(-5, 5).Draw(t, "slope"), rapid.Float64Range(1, 100).Draw(t, "at none")
+		off := rapid.Float64Range(0, 10).Draw(t, "off")
+		var sizes []SizeResult
+		for i := range rapid.IntRange(minSizes, 9).Draw(t, "sizes") {
+			size := (i + 1) * 100
+			y := at + slope*float64(size) + off*float64(1-2*(i%2))
+			sizes = append(sizes, SizeResult{Size: size, Figures: map[string]Figure{"f": {Mean: y}}})
+		}
+		got := slopes(sizes)
+		if len(got) != 1 {
+			t.Fatalf("%d slopes", len(got))
+		}
+		const near = 1e-6
+		if off < near && (got[0].Slope-slope > near || slope-got[0].Slope > near || got[0].Error > near) {
+			t.Errorf("slope %g, want %g; error %g", got[0].Slope, slope, got[0].Error)
+		}
+		// Five standard errors, and what rounding leaves.
+		if d := got[0].Slope - slope; off > near && (d > 5*got[0].Error+near || -d > 5*got[0].Error+near) {
+			t.Errorf("slope %g is %g standard errors from %g", got[0].Slope, d/got[0].Error, slope)
+		}
+	})
+	if few := slopes(make([]SizeResult, minSizes-1)); few != nil {
+		t.Errorf("slopes from too few sizes: %v", few)
+	}
+}
+
+// TestWorkerAddresses: every worker has a loopback address of its own.
+func TestWorkerAddresses(t *testing.T) {
+	seen := map[string]bool{}
+	for i := range 20_000 {
+		ip := workerIP(i + 1)
+		if !ip.IsLoopback() || seen[ip.String()] || ip.To4()[3] == 0 || ip.To4()[3] == 255 {
+			t.Fatalf("worker %d has %s", i, ip)
+		}
+		seen[ip.String()] = true
+	}
+}
+
+// TestLoadsKeepProportions: with more workers everything that belongs to them grows alike.
+func TestLoadsKeepProportions(t *testing.T) {
+	cfg := &Config{Vary: Workers, Load: Load{Workers: 100, StartsPerS: 50, UrgentPerS: 2, Teams: 7}}
+	l := cfg.loadAt(300)
+	if l.Workers != 300 || l.StartsPerS != 150 || l.UrgentPerS != 6 || l.Teams != 7 {
+		t.Errorf("%+v", l)
+	}
+	r := &run{load: Load{GangTasks: 64}}
+	if sizes := r.load.gangSizes(); len(sizes) != 6 || sizes[5] != 64 {
+		t.Errorf("gangs of %v", sizes)
+	}
+	if latencyOf(classUrgent) != UrgentStarted || latencyOf(classArray) != TaskStarted {
+		t.Error("urgent work is not told from other work")
+	}
+}
--- a/internal/simulation/ledger.go
+++ b/internal/simulation/ledger.go
@@ -123,3 +123,10 @@
 	f, ok := l.finals[id]
 	return f.standing, ok
 }
+
+// Breaches returns the rules that were broken so far.
+func (l *Ledger) Breaches() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string{}, l.Broken...)
+}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -25,6 +25,8 @@
 	Fetch     time.Duration
 	RunTime   time.Duration
 	RunTimes  map[string]time.Duration // of jobs that take another time
+	// RunTimeOf, if set, says how long a task runs, in place of the two before.
+	RunTimeOf func(protocol.TaskID) time.Duration
 	Starts    int
 	// LateStarts counts commands to start that were executed after the cancellation
 	// was confirmed, on machines to which nothing was held up since.
@@ -114,6 +116,9 @@
 
 // runTime is how long a task runs: those of a job end one after the other.
 func (w *World) runTime(id protocol.TaskID) time.Duration {
+	if w.RunTimeOf != nil {
+		return w.RunTimeOf(id)
+	}
 	if d, ok := w.RunTimes[id.Job]; ok {
 		return d * time.Duration(1+id.Task)
 	}
@@ -187,3 +192,12 @@
 		}
 	}
 }
+
+// OnMachines counts the tasks that are on machines.
+func (w *World) OnMachines() int {
+	n := 0
+	for _, u := range w.occupied.teams {
+		n += u.tasks
+	}
+	return n
+}
--- /dev/null
+++ b/internal/timing/timing.go
@@ -0,0 +1,85 @@
+// Package timing measures how long a controller's steps take, for operators who ask for it.
+package timing
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Kind is what was measured.
+type Kind string
+
+// Kinds of measurements.
+const (
+	Cycle     Kind = "cycle"     // a step of the leader in which the scheduling cycle ran
+	Report    Kind = "report"    // a step that takes in a worker's report
+	Other     Kind = "other"     // any other step of the leader
+	Heartbeat Kind = "heartbeat" // from a heartbeat until its answer
+)
+
+// interval is the time between two log lines, and maxMicros the longest duration told apart.
+const (
+	interval  = 5 * time.Second
+	maxMicros = int64(time.Hour / time.Microsecond)
+	digits    = 3
+)
+
+// Recorder collects durations. A nil recorder records nothing and costs nothing.
+type Recorder struct {
+	mu         sync.Mutex
+	histograms map[Kind]*hdrhistogram.Histogram
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder { return &Recorder{histograms: map[Kind]*hdrhistogram.Histogram{}} }
+
+// Record notes a duration.
+func (r *Recorder) Record(kind Kind, d time.Duration) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.histograms[kind]
+	if h == nil {
+		h = hdrhistogram.New(1, maxMicros, digits)
+		r.histograms[kind] = h
+	}
+	// Beyond the range is as good as at its end.
+	_ = h.RecordValue(min(max(1, d.Microseconds()), maxMicros))
+}
+
+// Run logs what was recorded at regular intervals, until the context ends.
+func (r *Recorder) Run(ctx context.Context, log *slog.Logger) {
+	if r == nil {
+		return
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.flush(log)
+		}
+	}
+}
+
+// flush logs what was recorded since the last time, and forgets it.
+func (r *Recorder) flush(log *slog.Logger) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for kind, h := range r.histograms {
+		if h.TotalCount() == 0 {
+			continue
+		}
+		log.Info("step times", "kind", string(kind), "count", h.TotalCount(), "mean_us", int64(h.Mean()),
+			"p50_us", h.ValueAtQuantile(50), "p99_us", h.ValueAtQuantile(99), "max_us", h.Max())
+		h.Reset()
+	}
+}
