--- a/internal/simulation/scenarios_test.go
+++ b/internal/simulation/scenarios_test.go
@@ -3,12 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
 	"pinebay/internal/config"
-	"pinebay/internal/protocol"
 	"pinebay/internal/testkit"
 )
 
@@ -190,12 +188,6 @@
 	}
 }
 
-// step is what happens at a time after the jobs have settled.
-type step struct {
-	at time.Duration
-	do func(l *live)
-}
-
 const s = time.Second
 
 // scenarios are what the operators have seen break rules, each brought about on real
@@ -206,6 +198,7 @@
 	steps    []step
 	happened []string
 }{
+
 	{"close looks", brisk, []step{{0, during(60*s, closeLooks)}, {1 * s, storm(40 * s)}, {2 * s, atEnd(6)},
 		{5 * s, cancels(4, 0)}, {20 * s, cancels(2, 0)}}, []string{"looks", "cancelled"}},
 	{"only the answer is lost", brisk, []step{{0, during(50*s, closeLooks)}, {0, during(50*s, lostAnswers(0.3))},
@@ -263,214 +256,6 @@
 	}
 }
 
-// carryOut carries out the steps of a scenario, and demands that all is well once it is
-// calm.
-func (l *live) carryOut(steps []step, happened []string) {
-	l.settle(12)
-	l.playSteps(steps)
-	time.Sleep(2*config.Seconds(l.cfg.Workers.CancelS) + 6*time.Minute)
-	l.calm()
-	for _, h := range happened {
-		if l.count(h) == 0 {
-			l.t.Errorf("%s did not happen", h)
-		}
-	}
-}
-
-// playSteps has every step happen at its time from now.
-func (l *live) playSteps(steps []step) {
-	from := l.now()
-	for _, st := range steps {
-		time.Sleep(from + st.at - l.now())
-		st.do(l)
-	}
-}
-
-// drawScenario makes up a scenario of three to six troubles within a minute.
-func drawScenario(rng *rand.Rand) (steps []step, names []string) {
-	lasts := func(least, most int) time.Duration {
-		return time.Duration(least*1000+rng.IntN((most-least)*1000)) * ms
-	}
-	back := []time.Duration{200 * ms, 5 * s, 14 * s}[rng.IntN(3)]
-	vocabulary := []struct {
-		name string
-		do   func(l *live)
-	}{
-		{"refuse the leader", during(lasts(2, 40), refuseLeader)}, {"outage", during(lasts(2, 60), outage)},
-		{"leader apart", during(lasts(2, 40), leaderApart)}, {"crash the leader", crashLeader(back)}, {"crash all", crashAll(back)},
-		{"zone cut", during(lasts(3, 40), zoneCut)}, {"mute", during(lasts(3, 40), mute(3))}, {"deaf", during(lasts(3, 40), deaf(3))},
-		{"hang", hang(3, lasts(3, 60))}, {"late writes", during(lasts(5, 50), lateWrites(0.25))},
-		{"lost answers", during(lasts(5, 50), lostAnswers(0.3))}, {"slow writes", during(lasts(5, 50), slowWrites(0.5, s))},
-		{"late reports", during(lasts(10, 60), lateReports(0.2))}, {"for the next", during(lasts(20, 60), forNext(0.3, 0))},
-		{"close looks", during(lasts(20, 60), closeLooks)}, {"cancels", cancels(4, 0)}, {"cancels and hang", cancels(4, lasts(10, 60))},
-		{"storm", storm(lasts(10, 40))}, {"ends far apart", apartEnds(5)}, {"at end", atEnd(5)}, {"crowd", crowd(10)}, {"lose", lose(2)},
-		{"quick boots", during(lasts(20, 60), quickBoots)},
-	}
-	at := time.Duration(0)
-	for range 4 + rng.IntN(4) {
-		v := vocabulary[rng.IntN(len(vocabulary))]
-		if at > 0 && rng.IntN(2) == 0 {
-			at += time.Duration(rng.IntN(1500)) * ms
-		} else {
-			at += time.Duration(rng.IntN(12000)) * ms
-		}
-		steps = append(steps, step{at, v.do})
-		names = append(names, fmt.Sprintf("%v %s", at, v.name))
-		if rng.IntN(3) == 0 {
-			after := at + time.Duration(rng.IntN(2500))*ms
-			steps = append(steps, step{after, cancels(2, 0)})
-			at = after
-		}
-	}
-	return steps, names
-}
-
-// TestDrawnScenarios plays scenarios that nobody named.
-func TestDrawnScenarios(t *testing.T) {
-	for seed := testkit.Seed(); seed < testkit.Seed()+10; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			rng := rand.New(rand.NewPCG(seed, 9))
-			steps, names := drawScenario(rng)
-			t.Log(names)
-			play(t, seed, []int{3, 3, 3, 5}[rng.IntN(4)], []config.Workers{brisk, brisk, slow}[rng.IntN(3)], func(l *live) { l.carryOut(steps, nil) })
-		})
-	}
-}
-
-// TestCancellationThatIsNotSafeIsRefusedAtOnce: a controller that reaches the service but
-// none of the others tells users of cancellations when to come back, without holding them.
-func TestCancellationThatIsNotSafeIsRefusedAtOnce(t *testing.T) {
-	play(t, 10, 3, brisk, func(l *live) {
-		l.settle(6)
-		n := l.others(l.leader())[0]
-		heal := l.apart(n, l.others(n)...)
-		time.Sleep(4 * s)
-		id, sent := l.running()[0], l.now()
-		if status, _ := l.request(n, Cancels, id); status != 503 || l.now()-sent > 100*ms {
-			t.Errorf("%d after %v", status, l.now()-sent)
-		}
-		if !l.cancel(id, l.others(n), 2*s) {
-			t.Error("the others could not cancel it")
-		}
-		if status, _ := l.request(n, Asks, id); status != 503 {
-			t.Errorf("news of it, alone: %d", status)
-		}
-		heal()
-		time.Sleep(4 * s)
-		if status, st := l.request(n, Cancels, id); status != 200 || st.Standing != protocol.Cancelled {
-			t.Errorf("together again: %d %v", status, st)
-		}
-	})
-}
-
-// outlast ends an outage, and demands that all is well some minutes later.
-func (l *live) outlast() {
-	l.t.Helper()
-	l.state.Outage(false)
-	time.Sleep(4 * time.Minute)
-	l.calm()
-}
-
-// TestForgottenIntents: the leader, out of reach of the service, cannot be told of a
-// cancellation; whoever confirmed it ends, and the only other holder of its intent
-// begins anew and is in contact with the leader again. By its word the leader must not
-// go on.
-func TestForgottenIntents(t *testing.T) {
-	play(t, 8, 3, brisk, func(l *live) {
-		l.settle(12)
-		old := l.leader()
-		n, p := l.others(old)[0], l.others(old)[1]
-		heal := leaderApart(l)
-		time.Sleep(200 * ms)
-		if l.cancelRunning(6, []*controller{n}, 400*ms) == 0 {
-			t.Error("nothing was cancelled: the scenario shows nothing")
-		}
-		l.state.Outage(true)
-		l.crash(n, 90*s)
-		l.crash(p, 200*ms)
-		time.Sleep(500 * ms)
-		heal()
-		time.Sleep(60 * s)
-		l.outlast()
-	})
-}
-
-// TestLeaderWithoutRecords: a leader ends, jobs are cancelled at once, and the service
-// is out for all just as the next leader has won its term and read nothing yet. It keeps
-// tasks alive by the others' word, and must not those of which it has intents.
-func TestLeaderWithoutRecords(t *testing.T) {
-	play(t, 9, 3, brisk, func(l *live) {
-		l.settle(12)
-		old, term := l.leader(), l.term()
-		l.crash(old, 90*s)
-		told := make(chan int, 1)
-		time.AfterFunc(100*ms, func() { told <- l.cancelRunning(6, l.others(old), 400*ms) })
-		for l.term() == term && l.ctx.Err() == nil {
-			time.Sleep(ms)
-		}
-		l.state.Outage(true)
-		if <-told == 0 {
-			t.Error("nothing was cancelled: the scenario shows nothing")
-		}
-		time.Sleep(60 * s)
-		if n := len(l.running()); n == 0 {
-			t.Error("nothing was kept alive: the scenario shows nothing")
-		}
-		l.outlast()
-	})
-}
-
-// TestLateCancellationIsToldWithANewIntent: the transaction of a cancellation is carried
-// out long after its intent, when the leader has taken it that the job lives; the
-// service refuses the leader by then, and is out for all right after somebody has read
-// of the cancellation and told the user. Who tells announces it anew.
-func TestLateCancellationIsToldWithANewIntent(t *testing.T) {
-	play(t, 7, 3, brisk, func(l *live) {
-		l.settle(12)
-		old := l.leader()
-		late := 8 * s
-		mend := writes(1, func(l *live) Fate { return Fate{Late: late} })(l)
-		ids := l.running()[:4]
-		for _, id := range ids {
-			l.go_(func() { l.request(l.others(old)[0], Cancels, id) })
-		}
-		time.Sleep(s)
-		mend()
-		time.Sleep(late - 2*s) // the intents are over for the leader; the jobs run again
-		again := 0
-		for _, id := range l.running() {
-			if slices.Contains(ids, id) {
-				again++
-			}
-		}
-		if again == 0 {
-			t.Error("no job ran again: the scenario shows nothing")
-		}
-		l.state.Refuse(old.ip, true)
-		time.Sleep(1500 * ms)
-		for _, id := range ids {
-			l.request(l.others(old)[0], Asks, id)
-		}
-		if l.count("cancelled") == 0 {
-			t.Error("no cancellation was told: the scenario shows nothing")
-		}
-		l.state.Outage(true)
-		time.Sleep(60 * s)
-		l.state.Refuse(old.ip, false)
-		l.outlast()
-	})
-}
-
-// TestNobodyLeftToFence: the leader ends right after a cancellation was confirmed (and
-// the others in the outage that follows), the service is out for all, and a machine with
-// one of the job's tasks hangs. Nobody can lead, so nobody knows of the placement; the
-// machine is returned since nobody hears it.
-func TestNobodyLeftToFence(t *testing.T) {
-	g := gap{before: 1700 * ms, outage: 1.5, crash: true, after: "killed", worker: "hung"}
-	play(t, 5054, 3, slow, g.play)
-}
-
 // TestLeasesOutliveRestartsInAnOutage: in an outage of the state service the leader and
 // another controller end and come back. The third one renews the leases, and workers
 // find it in time, wherever they go first. Leases ended when the others, just begun,
--- /dev/null
+++ b/internal/simulation/system_outside_test.go
@@ -0,0 +1,196 @@
+package simulation
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"pinebay/internal/coordination/fleet"
+	"pinebay/internal/coordination/scheduler"
+	"pinebay/internal/protocol"
+)
+
+func (s *system) encode(v any) []byte {
+	raw, err := protocol.Encode(v)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return raw
+}
+
+// callCloud carries out what the fleet asks of the cloud.
+func (s *system) callCloud(l *leading, e fleet.Effect) {
+	switch e := e.(type) {
+	case fleet.List:
+		asked := s.now
+		list := s.list()
+		s.after(200*ms, func() { s.step(l, scheduler.Listed{Asked: asked, Machines: list, Failed: s.chance(0.1)}) })
+	case fleet.Rent:
+		asked := s.now
+		s.after(s.upTo(time.Second), func() {
+			names := s.rent(e.Rental)
+			s.step(l, scheduler.Rented{Request: e.Rental.Request, Asked: asked, Names: names, Refused: len(names) == 0})
+		})
+	case fleet.Release:
+		s.after(s.upTo(time.Second), func() {
+			for _, n := range e.Names {
+				if s.world.Workers[n] != nil {
+					s.world.Remove(n)
+					s.gone[n] = s.now - time.Hour // not listed any more
+				}
+			}
+			s.step(l, scheduler.Released{Names: e.Names, OK: true})
+		})
+	default:
+		s.t.Fatalf("unknown effect %T", e)
+	}
+}
+
+// write carries out a transaction as the leader's executor does, over a
+// network that may swallow the request or the answer, or repeat the request.
+func (s *system) write(l *leading, w scheduler.Write, uncertain bool) {
+	d := 5*ms + s.upTo(20*ms)
+	if s.chance(0.05) {
+		late := s.upTo(40 * time.Second)
+		s.after(late, func() { s.state.Txn(w.Txn) }) // a late copy
+	}
+	if s.chance(0.05) {
+		s.after(time.Second, func() { s.write(l, w, true) }) // never arrived, as far as we know
+		return
+	}
+	s.after(d, func() {
+		rev, failed, _ := s.state.Txn(w.Txn)
+		if s.chance(0.05) {
+			s.after(time.Second, func() { s.write(l, w, true) }) // the answer was lost
+			return
+		}
+		out := scheduler.Written{Write: w.ID, OK: len(failed) == 0, Rev: rev, Failed: failed}
+		if !out.OK && uncertain {
+			p := s.state.Get(w.Verify)
+			var rec struct {
+				Write string `msgpack:"w"`
+			}
+			if p.Version != 0 {
+				if err := protocol.Decode(p.Value, &rec); err != nil {
+					s.t.Fatal(err)
+				}
+			}
+			out.OK = rec.Write == w.Name && (w.Name != "" || p.Version == 0)
+			out.Rev = p.Version
+		}
+		s.after(d, func() { s.step(l, out) })
+	})
+}
+
+func (s *system) cut(name string) bool { return s.now < s.unheard[name] }
+
+func (s *system) command(l *leading, o scheduler.Order) {
+	deliver := func(answer bool) {
+		m := s.world.Workers[o.Machine]
+		if m == nil {
+			return
+		}
+		r, ok := m.Command(s.now, o.Orders)
+		if answer {
+			s.after(5*ms, func() { s.step(l, scheduler.OrdersDone{Machine: o.Machine, OK: ok, Report: r}) })
+		}
+	}
+	lost := func() {
+		s.after(1500*ms, func() { s.step(l, scheduler.OrdersDone{Machine: o.Machine}) })
+	}
+	if s.chance(0.1) {
+		s.after(s.upTo(60*time.Second), func() { deliver(false) }) // a late copy
+	}
+	switch {
+	case s.world.Workers[o.Machine] == nil:
+		lost()
+	case s.cut(o.Machine) || s.chance(0.04):
+		s.after(s.upTo(60*time.Second), func() { deliver(false) }) // held back, executed late
+		lost()
+	case s.chance(0.04):
+		s.after(5*ms, func() { deliver(false) }) // executed, the answer lost
+		lost()
+	default:
+		s.after(5*ms, func() { deliver(true) })
+	}
+}
+
+func (s *system) list() []protocol.ListedMachine {
+	var out []protocol.ListedMachine
+	for _, m := range s.world.sorted() {
+		out = append(out, protocol.ListedMachine{Name: m.Name, Addr: "addr:" + m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			State: protocol.MachineRunning})
+	}
+	for n, at := range s.gone {
+		if s.now-at < 8*time.Second {
+			out = append(out, protocol.ListedMachine{Name: n, Type: "g8", Zone: "a", State: protocol.MachineRunning})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+func (s *system) rent(r protocol.Rental) []string {
+	if names, ok := s.rentals[r.Request]; ok {
+		return names
+	}
+	if len(s.world.Workers) > 14 || s.chance(0.2) {
+		return nil
+	}
+	var names []string
+	for range min(r.Count, 3) {
+		s.names++
+		name := fmt.Sprintf("host-%06d", s.names)
+		names = append(names, name)
+		if s.chance(0.05) {
+			continue // never comes up
+		}
+		s.after(2*time.Second+s.upTo(10*time.Second), func() {
+			s.world.Add(s.now, name, r.Zone, r.Spot, &s.types[0], time.Duration(s.cfg.Workers.LeaseS*float64(time.Second)))
+			s.reports(name)
+		})
+	}
+	s.rentals[r.Request] = names
+	return names
+}
+
+// reports lets a worker report regularly, to a leader of any term.
+func (s *system) reports(name string) {
+	m := s.world.Workers[name]
+	if m == nil {
+		return
+	}
+	next := 750*ms + s.upTo(500*ms)
+	if m.Changed {
+		next = 500 * ms
+	}
+	s.after(next, func() { s.reports(name) })
+	if len(s.leaders) == 0 {
+		return
+	}
+	l := s.leaders[len(s.leaders)-1]
+	if s.chance(0.05) {
+		l = s.leaders[s.rng.IntN(len(s.leaders))]
+	}
+	r := m.Report()
+	sent, session := s.now, m.Session
+	if s.chance(0.05) {
+		s.after(s.upTo(30*time.Second), func() { s.step(s.leaders[len(s.leaders)-1], scheduler.Reported{Report: r}) })
+	}
+	if s.cut(name) && s.chance(0.7) || s.chance(0.03) {
+		return
+	}
+	muted := s.cut(name) || s.chance(0.03)
+	s.after(5*ms, func() {
+		s.step(l, scheduler.Reported{Report: r, Tag: func(a protocol.ReportAnswer) {
+			if muted {
+				return
+			}
+			s.after(5*ms, func() {
+				if s.world.Workers[name] == m {
+					m.Answer(s.now, sent, session, a)
+				}
+			})
+		}})
+	})
+}
--- a/internal/simulation/system_test.go
+++ b/internal/simulation/system_test.go
@@ -6,12 +6,10 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"sort"
 	"testing"
 	"time"
 
 	"pinebay/internal/config"
-	"pinebay/internal/coordination/fleet"
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
@@ -56,11 +54,15 @@
 type events []item
 
 func (e events) Len() int { return len(e) }
+
 func (e events) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
 }
+
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(item)) }
+
+func (e *events) Push(x any) { *e = append(*e, x.(item)) }
+
 func (e *events) Pop() any {
 	old := *e
 	x := old[len(old)-1]
@@ -132,14 +134,6 @@
 	s.tickLeader(l)
 }
 
-func (s *system) encode(v any) []byte {
-	raw, err := protocol.Encode(v)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return raw
-}
-
 func (s *system) tickLeader(l *leading) {
 	if l.dead {
 		return
@@ -197,293 +191,6 @@
 	}
 }
 
-// callCloud carries out what the fleet asks of the cloud.
-func (s *system) callCloud(l *leading, e fleet.Effect) {
-	switch e := e.(type) {
-	case fleet.List:
-		asked := s.now
-		list := s.list()
-		s.after(200*ms, func() { s.step(l, scheduler.Listed{Asked: asked, Machines: list, Failed: s.chance(0.1)}) })
-	case fleet.Rent:
-		asked := s.now
-		s.after(s.upTo(time.Second), func() {
-			names := s.rent(e.Rental)
-			s.step(l, scheduler.Rented{Request: e.Rental.Request, Asked: asked, Names: names, Refused: len(names) == 0})
-		})
-	case fleet.Release:
-		s.after(s.upTo(time.Second), func() {
-			for _, n := range e.Names {
-				if s.world.Workers[n] != nil {
-					s.world.Remove(n)
-					s.gone[n] = s.now - time.Hour // not listed any more
-				}
-			}
-			s.step(l, scheduler.Released{Names: e.Names, OK: true})
-		})
-	default:
-		s.t.Fatalf("unknown effect %T", e)
-	}
-}
-
-// write carries out a transaction as the leader's executor does, over a
-// network that may swallow the request or the answer, or repeat the request.
-func (s *system) write(l *leading, w scheduler.Write, uncertain bool) {
-	d := 5*ms + s.upTo(20*ms)
-	if s.chance(0.05) {
-		late := s.upTo(40 * time.Second)
-		s.after(late, func() { s.state.Txn(w.Txn) }) // a late copy
-	}
-	if s.chance(0.05) {
-		s.after(time.Second, func() { s.write(l, w, true) }) // never arrived, as far as we know
-		return
-	}
-	s.after(d, func() {
-		rev, failed, _ := s.state.Txn(w.Txn)
-		if s.chance(0.05) {
-			s.after(time.Second, func() { s.write(l, w, true) }) // the answer was lost
-			return
-		}
-		out := scheduler.Written{Write: w.ID, OK: len(failed) == 0, Rev: rev, Failed: failed}
-		if !out.OK && uncertain {
-			p := s.state.Get(w.Verify)
-			var rec struct {
-				Write string `msgpack:"w"`
-			}
-			if p.Version != 0 {
-				if err := protocol.Decode(p.Value, &rec); err != nil {
-					s.t.Fatal(err)
-				}
-			}
-			out.OK = rec.Write == w.Name && (w.Name != "" || p.Version == 0)
-			out.Rev = p.Version
-		}
-		s.after(d, func() { s.step(l, out) })
-	})
-}
-
-func (s *system) cut(name string) bool { return s.now < s.unheard[name] }
-
-func (s *system) command(l *leading, o scheduler.Order) {
-	deliver := func(answer bool) {
-		m := s.world.Workers[o.Machine]
-		if m == nil {
-			return
-		}
-		r, ok := m.Command(s.now, o.Orders)
-		if answer {
-			s.after(5*ms, func() { s.step(l, scheduler.OrdersDone{Machine: o.Machine, OK: ok, Report: r}) })
-		}
-	}
-	lost := func() {
-		s.after(1500*ms, func() { s.step(l, scheduler.OrdersDone{Machine: o.Machine}) })
-	}
-	if s.chance(0.1) {
-		s.after(s.upTo(60*time.Second), func() { deliver(false) }) // a late copy
-	}
-	switch {
-	case s.world.Workers[o.Machine] == nil:
-		lost()
-	case s.cut(o.Machine) || s.chance(0.04):
-		s.after(s.upTo(60*time.Second), func() { deliver(false) }) // held back, executed late
-		lost()
-	case s.chance(0.04):
-		s.after(5*ms, func() { deliver(false) }) // executed, the answer lost
-		lost()
-	default:
-		s.after(5*ms, func() { deliver(true) })
-	}
-}
-
-func (s *system) list() []protocol.ListedMachine {
-	var out []protocol.ListedMachine
-	for _, m := range s.world.sorted() {
-		out = append(out, protocol.ListedMachine{Name: m.Name, Addr: "addr:" + m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
-			State: protocol.MachineRunning})
-	}
-	for n, at := range s.gone {
-		if s.now-at < 8*time.Second {
-			out = append(out, protocol.ListedMachine{Name: n, Type: "g8", Zone: "a", State: protocol.MachineRunning})
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	return out
-}
-
-func (s *system) rent(r protocol.Rental) []string {
-	if names, ok := s.rentals[r.Request]; ok {
-		return names
-	}
-	if len(s.world.Workers) > 14 || s.chance(0.2) {
-		return nil
-	}
-	var names []string
-	for range min(r.Count, 3) {
-		s.names++
-		name := fmt.Sprintf("host-%06d", s.names)
-		names = append(names, name)
-		if s.chance(0.05) {
-			continue // never comes up
-		}
-		s.after(2*time.Second+s.upTo(10*time.Second), func() {
-			s.world.Add(s.now, name, r.Zone, r.Spot, &s.types[0], time.Duration(s.cfg.Workers.LeaseS*float64(time.Second)))
-			s.reports(name)
-		})
-	}
-	s.rentals[r.Request] = names
-	return names
-}
-
-// reports lets a worker report regularly, to a leader of any term.
-func (s *system) reports(name string) {
-	m := s.world.Workers[name]
-	if m == nil {
-		return
-	}
-	next := 750*ms + s.upTo(500*ms)
-	if m.Changed {
-		next = 500 * ms
-	}
-	s.after(next, func() { s.reports(name) })
-	if len(s.leaders) == 0 {
-		return
-	}
-	l := s.leaders[len(s.leaders)-1]
-	if s.chance(0.05) {
-		l = s.leaders[s.rng.IntN(len(s.leaders))]
-	}
-	r := m.Report()
-	sent, session := s.now, m.Session
-	if s.chance(0.05) {
-		s.after(s.upTo(30*time.Second), func() { s.step(s.leaders[len(s.leaders)-1], scheduler.Reported{Report: r}) })
-	}
-	if s.cut(name) && s.chance(0.7) || s.chance(0.03) {
-		return
-	}
-	muted := s.cut(name) || s.chance(0.03)
-	s.after(5*ms, func() {
-		s.step(l, scheduler.Reported{Report: r, Tag: func(a protocol.ReportAnswer) {
-			if muted {
-				return
-			}
-			s.after(5*ms, func() {
-				if s.world.Workers[name] == m {
-					m.Answer(s.now, sent, session, a)
-				}
-			})
-		}})
-	})
-}
-
-// user submits a job, asks for it, and may cancel it.
-func (s *system) user(n int) {
-	id := fmt.Sprintf("j-%06d", n)
-	shape := []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service}[s.rng.IntN(3)]
-	j := protocol.Job{
-		ID: id, Class: string(shape), Team: []string{"red", "blue"}[s.rng.IntN(2)], Shape: shape,
-		Priority: []protocol.Priority{"critical", "urgent", "normal", "best_effort"}[s.rng.IntN(4)],
-		Tasks:    1 + s.rng.IntN(5), CPUs: 4, GPUs: float64(1 + s.rng.IntN(4)), MemoryGB: 16,
-		Image: fmt.Sprintf("img-%d", s.rng.IntN(3)), ImageGB: 4, Spot: s.rng.IntN(2) == 0,
-	}
-	if s.rng.IntN(8) == 0 {
-		j.Tasks = 20 + s.rng.IntN(20) // several pages
-		j.GPUs = 1
-	}
-	switch s.rng.IntN(3) {
-	case 0:
-		j.SameZone = shape == protocol.Gang
-	case 1:
-		j.Spread = true
-	}
-	if shape != protocol.Service && s.rng.IntN(2) == 0 {
-		j.CheckpointS, j.SaveS = 2, 1
-	}
-	s.world.Jobs[id] = &j
-	_, failed, _ := s.state.Txn(protocol.Txn{
-		If:   []protocol.Cond{{Key: storage.LiveKey(id)}, {Key: storage.EndedKey(id)}},
-		Then: []protocol.Op{{Put: storage.LiveKey(id), Value: s.encode(storage.LiveRecord{Job: j, AtMS: s.now.Milliseconds()})}},
-	})
-	if failed != nil {
-		s.t.Fatalf("submission failed: %v", failed)
-	}
-	s.accept[id] = true
-	s.ask(id)
-	if shape == protocol.Service || s.rng.IntN(4) == 0 {
-		s.after(s.upTo(60*time.Second), func() { s.cancel(id) })
-	}
-}
-
-func (s *system) cancel(id string) {
-	p := s.state.Get(storage.LiveKey(id))
-	if p.Version == 0 {
-		return
-	}
-	_, failed, _ := s.state.Txn(protocol.Txn{
-		If: []protocol.Cond{{Key: storage.LiveKey(id), Version: p.Version}, {Key: storage.EndedKey(id)}},
-		Then: []protocol.Op{{Delete: storage.LiveKey(id)},
-			{Put: storage.EndedKey(id), Value: s.encode(storage.EndedRecord{Standing: protocol.Cancelled})}},
-	})
-	if failed == nil {
-		s.world.Cancelled[id] = s.now
-	}
-}
-
-// ask looks at the records as a user's question does.
-func (s *system) ask(id string) {
-	standing := protocol.Queued
-	if s.state.Get(storage.LiveKey(id)).Version == 0 {
-		p := s.state.Get(storage.EndedKey(id))
-		if p.Version == 0 {
-			s.world.broken("forgotten: %s", id)
-			return
-		}
-		var rec storage.EndedRecord
-		if err := protocol.Decode(p.Value, &rec); err != nil {
-			s.t.Fatal(err)
-		}
-		standing = rec.Standing
-	}
-	if old := s.told[id]; old.Final() && standing != old {
-		s.world.broken("went_back: %s from %s to %s", id, old, standing)
-	}
-	s.told[id] = standing
-	if standing == protocol.Done {
-		for i := range s.world.Jobs[id].Tasks {
-			if !s.world.Done[protocol.TaskID{Job: id, Task: i}] {
-				s.world.broken("not_done: %s/%d", id, i)
-			}
-		}
-	}
-	if !standing.Final() {
-		s.after(time.Second+s.upTo(time.Second), func() { s.ask(id) })
-	}
-}
-
-// trouble breaks something now and then.
-func (s *system) trouble() {
-	s.after(s.upTo(6*time.Second), s.trouble)
-	if s.calm {
-		return
-	}
-	ws := s.world.sorted()
-	if len(ws) == 0 {
-		return
-	}
-	m := ws[s.rng.IntN(len(ws))]
-	switch s.rng.IntN(5) {
-	case 0:
-		s.world.Remove(m.Name) // dies, and stays listed for a while
-		s.gone[m.Name] = s.now
-	case 1:
-		s.unheard[m.Name] = s.now + s.upTo(20*time.Second)
-	case 2:
-		m.Sick = !m.Sick
-	case 3, 4:
-		if s.rng.IntN(3) == 0 {
-			s.takeOver()
-		}
-	}
-}
-
 func (s *system) run(d time.Duration) {
 	end := s.now + d
 	for len(s.queue) > 0 && s.queue[0].at <= end {
