Starts' records go before those of ends, which take two fifths of the writes at most

A write says what it is for. Ends are paid out of a share of the leader's budget, and only as many of them are under way as that share takes in half a second; those jobs go first that have waited for longest, so that each record gathers more ends the less there is room. A job's end and placements go at once, and pages for which starts wait come first.

--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -50,14 +50,23 @@
 	}
 }
 
+// useOf says out of which budget a write is paid.
+func useOf(p scheduler.Purpose) storage.Use {
+	switch p {
+	case scheduler.Ends:
+		return storage.Settle
+	case scheduler.Upkeep:
+		return storage.Bulk
+	default:
+		return storage.Decide
+	}
+}
+
 // write tries a transaction until its outcome is known. After a try without an
 // answer, a failed condition may be the work of that very try: the record that
 // names the write tells.
 func (l *Leader) write(w scheduler.Write) {
-	use := storage.Decide
-	if w.Bulk {
-		use = storage.Bulk
-	}
+	use := useOf(w.For)
 	uncertain := false
 	for l.ctx.Err() == nil {
 		rev, ok, failed, err := l.Store.TxnFailed(l.ctx, use, w.Txn)
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -40,6 +40,7 @@
 	waitAims map[string]float64 // by class, in seconds
 	roster   roster
 	find     finder
+	settling int // pages with nothing but ends that are being written
 	// roomEvents counts what may have made room within a cycle.
 	roomEvents uint64
 	// preemptionLeft is what searches for work to stop may still cost in this cycle,
@@ -275,19 +276,20 @@
 	c.writeWarm(now)
 }
 
-// writeAll writes the pages that are due.
+// writeAll writes the records that starts wait for, and what has ended as far as there is room.
 func (c *Core) writeAll(now time.Duration) {
-	var due []*job
-	c.queues.dirtyJobs.Scan(func(j *job) bool {
-		due = append(due, j)
+	var granted []*job
+	c.queues.grantedJobs.Scan(func(j *job) bool {
+		granted = append(granted, j)
 		return true
 	})
-	c.sortForReturn(due)
-	for _, j := range due {
-		if len(j.granted) == 0 && len(j.dirtyPages()) == 0 {
-			c.queues.dirtyJobs.Delete(j)
-		} else if c.writeDue(now, j) {
+	c.sortForReturn(granted)
+	for _, j := range granted {
+		if len(j.granted) == 0 {
+			c.queues.grantedJobs.Delete(j)
+		} else {
 			c.write(now, j)
 		}
 	}
+	c.settleEnded(now)
 }
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -76,6 +76,16 @@
 	}
 )
 
+// Purpose says what a write is for, and so which of them goes first.
+type Purpose uint8
+
+// Purposes.
+const (
+	Starts Purpose = iota // placements that wait for their record, and the end of a job
+	Ends                  // what has ended of a job that goes on
+	Upkeep                // cleaning, and hints for the next leader
+)
+
 // Effect is what a step asks for.
 type Effect interface{ effect() }
 
@@ -95,7 +105,7 @@
 		Txn    protocol.Txn
 		Verify string
 		Name   string
-		Bulk   bool
+		For    Purpose
 	}
 	// Order is a command that goes straight to a machine.
 	Order struct {
--- a/internal/coordination/scheduler/images.go
+++ b/internal/coordination/scheduler/images.go
@@ -106,7 +106,7 @@
 			}
 		}
 	}
-	c.emit(Write{ID: id, Txn: t, Bulk: true, Verify: storage.TermKey, Name: "-"})
+	c.emit(Write{ID: id, Txn: t, For: Upkeep, Verify: storage.TermKey, Name: "-"})
 }
 
 // warmPause is the time between two writes of the images.
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -5,6 +5,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -61,6 +62,9 @@
 
 	// reserved are the machines on which room was cleared for it, as far as known.
 	reserved map[*partition.Machine]bool
+	// ended says that it is queued for the record of what has ended, since endedAt.
+	ended   bool
+	endedAt time.Duration
 	// preemptionRound and preemptionCycle are when work to stop was last looked for.
 	preemptionRound, preemptionCycle uint64
 	queues                           *jobQueues // nil until it is in some
@@ -128,7 +132,7 @@
 	if !p.dirty {
 		p.dirty, p.dirtyAt = true, now
 	}
-	j.queues.addDirty(j)
+	j.queues.addEnded(now, j)
 }
 
 // attempt returns the next attempt number of a task; those of a gang agree.
@@ -175,6 +179,24 @@
 	return ns
 }
 
+// pagesToWrite lists up to so many pages to be written, those first for which starts wait.
+func (j *job) pagesToWrite(most int) []int {
+	var ns []int
+	add := func(n int) {
+		if len(ns) < most && !slices.Contains(ns, n) {
+			ns = append(ns, n)
+		}
+	}
+	for _, pl := range j.granted {
+		add(pl.Task.Task / j.perPage)
+	}
+	for _, n := range j.dirtyPages() {
+		add(n)
+	}
+	slices.Sort(ns)
+	return ns
+}
+
 // leaving says whether tasks are being stopped, and will have to be placed anew.
 func (j *job) leaving() bool {
 	for _, pl := range j.places {
--- a/internal/coordination/scheduler/jobqueues.go
+++ b/internal/coordination/scheduler/jobqueues.go
@@ -2,21 +2,23 @@
 
 import (
 	"cmp"
+	"time"
 
 	"github.com/tidwall/btree"
 )
 
-// jobQueues are the jobs of which something is to be done, in the order of their turns, so
-// that a cycle need not walk all jobs.
+// jobQueues are the jobs of which something is to be done, so that a cycle need not walk all
+// jobs. The trees are in the order of the jobs' turns.
 type jobQueues struct {
 	pendingJobs  *btree.BTreeG[*job] // with tasks to place
-	dirtyJobs    *btree.BTreeG[*job] // with pages to write
+	grantedJobs  *btree.BTreeG[*job] // with placements that wait for their record
 	fetchingJobs *btree.BTreeG[*job] // placed lately, with tasks that may still fetch their image
+	endedJobs    []*job              // with pages to write, the longest waiting first
 }
 
 func newJobQueues() *jobQueues {
 	tree := func() *btree.BTreeG[*job] { return btree.NewBTreeGOptions(goesBefore, btree.Options{NoLocks: true}) }
-	return &jobQueues{pendingJobs: tree(), dirtyJobs: tree(), fetchingJobs: tree()}
+	return &jobQueues{pendingJobs: tree(), grantedJobs: tree(), fetchingJobs: tree()}
 }
 
 // goesBefore orders jobs by priority, then age.
@@ -36,27 +38,43 @@
 	}
 }
 
-// addDirty enters a job that has pages to write.
-func (q *jobQueues) addDirty(j *job) {
+// addPlaced enters a job of which tasks were placed.
+func (q *jobQueues) addPlaced(j *job) {
 	if q != nil {
-		q.dirtyJobs.Set(j)
+		q.grantedJobs.Set(j)
+		q.fetchingJobs.Set(j)
 	}
 }
 
-// addFetching enters a job of which tasks were placed.
-func (q *jobQueues) addFetching(j *job) {
-	if q != nil {
-		q.fetchingJobs.Set(j)
+// addEnded enters a job that has pages to write, unless it is queued for that.
+func (q *jobQueues) addEnded(now time.Duration, j *job) {
+	if q == nil || j.ended {
+		return
 	}
+	j.ended, j.endedAt = true, now
+	q.endedJobs = append(q.endedJobs, j)
 }
 
-// remove takes a job out of all queues.
-func (q *jobQueues) remove(j *job) {
-	if q == nil {
-		return
+// nextEnded takes the job off the queue that has waited for longest to have its pages written,
+// if it was queued before the given time; nil if there is none. Jobs that need no such write any
+// more are dropped, and those with another write under way come back with its outcome.
+func (q *jobQueues) nextEnded(before time.Duration) *job {
+	for len(q.endedJobs) > 0 && q.endedJobs[0].endedAt <= before {
+		j := q.endedJobs[0]
+		q.endedJobs[0] = nil
+		q.endedJobs = q.endedJobs[1:]
+		j.ended = false
+		if !j.over && !j.finishing && !j.writing && len(j.granted) == 0 && len(j.dirtyPages()) > 0 {
+			return j
+		}
 	}
+	return nil
+}
+
+// remove takes a job out of the trees; the queue drops it in its turn.
+func (q *jobQueues) remove(j *job) {
 	q.pendingJobs.Delete(j)
-	q.dirtyJobs.Delete(j)
+	q.grantedJobs.Delete(j)
 	q.fetchingJobs.Delete(j)
 }
 
@@ -64,10 +82,4 @@
 func (c *Core) enqueue(j *job) {
 	j.queues = c.queues
 	j.queues.update(j)
-	if len(j.dirtyPages()) > 0 {
-		j.queues.addDirty(j)
-	}
-	if len(j.places) > 0 {
-		j.queues.addFetching(j)
-	}
 }
--- a/internal/coordination/scheduler/records.go
+++ b/internal/coordination/scheduler/records.go
@@ -50,7 +50,7 @@
 		}
 		c.machines.Adopt(now, np)
 	}
-	j.queues.addFetching(j)
+	j.queues.addPlaced(j)
 }
 
 // finish records that all tasks are done. The job's end moves it from its
@@ -167,7 +167,7 @@
 		}
 		c.sweep(now, j)
 	}
-	c.emit(Write{ID: id, Txn: t, Bulk: true, Verify: storage.PageKey(j.spec.ID, dropped[0])})
+	c.emit(Write{ID: id, Txn: t, For: Upkeep, Verify: storage.PageKey(j.spec.ID, dropped[0])})
 }
 
 // pagesPerTransaction is how many full pages one transaction takes.
@@ -180,11 +180,15 @@
 	if j.writing || j.over || j.finishing {
 		return
 	}
-	ns := j.dirtyPages()
+	ns := j.pagesToWrite(c.pagesPerTransaction())
 	if len(ns) == 0 {
 		return
 	}
-	ns = ns[:min(len(ns), c.pagesPerTransaction())]
+	purpose := Starts
+	if len(j.granted) == 0 {
+		purpose = Ends
+		c.settling += len(ns)
+	}
 	id, name := c.name()
 	t := protocol.Txn{If: []protocol.Cond{
 		{Key: storage.TermKey, Version: c.termStamp}, {Key: storage.LiveKey(j.spec.ID), Version: j.stamp},
@@ -213,6 +217,10 @@
 	j.writing = true
 	c.writes[id] = func(now time.Duration, w Written) {
 		j.writing = false
+		if purpose == Ends {
+			c.settling -= len(ns)
+			defer c.settleEnded(now)
+		}
 		if !w.OK {
 			if c.overtaken(now, j, w) {
 				c.refuseGranted(now, j)
@@ -237,13 +245,16 @@
 			pl.Recorded = true
 		}
 		c.start(now, j)
-		if j.counts[done] == len(j.tasks) {
+		switch {
+		case j.counts[done] == len(j.tasks):
 			c.finish(now, j)
-		} else {
+		case len(j.granted) > 0:
 			c.write(now, j)
+		default:
+			c.queues.addEnded(now, j)
 		}
 	}
-	c.emit(Write{ID: id, Txn: t, Verify: storage.PageKey(j.spec.ID, ns[0]), Name: name})
+	c.emit(Write{ID: id, Txn: t, For: purpose, Verify: storage.PageKey(j.spec.ID, ns[0]), Name: name})
 }
 
 // start lets recorded placements go; a gang's only when all are recorded.
@@ -277,16 +288,24 @@
 	}
 }
 
-// writeDue says whether a job's pages should be written now: at once when
-// starts wait for it, and otherwise gathered for a cycle.
-func (c *Core) writeDue(now time.Duration, j *job) bool {
-	if len(j.granted) > 0 {
-		return true
-	}
-	for _, p := range j.pages {
-		if p.dirty && now-p.dirtyAt >= Cycle/2 {
-			return true
+// settleDelay is for how long ends of a job are gathered before they are written.
+const settleDelay = Cycle / 2
+
+// settlePages is how many pages with nothing but ends may be on their way to the state service:
+// as many as it takes in the time for which ends are gathered. More would only wait there, and
+// their jobs' next starts behind them.
+func (c *Core) settlePages() int {
+	return max(c.pagesPerTransaction(), int(c.cfg.State.WriteRPS*storage.SettleShare*settleDelay.Seconds()))
+}
+
+// settleEnded writes what has ended of jobs, those first that have waited for longest, as far as
+// the state service takes it.
+func (c *Core) settleEnded(now time.Duration) {
+	for c.settling < c.settlePages() {
+		j := c.queues.nextEnded(now - settleDelay)
+		if j == nil {
+			return
 		}
+		c.write(now, j)
 	}
-	return false
 }
--- a/internal/coordination/scheduler/reference_test.go
+++ b/internal/coordination/scheduler/reference_test.go
@@ -122,7 +122,7 @@
 			parts = append(parts, fmt.Sprintf("%s=%x-%s", op.Put, op.Value, op.Delete))
 		}
 		slices.Sort(parts)
-		return fmt.Sprint("write ", e.ID, e.Bulk, parts)
+		return fmt.Sprint("write ", e.ID, e.For, parts)
 	default:
 		return fmt.Sprintf("%T %+v", e, e)
 	}
--- /dev/null
+++ b/internal/coordination/scheduler/settle_test.go
@@ -0,0 +1,143 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/partition"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// slowStore is a core whose writes are answered only when the test says so.
+type slowStore struct {
+	*bench
+	open []Write
+}
+
+func newSlowStore(t *testing.T, jobs int) *slowStore {
+	t.Helper()
+	s := &slowStore{bench: newBench([]config.Team{{Name: "red"}}, "a")}
+	for i := range jobs {
+		s.machine(fmt.Sprintf("m%03d", i), "a", false)
+		s.job(spec(fmt.Sprintf("j-%03d", i), protocol.Array, "normal", 2, 4))
+	}
+	s.cycle()
+	s.settle()
+	for i := range jobs {
+		if s.started(fmt.Sprintf("j-%03d", i)) != 2 {
+			t.Fatalf("job %d did not start", i)
+		}
+	}
+	return s
+}
+
+// step hands in an event and keeps what is written.
+func (s *slowStore) step(e Event) {
+	for _, effect := range s.c.Step(s.now, e) {
+		if w, ok := effect.(Write); ok {
+			s.open = append(s.open, w)
+		}
+	}
+}
+
+// endOne ends the first task of each job.
+func (s *slowStore) endOne() {
+	for _, name := range sortedNames(s.tasks) {
+		for id, t := range s.tasks[name] {
+			if id.Task == 0 {
+				t.State, t.Cause = protocol.Exited, protocol.CauseDone
+				s.tasks[name][id] = t
+			}
+		}
+		s.step(Reported{Tag: name, Report: s.report(name)})
+	}
+}
+
+// reportAll has all machines report.
+func (s *slowStore) reportAll() {
+	for _, name := range sortedNames(s.tasks) {
+		s.step(Reported{Tag: name, Report: s.report(name)})
+	}
+}
+
+func sortedNames(m map[string]map[protocol.TaskID]protocol.TaskReport) (names []string) {
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// count returns the pages that are being written for a purpose.
+func (s *slowStore) count(p Purpose) (pages int) {
+	for _, w := range s.open {
+		if w.For == p {
+			pages += len(w.Txn.Then)
+		}
+	}
+	return pages
+}
+
+// TestStartsDoNotWaitForEnds: however many jobs have ends to record and however slow the state
+// service is, only a few of those writes are under way, and a start's record is asked for at once.
+// With a thousand workers the ends alone had filled the leader's share of the writes, and an urgent
+// task waited for them.
+func TestStartsDoNotWaitForEnds(t *testing.T) {
+	s := newSlowStore(t, 60)
+	s.endOne()
+	for range 3 {
+		s.now += Cycle
+		s.reportAll()
+		s.step(Tick{})
+	}
+	if n, most := s.count(Ends), s.c.settlePages(); n == 0 || n > most {
+		t.Fatalf("%d pages of ends under way, want 1 to %d", n, most)
+	}
+	s.rev++
+	s.step(JobSet{Record: storage.LiveRecord{Job: spec("j-urgent", protocol.Array, "urgent", 1, 4), AtMS: s.now.Milliseconds()}, Stamp: s.rev})
+	s.now += Eager
+	s.step(Tick{})
+	if s.count(Starts) != 1 {
+		t.Errorf("%d records of starts are asked for, want 1", s.count(Starts))
+	}
+}
+
+// TestEndsAreRecordedInTurn: all ends are recorded in the end, those first that have waited for
+// longest, as the state service answers one write after the other.
+func TestEndsAreRecordedInTurn(t *testing.T) {
+	const jobs = 40
+	s := newSlowStore(t, jobs)
+	s.endOne()
+	s.now += Cycle
+	s.step(Tick{})
+	var order []string
+	for len(s.open) > 0 {
+		w := s.open[0]
+		s.open = s.open[1:]
+		order = append(order, w.Txn.Then[0].Put)
+		s.rev++
+		s.step(Written{Write: w.ID, OK: true, Rev: s.rev})
+	}
+	if len(order) != jobs || !slices.IsSorted(order) {
+		t.Errorf("%d of %d jobs' ends recorded, in the order %v", len(order), jobs, order)
+	}
+	if s.c.settling != 0 {
+		t.Errorf("%d pages count as under way", s.c.settling)
+	}
+}
+
+// TestPagesOfStartsComeFirst: of a job with many pages to write, those go first for which starts
+// wait.
+func TestPagesOfStartsComeFirst(t *testing.T) {
+	j := newJob(spec("j-1", protocol.Array, "normal", 100, 1), 1, 0, 0, 10)
+	for task := range 100 {
+		j.touch(task, 0)
+	}
+	j.granted = []*partition.Placement{{Task: protocol.TaskID{Job: "j-1", Task: 95}}}
+	if got := j.pagesToWrite(3); !slices.Equal(got, []int{0, 1, 9}) {
+		t.Errorf("pages %v, want the one of the start and two more", got)
+	}
+}
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -49,9 +49,17 @@
 	Decide             // the leader's placements
 	Accept             // acceptance and cancels
 	Consult            // users' polls
-	Bulk               // done batches and cleaning
+	Bulk               // cleaning
+	Settle             // what has ended: out of Decide's budget, and never all of it
 )
 
+// SettleShare is the part of the writes that what has ended may take. The leader's placements
+// have more, so that starts never wait behind it.
+const SettleShare = 0.4
+
+// paidBy says out of which other budget a use is paid as well.
+func (u Use) paidBy() (Use, bool) { return Decide, u == Settle }
+
 // socketsState is the part of a process's sockets that calls of the state service
 // may take.
 const socketsState = 32
@@ -92,7 +100,7 @@
 		},
 		writes: map[Use]*rate.Limiter{
 			Decide: share(d.State.WriteRPS, 0.6), Accept: share(d.State.WriteRPS, 1/n),
-			Bulk: share(d.State.WriteRPS, 0.2),
+			Bulk: share(d.State.WriteRPS, 0.2), Settle: share(d.State.WriteRPS, SettleShare),
 		},
 		start: time.Now(),
 	}
@@ -129,6 +137,9 @@
 			return fmt.Errorf("%w: %w", ErrCrowded, err)
 		}
 	}
+	if other, ok := use.paidBy(); ok {
+		return c.admit(ctx, other, writes)
+	}
 	return nil
 }
 
