--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -105,7 +105,7 @@
 	f.StringVar(&out.json, "json", "", "file for the result")
 	f.StringVar(&out.picture, "picture", "", "file for a picture of the slopes (PNG)")
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
-	cmd.AddCommand(tables())
+	cmd.AddCommand(tables(), capacity())
 	return cmd
 }
 
@@ -177,3 +177,30 @@
 	cmd.Flags().StringVar(&picture, "picture", "", "file for a picture of the slopes (PNG)")
 	return cmd
 }
+
+// capacity writes what figures come to at a size that need not have been measured.
+func capacity() *cobra.Command {
+	var at int
+	cmd := &cobra.Command{
+		Use:   "capacity --at SIZE RESULT",
+		Short: "Write what each figure comes to at a size, by its slope",
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) != 1 {
+				return fmt.Errorf("%w: one result is to be named", errUsage)
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if at < 1 {
+				return fmt.Errorf("%w: --at %d is not a size", errUsage, at)
+			}
+			result, err := scale.ReadResult(args[0])
+			if err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			return result.WriteCapacity(cmd.OutOrStdout(), at)
+		},
+	}
+	cmd.Flags().IntVar(&at, "at", 0, "the size")
+	return cmd
+}
--- a/cmd/scalerun/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -33,6 +33,9 @@
 		{[]string{"tables"}, "result"},
 		{[]string{"tables", "/nowhere.json"}, "nowhere"},
 		{[]string{"tables", odd}, "result.json"},
+		{[]string{"capacity", odd}, "--at"},
+		{[]string{"capacity", "--at", "10", odd}, "result.json"},
+		{[]string{"capacity", "--at", "10"}, "result"},
 	} {
 		cmd := command()
 		cmd.SetArgs(x.args)
--- a/internal/coordination/machineindex/index.go
+++ b/internal/coordination/machineindex/index.go
@@ -263,6 +263,35 @@
 	return true
 }
 
+// MayFit says whether some machine of a pool that will do has room for the query's need.
+func (x *Index[T]) MayFit(q Query) bool {
+	for _, p := range x.pools {
+		if math.IsInf(q.Base(p.key), 1) {
+			continue
+		}
+		for _, c := range p.cells {
+			if _, high := c.edges(); q.Need.Fits(high) && c.fits(q.Need) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// fits says whether some machine of the cell has so much room.
+func (c *cell[T]) fits(need partition.Need) bool {
+	it := c.entries.Iter()
+	defer it.Release()
+	for ok := it.First(); ok; {
+		e := it.Item()
+		if need.Fits(e.free) {
+			return true
+		}
+		ok = it.Seek(&Entry[T]{free: e.free, name: lastName})
+	}
+	return false
+}
+
 // basedPool is a pool with what each of its machines scores at least.
 type basedPool[T any] struct {
 	*pool[T]
@@ -357,6 +386,13 @@
 	return true
 }
 
+// Pools calls f for every pool that has machines.
+func (x *Index[T]) Pools(f func(Pool)) {
+	for _, p := range x.pools {
+		f(p.key)
+	}
+}
+
 // Each calls f for every machine in the index.
 func (x *Index[T]) Each(f func(T)) {
 	for _, p := range x.pools {
--- a/internal/coordination/machineindex/index_test.go
+++ b/internal/coordination/machineindex/index_test.go
@@ -81,11 +81,13 @@
 		need := drawNeed(t, "need")
 		order := rapid.SampledFrom([]Order{Tightest, Loosest}).Draw(t, "order")
 		var want *machine
+		fits := false
 		for _, m := range all {
 			if !x.Has(m.entry) {
 				continue
 			}
 			size++
+			fits = fits || need.Fits(m.free) && !math.IsInf(base(m.pool), 1)
 			if m.shut || !need.Fits(m.free) || math.IsInf(base(m.pool), 1) {
 				continue
 			}
@@ -95,6 +97,9 @@
 		}
 		var best Best[*machine]
 		complete := x.Search(query(order, need, len(all)), &best, func(m *machine) (float64, bool) { return m.score(order, need), !m.shut })
+		if may := x.MayFit(query(order, need, 0)); may != fits {
+			t.Fatalf("may fit: %v, want %v", may, fits)
+		}
 		if x.Len() != size || !complete {
 			t.Fatalf("%d machines, want %d; complete %v", x.Len(), size, complete)
 		}
--- a/internal/coordination/partition/machine.go
+++ b/internal/coordination/partition/machine.go
@@ -27,6 +27,9 @@
 	epoch  uint64        // of the commands to it, within our term
 	turned time.Duration // when the epoch was raised
 
+	// View is what the scheduler knows of the machine beyond this; the partition does not look at it.
+	View any
+
 	Reserved      string // job that room is being cleared for
 	ReservedUntil time.Duration
 
--- a/internal/coordination/scheduler/candidates.go
+++ b/internal/coordination/scheduler/candidates.go
@@ -125,6 +125,7 @@
 		x = &candidate{m: m}
 		x.entry = machineindex.NewEntry(m.Name, x)
 		c.roster.byMachine[m] = x
+		m.View = x
 	}
 	c.refresh(now, x)
 }
@@ -171,8 +172,8 @@
 
 // candidateOf returns the candidate of a machine if it takes new tasks now, or nil.
 func (c *Core) candidateOf(now time.Duration, m *partition.Machine) *candidate {
-	x := c.roster.byMachine[m]
-	if x == nil || !c.roster.index.Has(x.entry) || !c.machines.Open(now, m) {
+	x, ok := m.View.(*candidate)
+	if !ok || !c.roster.index.Has(x.entry) || !c.machines.Open(now, m) {
 		return nil
 	}
 	return x
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -20,9 +20,13 @@
 	Eager = Cycle / 20
 )
 
-// crowd is how many jobs make the pause between eager cycles longer by once
-// itself, for a cycle's cost grows with them.
-const crowd = 500
+// crowd is how many jobs make the pause between eager cycles longer by once itself, for a
+// cycle's cost grows with them, and maxPause the longest that it becomes: urgent work must not
+// wait for a whole cycle behind any number of others.
+const (
+	crowd    = 500
+	maxPause = Cycle / 4
+)
 
 // Core is the leader's state.
 type Core struct {
@@ -247,7 +251,7 @@
 func (c *Core) tick(now time.Duration) {
 	c.inspectSome(now)
 	full := now-c.lastPlan >= Cycle
-	if full || c.due && now-c.lastCycle >= Eager*time.Duration(1+len(c.jobs)/crowd) {
+	if full || c.due && now-c.lastCycle >= min(maxPause, Eager*time.Duration(1+len(c.jobs)/crowd)) {
 		c.lastCycle, c.due = now, false
 		if full && c.returning != nil {
 			c.watchZones(now, c.sorted())
--- a/internal/coordination/scheduler/search.go
+++ b/internal/coordination/scheduler/search.go
@@ -44,6 +44,9 @@
 // only if one of them could score better, with the fetch that it would need.
 func (f indexFinder) best(now time.Duration, j *job, l *limits, allowed func(*candidate) bool) *candidate {
 	var best machineindex.Best[*candidate]
+	if !f.c.roster.index.MayFit(f.query(j, l)) {
+		return nil
+	}
 	judge := f.judge(now, j, l, allowed)
 	f.lookAtImage(now, j, l, judge, &best)
 	f.lookAtFetching(now, j, judge, &best)
@@ -91,11 +94,11 @@
 		}
 		return judge(x)
 	}
+	q := f.query(j, l)
 	if set.Len() <= maxLooks {
-		f.lookAtSet(now, set, j, has, best)
+		f.lookAtSet(set, j, f.leastOf(q, j), has, best)
 		return
 	}
-	q := f.query(j, l)
 	q.Bound = func(capacity, free partition.Need) float64 { return free.Minus(j.need).Share(capacity) }
 	if f.c.aimless(j) {
 		q.Bound = func(_, _ partition.Need) float64 { return 1 } // all score the same
@@ -106,7 +109,7 @@
 // lookAtFetching looks at the machines that fetch the job's image.
 func (f indexFinder) lookAtFetching(now time.Duration, j *job, judge judgement, best *machineindex.Best[*candidate]) {
 	if set := f.c.machines.Fetching(j.spec.Image); set != nil {
-		f.lookAtSet(now, set, j, func(x *candidate) (float64, bool) {
+		f.lookAtSet(set, j, math.Inf(-1), func(x *candidate) (float64, bool) {
 			if f.c.machines.Warm(now, x.m, &j.spec) == 0 {
 				return 0, false // it was looked at already
 			}
@@ -115,21 +118,32 @@
 	}
 }
 
-// lookAtSet looks at machines one by one.
-func (f indexFinder) lookAtSet(now time.Duration, set *partition.MachineSet, j *job, judge judgement, best *machineindex.Best[*candidate]) {
+// leastOf is the least that a machine with the job's image can score.
+func (f indexFinder) leastOf(q machineindex.Query, j *job) float64 {
+	least := math.Inf(1)
+	f.c.roster.index.Pools(func(p machineindex.Pool) { least = min(least, q.Base(p)) })
+	if f.c.aimless(j) {
+		least++
+	}
+	return least
+}
+
+// lookAtSet looks at machines in name order, until one scores the least that is possible.
+func (f indexFinder) lookAtSet(set *partition.MachineSet, j *job, least float64, judge judgement, best *machineindex.Best[*candidate]) {
 	looks := 0
 	set.Scan(func(m *partition.Machine) bool {
 		if looks++; looks > maxLooks {
 			return false
 		}
-		x := f.c.candidateOf(now, m)
-		if x == nil || !j.need.Fits(x.free) {
+		x, ok := m.View.(*candidate)
+		if !ok || !f.c.roster.index.Has(x.entry) || !j.need.Fits(x.free) {
 			return true
 		}
-		if score, ok := judge(x); ok {
+		score, ok := judge(x)
+		if ok {
 			best.Offer(x.entry, score)
 		}
-		return true
+		return !ok || score > least
 	})
 }
 
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -126,6 +126,13 @@
 	if a.String() != b.String() || !strings.Contains(a.String(), "for each of workers") {
 		t.Errorf("tables differ, or have no slopes:\n%s", b.String())
 	}
+	var capacity strings.Builder
+	if err := result.WriteCapacity(&capacity, 1000); err != nil || !strings.Contains(capacity.String(), "extrapolated, 83.3 times") {
+		t.Errorf("capacity: %v\n%s", err, capacity.String())
+	}
+	if err := (&Result{}).WriteCapacity(&capacity, 10); !errors.Is(err, ErrConfig) {
+		t.Errorf("capacity without slopes: %v", err)
+	}
 	if err := result.Picture(filepath.Join(t.TempDir(), "picture.png"), PictureFigures()); err != nil {
 		t.Error(err)
 	}
