Ends take only what starts leave of the leader's writes

With 4,000 workers ends took their two fifths at all times, starts and finished jobs a little more than the rest, and an urgent start still waited up to 2 s.

--- a/internal/coordination/scheduler/records.go
+++ b/internal/coordination/scheduler/records.go
@@ -295,7 +295,7 @@
 // as many as it takes in the time for which ends are gathered. More would only wait there, and
 // their jobs' next starts behind them.
 func (c *Core) settlePages() int {
-	return max(c.pagesPerTransaction(), int(c.cfg.State.WriteRPS*storage.SettleShare*settleDelay.Seconds()))
+	return max(c.pagesPerTransaction(), int(c.cfg.State.WriteRPS*storage.DecideShare*settleDelay.Seconds()))
 }
 
 // settleEnded writes what has ended of jobs, those first that have waited for longest, as far as
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -50,15 +50,16 @@
 	Accept             // acceptance and cancels
 	Consult            // users' polls
 	Bulk               // cleaning
-	Settle             // what has ended: out of Decide's budget, and never all of it
+	Settle             // what has ended: what is left of Decide's budget
 )
 
-// SettleShare is the part of the writes that what has ended may take. The leader's placements
-// have more, so that starts never wait behind it.
-const SettleShare = 0.4
+// DecideShare is the part of the writes that the leader may use for its placements, and what is
+// left of it for what has ended.
+const DecideShare = 0.6
 
-// paidBy says out of which other budget a use is paid as well.
-func (u Use) paidBy() (Use, bool) { return Decide, u == Settle }
+// settleReserve is the part of a second's budget that what has ended leaves to the placements:
+// starts come in bursts, and must not wait behind it.
+const settleReserve = 0.5
 
 // socketsState is the part of a process's sockets that calls of the state service
 // may take.
@@ -99,8 +100,8 @@
 			Consult: share(d.State.RPS, 0.6/n), Bulk: share(d.State.RPS, 0.1),
 		},
 		writes: map[Use]*rate.Limiter{
-			Decide: share(d.State.WriteRPS, 0.6), Accept: share(d.State.WriteRPS, 1/n),
-			Bulk: share(d.State.WriteRPS, 0.2), Settle: share(d.State.WriteRPS, SettleShare),
+			Decide: share(d.State.WriteRPS, DecideShare), Accept: share(d.State.WriteRPS, 1/n),
+			Bulk: share(d.State.WriteRPS, 0.2),
 		},
 		start: time.Now(),
 	}
@@ -122,6 +123,9 @@
 // for too long are refused at once, so that a crowd is told to come back instead
 // of being held.
 func (c *Client) admit(ctx context.Context, use Use, writes int) error {
+	if use == Settle {
+		return c.admitLeftover(ctx, writes)
+	}
 	if use == Accept || use == Consult {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, Queue)
@@ -137,12 +141,23 @@
 			return fmt.Errorf("%w: %w", ErrCrowded, err)
 		}
 	}
-	if other, ok := use.paidBy(); ok {
-		return c.admit(ctx, other, writes)
-	}
 	return nil
 }
 
+// admitLeftover waits until the budget of the placements has more than they may want at once.
+func (c *Client) admitLeftover(ctx context.Context, writes int) error {
+	l := c.writes[Decide]
+	n := min(writes, l.Burst())
+	enough := min(float64(l.Burst()), float64(n)+settleReserve*float64(l.Burst()))
+	for l.Tokens() < enough || !l.AllowN(time.Now(), n) {
+		Pause(ctx, time.Duration(float64(time.Second)/float64(l.Limit())))
+		if err := ctx.Err(); err != nil {
+			return fmt.Errorf("%w: %w", ErrCrowded, err)
+		}
+	}
+	return c.admit(ctx, Decide, 0)
+}
+
 // spare says whether the budgets allow a request that is not needed, and takes it
 // from them.
 func (c *Client) spare(use Use, writes int) bool {
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -10,7 +10,9 @@
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -249,3 +251,56 @@
 		}
 	})
 }
+
+// TestStartsFindRoomBesideEnds: however many records of ends wait, there is room at once for those
+// of a burst of starts, and the ends take what is left.
+func TestStartsFindRoomBesideEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond = 20
+		d := &config.Deployment{Nodes: 1, State: config.State{RPS: 1000, WriteRPS: perSecond / storage.DecideShare, TxnOps: 16},
+			Workers: config.Workers{LeaseS: 10}, Quota: config.Quota{MaxSockets: 500}}
+		n := simulation.NewNetwork(1)
+		defer n.Close()
+		state := simulation.NewState()
+		l, err := n.Host("10.2.0.1").Listen("10.2.0.1:2379")
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv := &http.Server{Handler: state}
+		go srv.Serve(l)
+		defer srv.Close()
+		c := storage.NewClient(n.Host("10.0.0.1"), d, "10.2.0.1:2379", time.Minute)
+		ctx, cancel := context.WithCancel(t.Context())
+		var ends atomic.Int64
+		write := func(use storage.Use, key string) error {
+			_, ok, err := c.Txn(ctx, use, protocol.Txn{Then: []protocol.Op{{Put: key, Value: encode(t, map[string]int{})}}})
+			if err == nil && !ok {
+				return errors.New("refused")
+			}
+			return err
+		}
+		var wg sync.WaitGroup
+		for i := range 10 {
+			wg.Go(func() {
+				for write(storage.Settle, fmt.Sprint("end/", i)) == nil {
+					ends.Add(1)
+				}
+			})
+		}
+		time.Sleep(10 * time.Second)
+		if got := ends.Load(); got < 8*perSecond || got > 12*perSecond {
+			t.Errorf("%d ends were recorded in 10 s, want about %d", got, 10*perSecond)
+		}
+		began := time.Now()
+		for i := range perSecond / 3 {
+			if err := write(storage.Decide, fmt.Sprint("start/", i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(began); took > 200*time.Millisecond {
+			t.Errorf("a burst of starts took %v beside ends", took)
+		}
+		cancel()
+		wg.Wait()
+	})
+}
