Ends wait half a second at most for what starts leave

Cause: a job's end waits for the record of its last ends under way, so ends that give way for long hold up the answer that a job is done. They give way for half a second and then take their turn.

--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -144,18 +144,25 @@
 	return nil
 }
 
+// settlePatience is how long what has ended waits for room that the placements leave. Then it
+// takes its turn beside them: a job's end waits for the record of its last ends.
+const settlePatience = 500 * time.Millisecond
+
 // admitLeftover waits until the budget of the placements has more than they may want at once.
 func (c *Client) admitLeftover(ctx context.Context, writes int) error {
 	l := c.writes[Decide]
 	n := min(writes, l.Burst())
 	enough := min(float64(l.Burst()), float64(n)+settleReserve*float64(l.Burst()))
-	for l.Tokens() < enough || !l.AllowN(time.Now(), n) {
+	for until := time.Now().Add(settlePatience); time.Now().Before(until); {
+		if l.Tokens() >= enough && l.AllowN(time.Now(), n) {
+			return c.admit(ctx, Decide, 0)
+		}
 		Pause(ctx, time.Duration(float64(time.Second)/float64(l.Limit())))
 		if err := ctx.Err(); err != nil {
 			return fmt.Errorf("%w: %w", ErrCrowded, err)
 		}
 	}
-	return c.admit(ctx, Decide, 0)
+	return c.admit(ctx, Decide, writes)
 }
 
 // spare says whether the budgets allow a request that is not needed, and takes it
