A search that finds nothing among the machines it may look at looks at more the next time

Need: in a fleet with more machines than a search looks at, a job could be passed over for ever while the first ones have room that is kept or cleared for others. The looks double each time until some are found.

--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -54,6 +54,7 @@
 	preemptionRound uint64
 	preemptFrom     string
 	noVictims       map[kind]uint64
+	searchLooks     int    // at how many machines a search looks at first
 	preemptionLooks int    // what preemptionLeft begins with
 	looks           uint64 // machines that searches have looked at
 	lightFrom       string // where the next look for machines to empty begins
@@ -104,7 +105,8 @@
 		arrivals: map[string][]time.Duration{}, sample: map[string]*protocol.Job{}, sizes: map[string]float64{},
 		counted: map[string]float64{}, prior: map[string]float64{}, warm: map[string]string{}, lastWarm: now,
 	}
-	c.queues, c.roster, c.find, c.preemptionRound, c.preemptionLooks = newJobQueues(), newRoster(), indexFinder{c}, 1, preemptionLooks
+	c.queues, c.roster, c.find, c.preemptionRound = newJobQueues(), newRoster(), indexFinder{c}, 1
+	c.searchLooks, c.preemptionLooks = maxLooks, preemptionLooks
 	c.teams, c.waitAims = map[string]*config.Team{}, waitAimsOf(cfg.Objectives)
 	for i := range cfg.Teams {
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -62,6 +62,8 @@
 
 	// reserved are the machines on which room was cleared for it, as far as known.
 	reserved map[*partition.Machine]bool
+	// widened is how often the looks of its searches were doubled.
+	widened int
 	// ended says that it is queued for the record of what has ended, since endedAt.
 	ended   bool
 	endedAt time.Duration
--- a/internal/coordination/scheduler/search.go
+++ b/internal/coordination/scheduler/search.go
@@ -48,10 +48,11 @@
 		return nil
 	}
 	judge := f.judge(now, j, l, allowed)
-	f.lookAtImage(now, j, l, judge, &best)
+	complete := f.lookAtImage(now, j, l, judge, &best)
 	f.lookAtFetching(now, j, judge, &best)
-	f.lookAtRest(j, l, judge, &best)
+	complete = f.lookAtRest(j, l, judge, &best) && complete
 	f.c.removeClosed(now)
+	f.widen(j, best.Found, complete)
 	return found(&best)
 }
 
@@ -68,6 +69,21 @@
 	return best.Entry.Value
 }
 
+// mostWidened is how often the looks of a job's searches double.
+const mostWidened = 10
+
+// widen lets the next search for a job look at twice as many machines when this one found none
+// among those that it may look at: or the job would be passed over for ever while the first ones
+// have room that is not for it.
+func (f indexFinder) widen(j *job, found, complete bool) {
+	switch {
+	case found:
+		j.widened = 0
+	case !complete:
+		j.widened = min(j.widened+1, mostWidened)
+	}
+}
+
 // judgement returns the score of a candidate, and whether it will do.
 type judgement func(*candidate) (float64, bool)
 
@@ -83,10 +99,10 @@
 }
 
 // lookAtImage looks at the machines that certainly have the job's image.
-func (f indexFinder) lookAtImage(now time.Duration, j *job, l *limits, judge judgement, best *machineindex.Best[*candidate]) {
+func (f indexFinder) lookAtImage(now time.Duration, j *job, l *limits, judge judgement, best *machineindex.Best[*candidate]) (complete bool) {
 	set := f.c.machines.WithImage(j.spec.Image)
 	if set == nil {
-		return
+		return true
 	}
 	has := func(x *candidate) (float64, bool) {
 		if !x.m.HasImage(j.spec.Image) || f.c.machines.Warm(now, x.m, &j.spec) > 0 {
@@ -95,15 +111,15 @@
 		return judge(x)
 	}
 	q := f.query(j, l)
-	if set.Len() <= maxLooks {
+	if set.Len() <= q.Looks {
 		f.lookAtSet(set, j, f.leastOf(q, j), has, best)
-		return
+		return true
 	}
 	q.Bound = func(capacity, free partition.Need) float64 { return free.Minus(j.need).Share(capacity) }
 	if f.c.aimless(j) {
 		q.Bound = func(_, _ partition.Need) float64 { return 1 } // all score the same
 	}
-	f.c.roster.index.Search(q, best, has)
+	return f.c.roster.index.Search(q, best, has)
 }
 
 // lookAtFetching looks at the machines that fetch the job's image.
@@ -132,7 +148,7 @@
 func (f indexFinder) lookAtSet(set *partition.MachineSet, j *job, least float64, judge judgement, best *machineindex.Best[*candidate]) {
 	looks := 0
 	set.Scan(func(m *partition.Machine) bool {
-		if looks++; looks > maxLooks {
+		if looks++; looks > f.c.searchLooks<<j.widened {
 			return false
 		}
 		x, ok := m.View.(*candidate)
@@ -148,7 +164,7 @@
 }
 
 // lookAtRest looks at the machines without the job's image.
-func (f indexFinder) lookAtRest(j *job, l *limits, judge judgement, best *machineindex.Best[*candidate]) {
+func (f indexFinder) lookAtRest(j *job, l *limits, judge judgement, best *machineindex.Best[*candidate]) (complete bool) {
 	q := f.query(j, l)
 	base := q.Base
 	q.Base = func(p machineindex.Pool) float64 { return base(p) + f.c.fetchS(j, p.Type) }
@@ -156,7 +172,7 @@
 	if f.c.prefersRoom(j) {
 		q.Order = machineindex.Loosest
 	}
-	f.c.roster.index.Search(q, best, func(x *candidate) (float64, bool) {
+	return f.c.roster.index.Search(q, best, func(x *candidate) (float64, bool) {
 		if x.m.HasImage(j.spec.Image) {
 			return 0, false
 		}
@@ -166,7 +182,7 @@
 
 // query returns a query for machines with room for a task of the job, tightest first.
 func (f indexFinder) query(j *job, l *limits) machineindex.Query {
-	return machineindex.Query{Need: j.need, Looks: maxLooks, Ties: maxTies, Base: func(p machineindex.Pool) float64 {
+	return machineindex.Query{Need: j.need, Looks: f.c.searchLooks << j.widened, Ties: maxTies, Base: func(p machineindex.Pool) float64 {
 		if !f.c.poolAllows(j, l, p) {
 			return math.Inf(1)
 		}
--- a/internal/coordination/scheduler/turns_test.go
+++ b/internal/coordination/scheduler/turns_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -159,3 +160,34 @@
 		}
 	})
 }
+
+// TestSearchesWiden: a job finds the one machine with room for it, although more machines than a
+// search may look at have room that is kept from it, and however few looks there are.
+func TestSearchesWiden(t *testing.T) {
+	const machines = 30
+	for _, looks := range []int{1, 4} {
+		b := newBench([]config.Team{{Name: "red"}}, "a")
+		b.c.searchLooks = looks
+		for i := range machines {
+			b.machine(fmt.Sprintf("m%02d", i), "a", false)
+		}
+		b.cycle()
+		for i := range machines - 1 {
+			// Cleared for a job that waits and goes first.
+			m := b.c.machines.Machine(fmt.Sprintf("m%02d", i))
+			m.Reserved, m.ReservedUntil = "j-first", b.now+time.Hour
+		}
+		first := spec("j-first", protocol.Service, "critical", 1, 8)
+		first.Zone = "nowhere"
+		b.job(first)
+		b.c.jobs["j-first"].notBefore = b.now + time.Hour
+		b.job(spec("j-1", protocol.Array, "normal", 1, 4))
+		for range 8 {
+			b.cycle()
+			b.settle()
+		}
+		if b.started("j-1") != 1 {
+			t.Errorf("%d looks: the job was passed over", looks)
+		}
+	}
+}
