--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -284,13 +284,7 @@
 
 // writeAll writes the records that starts wait for, and what has ended as far as there is room.
 func (c *Core) writeAll(now time.Duration) {
-	var granted []*job
-	c.queues.grantedJobs.Scan(func(j *job) bool {
-		granted = append(granted, j)
-		return true
-	})
-	c.sortForReturn(granted)
-	for _, j := range granted {
+	for _, j := range c.inTurn(c.queues.grantedJobs) {
 		if len(j.granted) == 0 {
 			c.queues.grantedJobs.Delete(j)
 		} else {
--- a/internal/coordination/scheduler/demand.go
+++ b/internal/coordination/scheduler/demand.go
@@ -16,14 +16,8 @@
 // jobs that are likely to come before a machine rented now would be up.
 func (c *Core) demand(now time.Duration) []fleet.Unit {
 	var units []fleet.Unit
-	var jobs []*job
-	c.queues.pendingJobs.Scan(func(j *job) bool {
-		jobs = append(jobs, j)
-		return true
-	})
-	c.sortForReturn(jobs)
 	zones := map[zoneQuestion]string{}
-	for _, j := range jobs {
+	for _, j := range c.inTurn(c.queues.pendingJobs) {
 		n := min(j.counts[pending], c.allowance(j))
 		if n == 0 || c.held(j) {
 			continue
--- a/internal/coordination/scheduler/jobqueues.go
+++ b/internal/coordination/scheduler/jobqueues.go
@@ -78,6 +78,13 @@
 	q.fetchingJobs.Delete(j)
 }
 
+// inTurn lists the jobs of a tree in the order of their turns.
+func (c *Core) inTurn(tree *btree.BTreeG[*job]) []*job {
+	jobs := tree.Items()
+	c.sortForReturn(jobs)
+	return jobs
+}
+
 // enqueue enters a job by its state, from when on its queues follow that.
 func (c *Core) enqueue(j *job) {
 	j.queues = c.queues
--- a/internal/coordination/scheduler/move.go
+++ b/internal/coordination/scheduler/move.go
@@ -131,13 +131,7 @@
 
 // rewarmAll has a look at the jobs of which tasks may still fetch their image.
 func (c *Core) rewarmAll(now time.Duration) {
-	var jobs []*job
-	c.queues.fetchingJobs.Scan(func(j *job) bool {
-		jobs = append(jobs, j)
-		return true
-	})
-	c.sortForReturn(jobs)
-	for _, j := range jobs {
+	for _, j := range c.inTurn(c.queues.fetchingJobs) {
 		if !c.mayRewarm(j) || !fetches(j) {
 			c.queues.fetchingJobs.Delete(j)
 			continue
--- a/internal/scale/capacity.go
+++ b/internal/scale/capacity.go
@@ -26,10 +26,7 @@
 	w := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
 	fmt.Fprintf(w, "\n| figure\t| measured with %d\t| at none\t| for each of %s\t| with %d\t| spread\t| R2\t| basis\t|\n", largest, r.Vary, at)
 	const columns = 8
-	for range columns {
-		fmt.Fprint(w, "| ---\t")
-	}
-	fmt.Fprint(w, "|\n")
+	rule(w, columns)
 	for _, s := range r.Slopes {
 		measured := r.Sizes[len(r.Sizes)-1].Figures[s.Figure].Mean
 		fmt.Fprintf(w, "| %s\t| %.4g\t| %.4g\t| %.4g\t| %.4g\t| %.2g\t| %.3f\t| %s\t|\n", s.Figure, measured, s.Intercept, s.Slope,
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -65,6 +65,11 @@
 		cells++
 	}
 	fmt.Fprint(w, "|\n")
+	rule(w, cells)
+}
+
+// rule writes the line below a table's head.
+func rule(w io.Writer, cells int) {
 	for range cells {
 		fmt.Fprint(w, "| ---\t")
 	}
@@ -126,10 +131,8 @@
 				any = true
 				fmt.Fprint(w, "\n| size\t| trouble\t| first answer, s\t| most answered, s\t| records read, s\t| report p99, longest, ms\t| question p99, longest, ms\t"+
 					"| urgent start p99, longest, ms\t| heartbeat p99, longest, ms\t| cycle longest, ms\t|\n")
-				for range 10 {
-					fmt.Fprint(w, "| ---\t")
-				}
-				fmt.Fprint(w, "|\n")
+				const columns = 10
+				rule(w, columns)
 			}
 			report, question, urgent := t.Times[ReportAnswered.String()], t.Times[QuestionAnswered.String()], t.Times[UrgentStarted.String()]
 			beat, cycle := t.Steps["heartbeat"], t.Steps["cycle"]
@@ -144,10 +147,8 @@
 		return
 	}
 	fmt.Fprintf(w, "\n| figure\t| at none\t| for each of %s\t| standard error\t| R2\t| farthest off the line\t|\n", r.Vary)
-	for range 6 {
-		fmt.Fprint(w, "| ---\t")
-	}
-	fmt.Fprint(w, "|\n")
+	const columns = 6
+	rule(w, columns)
 	for _, s := range r.Slopes {
 		const percent = 100
 		fmt.Fprintf(w, "| %s\t| %.4g\t| %.4g\t| %.2g\t| %.3f\t| %.0f%%\t|\n", s.Figure, s.Intercept, s.Slope, s.Error, s.R2, percent*s.Worst)
