--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -81,8 +81,8 @@
 
 // Purposes.
 const (
-	Starts Purpose = iota // placements that wait for their record, and the end of a job
-	Ends                  // what has ended of a job that goes on
+	Starts Purpose = iota // placements that wait for their record
+	Ends                  // what has ended: tasks, and jobs
 	Upkeep                // cleaning, and hints for the next leader
 )
 
--- a/internal/coordination/scheduler/records.go
+++ b/internal/coordination/scheduler/records.go
@@ -97,7 +97,7 @@
 		c.log.Debug("job done", "job", j.spec.ID, "class", j.spec.Class, "tasks", len(j.tasks), "took", now-j.known)
 		c.end(now, j)
 	}
-	c.emit(Write{ID: id, Txn: t, Verify: storage.EndedKey(j.spec.ID), Name: name})
+	c.emit(Write{ID: id, Txn: t, For: Ends, Verify: storage.EndedKey(j.spec.ID), Name: name})
 }
 
 func (c *Core) name() (uint64, string) {
@@ -292,10 +292,10 @@
 const settleDelay = Cycle / 2
 
 // settlePages is how many pages with nothing but ends may be on their way to the state service:
-// as many as it takes in the time for which ends are gathered. More would only wait there, and
-// their jobs' next starts behind them.
+// as many as it takes in half the time for which ends are gathered. More would only wait there,
+// and their jobs' next starts behind them.
 func (c *Core) settlePages() int {
-	return max(c.pagesPerTransaction(), int(c.cfg.State.WriteRPS*storage.DecideShare*settleDelay.Seconds()))
+	return max(c.pagesPerTransaction(), int(c.cfg.State.WriteRPS*storage.DecideShare*settleDelay.Seconds()/2))
 }
 
 // settleEnded writes what has ended of jobs, those first that have waited for longest, as far as
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,10 +58,6 @@
 // left of it for what has ended.
 const DecideShare = 0.6
 
-// settleReserve is the part of a second's budget that what has ended leaves to the placements:
-// starts come in bursts, and must not wait behind it.
-const settleReserve = 0.5
-
 // socketsState is the part of a process's sockets that calls of the state service
 // may take.
 const socketsState = 32
@@ -74,8 +71,10 @@
 	timeout time.Duration
 	reads   map[Use]*rate.Limiter
 	writes  map[Use]*rate.Limiter
-	lastOK  atomic.Int64 // steady time of the last answer, from start
-	start   time.Time
+	// settleMu has one that has ended look at the budget at a time.
+	settleMu sync.Mutex
+	lastOK   atomic.Int64 // steady time of the last answer, from start
+	start    time.Time
 }
 
 // NewClient returns a client. The limits of the service are shared between
@@ -101,7 +100,7 @@
 		},
 		writes: map[Use]*rate.Limiter{
 			Decide: share(d.State.WriteRPS, DecideShare), Accept: share(d.State.WriteRPS, 1/n),
-			Bulk: share(d.State.WriteRPS, 0.2),
+			Bulk: share(d.State.WriteRPS, 0.2), Settle: share(d.State.WriteRPS, DecideShare*settleFloor),
 		},
 		start: time.Now(),
 	}
@@ -144,17 +143,25 @@
 	return nil
 }
 
-// settlePatience is how long what has ended waits for room that the placements leave. Then it
-// takes its turn beside them: a job's end waits for the record of its last ends.
-const settlePatience = 500 * time.Millisecond
+// How what has ended gives way to the placements.
+const (
+	// settlePatience is how long it waits for writes that they leave. Then it takes its turn
+	// beside them, while no more than settleBacklog of a second's writes are promised already: a
+	// job's end waits for the record of its last ends, and its user for the job's end.
+	settlePatience = time.Second
+	settleBacklog  = 0.1
+	// settleFloor is the part of the placements' budget that it has whatever they want.
+	settleFloor = 0.25
+)
 
-// admitLeftover waits until the budget of the placements has more than they may want at once.
+// admitLeftover waits until the budget of the placements has something left. It reserves nothing
+// meanwhile, so that placements don't wait behind hundreds of these when many jobs end at once.
 func (c *Client) admitLeftover(ctx context.Context, writes int) error {
 	l := c.writes[Decide]
 	n := min(writes, l.Burst())
-	enough := min(float64(l.Burst()), float64(n)+settleReserve*float64(l.Burst()))
-	for until := time.Now().Add(settlePatience); time.Now().Before(until); {
-		if l.Tokens() >= enough && l.AllowN(time.Now(), n) {
+	began := time.Now()
+	for !l.AllowN(time.Now(), n) {
+		if time.Since(began) > settlePatience && c.reserveSettle(n) {
 			return c.admit(ctx, Decide, 0)
 		}
 		Pause(ctx, time.Duration(float64(time.Second)/float64(l.Limit())))
@@ -162,7 +169,21 @@
 			return fmt.Errorf("%w: %w", ErrCrowded, err)
 		}
 	}
-	return c.admit(ctx, Decide, writes)
+	return c.admit(ctx, Decide, 0)
+}
+
+// reserveSettle takes writes out of the placements' budget although they are promised to those,
+// within bounds, and says whether it did.
+func (c *Client) reserveSettle(n int) bool {
+	c.settleMu.Lock()
+	defer c.settleMu.Unlock()
+	l := c.writes[Decide]
+	now := time.Now()
+	if l.Tokens() <= -settleBacklog*float64(l.Limit()) && !c.writes[Settle].AllowN(now, min(n, c.writes[Settle].Burst())) {
+		return false
+	}
+	l.ReserveN(now, n)
+	return true
 }
 
 // spare says whether the budgets allow a request that is not needed, and takes it
