--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -101,11 +101,12 @@
 	f.Float64Var(&cfg.StateWriteRPS, "state-write-rps", cfg.StateWriteRPS, "writes a second that the state service takes")
 	f.IntVar(&cfg.StateTxnOps, "state-txn-ops", cfg.StateTxnOps, "writes of a transaction")
 	f.Float64Var(&cfg.CloudRPS, "cloud-rps", cfg.CloudRPS, "calls a second that the cloud takes")
+	f.IntVar(&cfg.WorkerProcesses, "worker-processes", cfg.WorkerProcesses, "workers beside the hollow ones that are processes of their own")
 	f.StringVar(&cfg.LogDir, "log-dir", "", "folder for the controllers' logs")
 	f.StringVar(&out.json, "json", "", "file for the result")
 	f.StringVar(&out.picture, "picture", "", "file for a picture of the slopes (PNG)")
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
-	cmd.AddCommand(tables(), capacity())
+	cmd.AddCommand(tables(), capacity(), worker())
 	return cmd
 }
 
@@ -117,7 +118,7 @@
 			ArrayTasks: 500, GangShare: 0.1, GangTasks: 64, UrgentPerS: 10, CancelShare: 0.03, Overcommit: 1.5},
 		Report: 5 * time.Second, Lease: 29 * time.Second, RunTime: 40 * time.Second, Warmup: 45 * time.Second, Measure: 30 * time.Second,
 		Slices: 6, Seed: 1, Port: 21_000, CoreShare: 1, RAMMB: 2048, MaxSockets: 19_000,
-		StateRPS: 600, StateWriteRPS: 180, StateTxnOps: 16, CloudRPS: 4,
+		WorkerProcesses: 3, StateRPS: 600, StateWriteRPS: 180, StateTxnOps: 16, CloudRPS: 4,
 	}
 }
 
@@ -125,6 +126,11 @@
 	if err := cfg.Check(); err != nil {
 		return err
 	}
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("own program: %w", err)
+	}
+	cfg.WorkerProgram, cfg.WorkerArgs = self, []string{workerCommand}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	result, err := scale.Run(cmd.Context(), cfg, log)
 	if result != nil && len(result.Sizes) > 0 {
@@ -204,3 +210,22 @@
 	cmd.Flags().IntVar(&at, "at", 0, "the size")
 	return cmd
 }
+
+// workerCommand is how the scale run starts workers that are processes of their own.
+const workerCommand = "worker"
+
+func worker() *cobra.Command {
+	return &cobra.Command{
+		Use:    workerCommand,
+		Short:  "Be a worker of a scale run",
+		Hidden: true,
+		Args:   cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := scale.WorkerFromEnvironment()
+			if err != nil {
+				return err
+			}
+			return scale.RunWorker(cmd.Context(), cfg)
+		},
+	}
+}
--- a/internal/scale/config.go
+++ b/internal/scale/config.go
@@ -67,7 +67,12 @@
 	StateWriteRPS float64
 	StateTxnOps   int
 	CloudRPS      float64
-	LogDir        string // where the controllers' logs go; empty: nowhere
+	// WorkerProcesses is how many workers beside the hollow ones are processes of their own, of the
+	// program WorkerProgram with the arguments WorkerArgs.
+	WorkerProcesses int
+	WorkerProgram   string
+	WorkerArgs      []string
+	LogDir          string // where the controllers' logs go; empty: nowhere
 }
 
 // Bounds of what a run may take of the machine it runs on.
@@ -79,8 +84,9 @@
 	controllerBytes  = 512 << 20
 	socketsPerWorker = 1.25 // its own connection, and now and then a command's
 	socketsReserve   = 512
-	// portsNeeded are the state service's, the cloud's and the workers' ports.
-	portsNeeded = 3
+	// portsNeeded are those of the state service, the cloud, hollow workers, workers that are
+	// processes, and their observer.
+	portsNeeded = 5
 	// portsPerController are its own and the mesh's.
 	portsPerController = 2
 	maxWorkers         = 1 << 20
@@ -155,8 +161,8 @@
 	switch {
 	case l.Workers < 1 || l.Workers > maxWorkers:
 		return fmt.Errorf("%d workers, want 1 to %d", l.Workers, maxWorkers)
-	case l.Controllers < 1 || l.Controllers > maxProcesses:
-		return fmt.Errorf("%d controllers, want 1 to %d processes", l.Controllers, maxProcesses)
+	case l.Controllers < 1 || c.WorkerProcesses < 0 || l.Controllers+c.WorkerProcesses > maxProcesses:
+		return fmt.Errorf("%d controllers and %d worker processes, want 1 to %d processes in all", l.Controllers, c.WorkerProcesses, maxProcesses)
 	case l.Teams < 1:
 		return fmt.Errorf("%d teams, want at least one", l.Teams)
 	case l.Zones < 1:
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -29,6 +29,10 @@
 
 // up starts a hollow worker; the world's lock is held.
 func (r *run) up(m protocol.ListedMachine) {
+	if m.Type == processType {
+		r.upProcess(m)
+		return
+	}
 	w := r.world.Add(r.now(), m.Name, m.Zone, m.Spot, &r.types[0], r.cfg.Lease)
 	host, _, err := net.SplitHostPort(m.Addr)
 	if err != nil {
@@ -66,6 +70,10 @@
 
 // down ends a hollow worker; the world's lock is held.
 func (r *run) down(name string) {
+	if p := r.processes[name]; p != nil {
+		_ = p.cmd.Process.Kill() // it may have ended by itself
+		delete(r.processes, name)
+	}
 	host := r.names[name]
 	if a := r.agents[host]; a != nil {
 		a.Stop()
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -161,6 +161,7 @@
 	r.mu.Unlock()
 	j := r.newJob(classGang, protocol.Gang, n, team)
 	j.SameZone = true
+	j.Types = []string{machineType} // hollow workers of a gang find each other, processes don't
 	j.CheckpointS, j.SaveS = r.cfg.RunTime.Seconds()/4, 1
 	return j
 }
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"maps"
 	"os"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 	at       time.Time
 	leader   string
 	process  map[string]usage
+	workers  []usage // of workers that are processes
 	self     usage
 	state    simulation.StateUse
 	bytes    [links]int64
@@ -37,6 +39,13 @@
 		}
 		s.process[p.node] = u
 	}
+	for _, pid := range r.workerPIDs() {
+		u, err := usageOf(pid)
+		if err != nil {
+			return s, err
+		}
+		s.workers = append(s.workers, u)
+	}
 	var err error
 	if s.self, err = usageOf(os.Getpid()); err != nil {
 		return s, err
@@ -50,6 +59,16 @@
 	return s, nil
 }
 
+// workerPIDs lists the workers that are processes, always in the same order.
+func (r *run) workerPIDs() (pids []int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(r.processes)) {
+		pids = append(pids, r.processes[name].cmd.Process.Pid)
+	}
+	return pids
+}
+
 // Figure is something measured: its mean, and the least and most of the slices.
 type Figure struct {
 	Mean float64 `json:"mean"`
@@ -110,6 +129,8 @@
 	figUserRequests    = "user requests (1/s)"
 	figWorkerMessages  = "worker messages (1/s)"
 	figWorkerBytes     = "worker traffic (KB/s)"
+	figProcessCPU      = "worker process cpu (cores)"
+	figProcessMemory   = "worker process memory (MB)"
 )
 
 // measure samples for the measured time, and returns the figures of its slices.
@@ -169,6 +190,12 @@
 				add(names[k], v)
 			}
 		}
+		for k := range b.workers {
+			if k < len(a.workers) {
+				add(figProcessCPU, per(b.workers[k].CPU-a.workers[k].CPU))
+				add(figProcessMemory, b.workers[k].MemMB)
+			}
+		}
 		add(figHarnessCPU, per(b.self.CPU-a.self.CPU))
 		add(figReports, per(float64(b.answers-a.answers)))
 		add(figCommands, per(float64(b.messages[LinkCommands]-a.messages[LinkCommands])))
--- a/internal/scale/meter.go
+++ b/internal/scale/meter.go
@@ -22,10 +22,11 @@
 	LinkState
 	LinkCloud
 	LinkUsers
+	LinkObserver // workers that are processes, to who judges them
 	links
 )
 
-var linkNames = [links]string{"reports", "commands", "state", "cloud", "users"}
+var linkNames = [links]string{"reports", "commands", "state", "cloud", "users", "observer"}
 
 func (l Link) String() string { return linkNames[l] }
 
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -50,6 +50,8 @@
 	names   map[string]string            // addresses by machine
 	waiting map[string]time.Duration     // when jobs were accepted of which no task has started
 	jobs    int
+	// processes are the workers that are processes of their own, by machine.
+	processes map[string]*runningWorker
 
 	contact   atomic.Pointer[contact]
 	submitted atomic.Int64
@@ -81,10 +83,15 @@
 	slots := float64(int(load.TasksPerWorker*roomFactor + 1))
 	r := &run{
 		cfg: cfg, load: load, log: log, began: time.Now(), meter: NewMeter(), rng: rand.New(rand.NewPCG(cfg.Seed, uint64(load.Workers))),
-		agents: map[string]*simulation.Agent{}, names: map[string]string{}, waiting: map[string]time.Duration{}, state: simulation.NewState(),
+		agents: map[string]*simulation.Agent{}, names: map[string]string{}, waiting: map[string]time.Duration{}, processes: map[string]*runningWorker{}, state: simulation.NewState(),
 		types: []protocol.MachineType{{Name: machineType, CPUs: slots * taskCPUs, GPUs: machineGPUs, MemoryGB: slots * taskMemoryGB,
 			CacheGB: images * imageGB, FetchGBPerS: fetchGBPerS, Price: 10, SpotPrice: 5, BootS: bootS, Zones: zoneNames(load.Zones)}},
 	}
+	if cfg.WorkerProcesses > 0 {
+		process := r.types[0]
+		process.Name = processType
+		r.types = append(r.types, process)
+	}
 	r.teams = teamsOf(load)
 	r.ctx, r.stop = context.WithCancelCause(ctx)
 	r.state.Limit(cfg.stateLimits())
@@ -113,6 +120,10 @@
 
 func (c *Config) workersPort() int { return c.Port + 2 }
 
+func (c *Config) processPort() int { return c.Port + 3 }
+
+func (c *Config) observerAddr() string { return fmt.Sprintf("127.0.0.1:%d", c.Port+4) }
+
 func (r *run) newWorld() {
 	r.world = simulation.NewWorld(4*r.cfg.Lease, fetch, r.cfg.RunTime)
 	// News of a cancellation and the last command before it may be under way for as long as a
@@ -138,7 +149,12 @@
 	r.cloud.Types, r.cloud.Lag = r.types, config.Seconds(r.cfg.cloudLimits().ListLagS)
 	r.cloud.Capacity = func(protocol.Rental) int { return 0 }
 	r.cloud.Boot = func() time.Duration { return 0 }
-	r.cloud.Address = func(number int) string { return fmt.Sprintf("%s:%d", workerIP(number), r.cfg.workersPort()) }
+	r.cloud.Address = func(number int) string {
+		if process := number - r.load.Workers; process > 0 {
+			return fmt.Sprintf("%s:%d", processIP(process), r.cfg.processPort())
+		}
+		return fmt.Sprintf("%s:%d", workerIP(number), r.cfg.workersPort())
+	}
 	r.cloud.Up, r.cloud.Down = r.up, r.down
 }
 
@@ -159,6 +175,7 @@
 	}{
 		{LinkState, r.cfg.stateAddr(), r.state}, {LinkCloud, r.cfg.cloudAddr(), r.cloud},
 		{LinkCommands, fmt.Sprintf("0.0.0.0:%d", r.cfg.workersPort()), http.HandlerFunc(r.serveCommands)},
+		{LinkObserver, r.cfg.observerAddr(), http.HandlerFunc(r.serveObserver)},
 	} {
 		if err := r.serve(s.link, s.addr, s.h); err != nil {
 			return err
@@ -176,6 +193,9 @@
 	for i := range r.load.Workers {
 		r.cloud.Start(machineType, zones[i%len(zones)], false)
 	}
+	for i := range r.cfg.WorkerProcesses {
+		r.cloud.Start(processType, zones[i%len(zones)], false)
+	}
 	return nil
 }
 
@@ -227,7 +247,12 @@
 	r.stop(context.Canceled)
 	r.mu.Lock()
 	r.cloud.Close()
+	processes := r.processes
+	r.processes = nil
 	r.mu.Unlock()
+	for _, p := range processes {
+		p.kill()
+	}
 	for _, p := range r.controllers {
 		p.kill()
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -15,12 +15,36 @@
 
 	"github.com/prometheus/procfs"
 	"pgregory.net/rapid"
+
+	"pinebay/internal/protocol"
+	"pinebay/internal/simulation"
+	"pinebay/internal/testkit"
 )
 
+// TestMain runs the tests, or a worker of a run that one of them has started.
+func TestMain(m *testing.M) {
+	if os.Getenv(WorkerVariable) == "" {
+		testkit.Main(m)
+		return
+	}
+	cfg, err := WorkerFromEnvironment()
+	if err == nil {
+		err = RunWorker(context.Background(), cfg)
+	}
+	if err != nil {
+		os.Exit(1)
+	}
+}
+
 // tiny is a run that is over in seconds, with the built program.
 func tiny(t *testing.T) *Config {
 	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
 	return &Config{
+		WorkerProcesses: 2, WorkerProgram: self,
 		Program: build(t), Vary: Workers, Sizes: []int{6, 8, 10, 12},
 		Load: Load{Controllers: 3, Workers: 10, Teams: 2, Zones: 2, TasksPerWorker: 4, StartsPerS: 10, ArrayTasks: 5, GangShare: 0.2,
 			GangTasks: 2, UrgentPerS: 2, CancelShare: 0.2, Overcommit: 1.5},
@@ -66,8 +90,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
 	for _, p := range procs {
-		if path, err := p.Executable(); err == nil && path == program {
+		path, err := p.Executable()
+		if err == nil && (path == program || path == self && p.PID != os.Getpid()) {
 			n++
 		}
 	}
@@ -90,7 +119,7 @@
 		if !s.Filled || s.Starts == 0 || s.Answers == 0 || len(s.Troubles) != 1 {
 			t.Errorf("%d workers: filled %v, %d starts, %d answers judged, %d troubles", s.Size, s.Filled, s.Starts, s.Answers, len(s.Troubles))
 		}
-		for _, name := range []string{figReports, figStateRequests, figLeaderMemory, figFollowerSockets, figWorkerBytes} {
+		for _, name := range []string{figReports, figStateRequests, figLeaderMemory, figFollowerSockets, figWorkerBytes, figProcessMemory} {
 			if s.Figures[name].Mean <= 0 {
 				t.Errorf("%d workers: %s is missing", s.Size, name)
 			}
@@ -287,3 +316,48 @@
 		t.Error("urgent work is not told from other work")
 	}
 }
+
+// TestMirrorIsJudged: what workers in processes of their own tell is checked like all else: a task
+// that starts while another worker has it, one that is there although it was cancelled, and nothing
+// of one that ended before.
+func TestMirrorIsJudged(t *testing.T) {
+	kind := &protocol.MachineType{Name: processType, CPUs: 8, MemoryGB: 8}
+	report := func(machine string, state protocol.TaskState) *protocol.Report {
+		return &protocol.Report{Machine: machine, Tasks: []protocol.TaskReport{{Name: "j-1/0", Attempt: 1, State: state}}}
+	}
+	const second = time.Second
+	for name, x := range map[string]struct {
+		steps    func(w *simulation.World)
+		breaches int
+		on       int
+	}{
+		"one after the other": {func(w *simulation.World) {
+			w.Mirror(second, report("a", protocol.TaskRunning))
+			w.Mirror(second, report("a", protocol.Exited))
+			w.Mirror(second, report("b", protocol.TaskRunning))
+		}, 0, 1},
+		"a lease ran out": {func(w *simulation.World) {
+			w.Mirror(second, report("a", protocol.TaskRunning))
+			w.Mirror(second, &protocol.Report{Machine: "a"})
+			w.Mirror(second, report("b", protocol.TaskRunning))
+		}, 0, 1},
+		"both at once": {func(w *simulation.World) {
+			w.Mirror(second, report("a", protocol.TaskRunning))
+			w.Mirror(second, report("b", protocol.TaskRunning))
+		}, 1, 2},
+		"cancelled": {func(w *simulation.World) {
+			w.Mirror(second, report("a", protocol.TaskRunning))
+			w.Cancelled["j-1"] = second
+			w.Advance(20 * second)
+		}, 1, 1},
+	} {
+		w := simulation.NewWorld(10*second, second, second)
+		w.Jobs["j-1"] = &protocol.Job{ID: "j-1", Shape: protocol.Array, Tasks: 1, CPUs: 1}
+		w.AddMirror(0, "a", "zone", kind)
+		w.AddMirror(0, "b", "zone", kind)
+		x.steps(w)
+		if len(w.Broken) != x.breaches || w.OnMachines() != x.on {
+			t.Errorf("%s: broken %v, %d on machines", name, w.Broken, w.OnMachines())
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/workerprocess.go
@@ -0,0 +1,217 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"pinebay/internal/protocol"
+	"pinebay/internal/simulation"
+	"pinebay/internal/transport"
+)
+
+// processType is the type of machines whose workers are processes of their own.
+const processType = "process"
+
+// Paths of the service by which such workers find jobs and tell what becomes of their tasks.
+const (
+	jobsPath     = "/jobs/"
+	observedPath = "/observed"
+)
+
+// WorkerConfig is what a worker that runs as a process of its own needs to know.
+type WorkerConfig struct {
+	Name, Addr, Zone string
+	Type             protocol.MachineType
+	Controllers      []simulation.Controller
+	Report, Lease    time.Duration
+	RunTime          time.Duration
+	Observer         string // address
+	Seed             uint64
+}
+
+// RunWorker is a worker: it reports over sockets of its own and serves commands until the
+// context ends. Its tasks run nothing, and whatever becomes of them is told to the observer first.
+func RunWorker(ctx context.Context, cfg *WorkerConfig) error {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	w := &workerProcess{cfg: cfg, began: time.Now(), rng: rand.New(rand.NewPCG(cfg.Seed, 7)), stop: stop,
+		client: &http.Client{Timeout: protocol.ReportPatience}}
+	w.world = simulation.NewWorld(0, fetch, cfg.RunTime)
+	w.world.Lookup = w.lookup
+	worker := w.world.Add(0, cfg.Name, cfg.Zone, false, &cfg.Type, cfg.Lease)
+	s := &simulation.Surroundings{Lock: &w.mu, Now: w.now, Draw: w.draw, Controllers: cfg.Controllers, Interval: cfg.Report, Fault: func(err error) { stop(err) }}
+	a := simulation.NewAgent(ctx, s, worker, cfg.Addr, transport.NewClient(transport.TCP{}, 1, 2, idleWorkerConnection))
+	a.OnTell = w.tell
+	l, err := net.Listen("tcp4", cfg.Addr)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrConfig, err)
+	}
+	srv := &http.Server{Handler: a, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError), ReadHeaderTimeout: time.Minute}
+	context.AfterFunc(ctx, func() { srv.Close() })
+	go func() { _ = srv.Serve(l) }()
+	go w.passTime(ctx, worker)
+	a.Run(int(cfg.Seed) % len(cfg.Controllers))
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return nil
+}
+
+// workerProcess is the state of such a process.
+type workerProcess struct {
+	cfg    *WorkerConfig
+	began  time.Time
+	client *http.Client
+	stop   context.CancelCauseFunc
+
+	mu    sync.Mutex // guards what follows
+	rng   *rand.Rand
+	world *simulation.World
+}
+
+func (w *workerProcess) now() time.Duration { return time.Since(w.began) }
+
+func (w *workerProcess) draw(d time.Duration) time.Duration {
+	return time.Duration(w.rng.Float64() * float64(d))
+}
+
+// passTime lets time pass for the tasks. Starts are told at once.
+func (w *workerProcess) passTime(ctx context.Context, worker *simulation.Worker) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		w.mu.Lock()
+		starts := w.world.Starts
+		w.world.Advance(w.now())
+		if w.world.Starts > starts {
+			w.tell(worker.Peek())
+		}
+		w.mu.Unlock()
+	}
+}
+
+// lookup fetches a job's description.
+func (w *workerProcess) lookup(id string) *protocol.Job {
+	res, err := w.client.Get("http://" + w.cfg.Observer + jobsPath + id)
+	if err != nil {
+		w.stop(fmt.Errorf("job %s: %w", id, err))
+		return nil
+	}
+	defer res.Body.Close()
+	var j protocol.Job
+	if res.StatusCode != http.StatusOK || json.NewDecoder(res.Body).Decode(&j) != nil {
+		return nil
+	}
+	return &j
+}
+
+// tell tells the observer of the worker's tasks; without an observer there is no judging, so the
+// worker ends.
+func (w *workerProcess) tell(r *protocol.Report) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		w.stop(err)
+		return
+	}
+	res, err := w.client.Post("http://"+w.cfg.Observer+observedPath, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		w.stop(fmt.Errorf("observer: %w", err))
+		return
+	}
+	res.Body.Close()
+}
+
+// serveObserver answers the workers that are processes.
+func (r *run) serveObserver(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path == observedPath {
+		raw, err := io.ReadAll(q.Body)
+		var report protocol.Report
+		if err != nil || json.Unmarshal(raw, &report) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		r.mu.Lock()
+		r.world.Mirror(r.now(), &report)
+		r.mu.Unlock()
+		return
+	}
+	r.mu.Lock()
+	j := r.world.Jobs[strings.TrimPrefix(q.URL.Path, jobsPath)]
+	r.mu.Unlock()
+	if j == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(j) // a worker that is gone needs none
+}
+
+// processIP is the address of a worker that is a process.
+func processIP(number int) string { return fmt.Sprintf("127.200.0.%d", number+1) }
+
+// upProcess starts a worker as a process; the world's lock is held.
+func (r *run) upProcess(m protocol.ListedMachine) {
+	kind := r.types[1]
+	cfg := WorkerConfig{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Type: kind, Controllers: r.surroundings.Controllers, Report: r.cfg.Report,
+		Lease: r.cfg.Lease, RunTime: r.cfg.RunTime, Observer: r.cfg.observerAddr(), Seed: r.cfg.Seed + uint64(len(r.processes))}
+	raw, err := json.Marshal(cfg)
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	r.world.AddMirror(r.now(), m.Name, m.Zone, &kind)
+	cmd := exec.Command(r.cfg.WorkerProgram, r.cfg.WorkerArgs...)
+	cmd.Env = append(os.Environ(), WorkerVariable+"="+string(raw))
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		r.fail(fmt.Errorf("worker process: %w", err))
+		return
+	}
+	p := &runningWorker{cmd: cmd, exited: make(chan struct{})}
+	r.processes[m.Name] = p
+	go func() {
+		_ = cmd.Wait() // how it ended does not matter; whether it should have is judged
+		close(p.exited)
+	}()
+}
+
+// runningWorker is a worker's process.
+type runningWorker struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+func (p *runningWorker) kill() {
+	_ = p.cmd.Process.Kill() // it may have ended by itself
+	<-p.exited
+}
+
+// WorkerVariable is the variable by which a worker's process gets its configuration.
+const WorkerVariable = "PINEBAY_SCALE_WORKER"
+
+// WorkerFromEnvironment returns the configuration of a worker's process.
+func WorkerFromEnvironment() (*WorkerConfig, error) {
+	var cfg WorkerConfig
+	if err := json.Unmarshal([]byte(os.Getenv(WorkerVariable)), &cfg); err != nil || len(cfg.Controllers) == 0 {
+		return nil, fmt.Errorf("%w: variable %s holds no worker's configuration", ErrConfig, WorkerVariable)
+	}
+	return &cfg, nil
+}
--- a/internal/simulation/agent.go
+++ b/internal/simulation/agent.go
@@ -47,6 +47,9 @@
 	// how long the answer took.
 	OnReport func(*protocol.Report)
 	OnAnswer func(took time.Duration, status int)
+	// OnTell, if set, hears everything that the worker is about to say of its tasks, with the
+	// lock held.
+	OnTell func(*protocol.Report)
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -139,6 +142,7 @@
 	}
 	report, ok := a.Worker.Command(a.Now(), orders)
 	report.Addr = a.Addr
+	a.tell(report)
 	if !ok {
 		return http.StatusConflict, report
 	}
@@ -149,9 +153,16 @@
 func (a *Agent) report() *protocol.Report {
 	r := a.Worker.Report()
 	r.Addr = a.Addr
+	a.tell(r)
 	return r
 }
 
+func (a *Agent) tell(r *protocol.Report) {
+	if a.OnTell != nil {
+		a.OnTell(r)
+	}
+}
+
 // Run reports until the agent is stopped, to the controller with that number first.
 func (a *Agent) Run(at int) {
 	for a.ctx.Err() == nil {
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -51,7 +51,8 @@
 	// World knows the jobs.
 	World *World
 
-	due time.Duration // when it must be looked at next, at the earliest
+	due      time.Duration // when it must be looked at next, at the earliest
+	mirrored bool          // it runs elsewhere, and tells what becomes of its tasks
 }
 
 // change says that a report is due.
@@ -65,6 +66,13 @@
 // Report returns the worker's next report.
 func (m *Worker) Report() *protocol.Report {
 	m.Seq++
+	r := m.Peek()
+	m.Changed = false
+	return r
+}
+
+// Peek returns what the worker would report, without reporting it.
+func (m *Worker) Peek() *protocol.Report {
 	r := &protocol.Report{
 		Machine: m.Name, Addr: "addr:" + m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 		Session: m.Session, Seq: m.Seq, Token: m.Token,
@@ -72,7 +80,6 @@
 	for _, t := range m.sorted() {
 		r.Tasks = append(r.Tasks, protocol.TaskReport{Name: t.ID.String(), Attempt: t.Attempt, State: t.State, Cause: t.Cause, Saved: t.Saved})
 	}
-	m.Changed = false
 	return r
 }
 
@@ -200,7 +207,7 @@
 func (m *Worker) run(now time.Duration, id protocol.TaskID, attempt uint64, old *Task) {
 	t := &Task{ID: id, Attempt: attempt, State: protocol.Fetching, Since: now, worker: m}
 	m.change()
-	j := m.World.Jobs[id.Job]
+	j := m.World.job(id.Job)
 	if at, ok := m.World.Cancelled[id.Job]; ok && now > at+m.World.UnderWay && m.Excused <= at {
 		m.World.LateStarts++
 	}
@@ -295,6 +302,9 @@
 
 // nextDue is when something can happen on the machine by itself.
 func (m *Worker) nextDue() time.Duration {
+	if m.mirrored {
+		return math.MaxInt64
+	}
 	due := m.answered + m.Lease + 1
 	for _, t := range m.Tasks {
 		due = min(due, m.taskDue(t))
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -34,6 +34,8 @@
 	// UnderWay is how long the news of a cancellation to a slow controller, and then its
 	// last command to a worker, take together: such a start was still in flight.
 	UnderWay time.Duration
+	// Lookup, if set, finds a job that is not among Jobs.
+	Lookup func(id string) *protocol.Job
 	// OnStart, if set, is told of every task that gets past its fetch.
 	OnStart func(now time.Duration, id protocol.TaskID)
 	Broken  []string
@@ -75,6 +77,17 @@
 	return m
 }
 
+// job returns a job's description, or nil if there is no such job.
+func (w *World) job(id string) *protocol.Job {
+	j := w.Jobs[id]
+	if j == nil && w.Lookup != nil {
+		if j = w.Lookup(id); j != nil {
+			w.Jobs[id] = j
+		}
+	}
+	return j
+}
+
 // Remove takes a machine away with everything on it.
 func (w *World) Remove(name string) {
 	m := w.Workers[name]
