--- a/internal/scale/trouble.go
+++ b/internal/scale/trouble.go
@@ -91,6 +91,9 @@
 	Steps    map[string]stepTimes `json:"steps"`
 }
 
+// answersUnderWay is how long answers may take that were sent before a trouble began.
+const answersUnderWay = 100 * time.Millisecond
+
 // most workers are as good as all: some may be gone for other reasons.
 const most = 0.95
 
@@ -100,12 +103,17 @@
 	lasts := r.cfg.Lease / 2
 	result := TroubleResult{Trouble: t, ForS: lasts.Seconds()}
 	r.resetTimes()
-	// Reports under way were answered before.
-	watch := r.watchContact()
+	began := time.Now()
 	mend, err := troubles[t](r)
 	if err != nil {
 		return result, err
 	}
+	// Answers under way when it began don't count.
+	if err := r.sleep(answersUnderWay); err != nil {
+		return result, err
+	}
+	watch := r.watchContact()
+	watch.since = began
 	var late error
 	after := time.AfterFunc(lasts, func() {
 		if mend != nil {
