--- a/internal/coordination/scheduler/search.go
+++ b/internal/coordination/scheduler/search.go
@@ -25,9 +25,9 @@
 	nearest(now time.Duration, j *job, l *limits, taken map[*candidate]bool) *candidate
 }
 
-// Bounds of one search. In a fleet with fewer machines a search finds what looking at all
-// machines would find; in a larger one it may miss a machine that is better by a little, or
-// an equal one with an earlier name.
+// Bounds of one search. In a fleet of up to maxTies machines a search finds what looking at all
+// of them would find. In a larger one, of machines that score the same it need not find the first
+// by name, and beyond maxLooks machines it may miss one that is better by a little.
 const (
 	maxLooks = 1024
 	maxTies  = 64
