Clean-up: one link from machine to candidate, a search's query and a unit's kind made once, dead state out

The roster kept a map beside the link that each machine holds; a search made its query three times, the plan a unit's kind for each room it ordered; pages kept a time that nothing reads any more, the scale run two counters.

--- a/internal/coordination/fleet/reference_test.go
+++ b/internal/coordination/fleet/reference_test.go
@@ -28,7 +28,7 @@
 				}
 			}
 			if best == nil {
-				if best = k.order(u); best == nil {
+				if best = k.order(u, kindOf(u)); best == nil {
 					break
 				}
 			}
--- a/internal/coordination/fleet/rent.go
+++ b/internal/coordination/fleet/rent.go
@@ -115,15 +115,15 @@
 
 // pack packs a unit's tasks, into rooms to be rented if need be.
 func (k *packing) pack(u *Unit) {
-	left := u.Count
-	for _, i := range k.tightest(u, left) {
+	kind, left := kindOf(u), u.Count
+	for _, i := range k.tightest(u, kind, left) {
 		left = k.fill(u, &k.rooms[i], left)
 		if left == 0 {
 			return
 		}
 	}
 	for left > 0 {
-		r := k.order(u)
+		r := k.order(u, kind)
 		if r == nil {
 			return
 		}
@@ -147,12 +147,10 @@
 
 // tightest returns up to so many rooms that will do for a unit: those with least free, the
 // tightest first. Each of them takes a task at least.
-func (k *packing) tightest(u *Unit, most int) []int {
-	need := partition.NeedOf(u.Job)
-	kind := kindOf(u)
+func (k *packing) tightest(u *Unit, kind unitKind, most int) []int {
 	few := &tightestRooms{k: k, u: u}
 	for i := k.full[kind]; i < len(k.rooms); i++ {
-		if !k.fits(u, need, &k.rooms[i]) {
+		if !k.fits(u, kind.need, &k.rooms[i]) {
 			continue
 		}
 		switch {
@@ -208,8 +206,7 @@
 }
 
 // order adds a room to be rented for a unit, or returns nil if there can be none.
-func (k *packing) order(u *Unit) *room {
-	kind := kindOf(u)
+func (k *packing) order(u *Unit, kind unitKind) *room {
 	if k.denied[kind] || k.total >= protocol.MaxRental {
 		return nil
 	}
@@ -219,7 +216,7 @@
 		return nil
 	}
 	t := k.machines.Type(pl.kind)
-	if !partition.NeedOf(u.Job).Fits(partition.CapacityOf(t)) {
+	if !kind.need.Fits(partition.CapacityOf(t)) {
 		return nil
 	}
 	k.rooms = append(k.rooms, room{pool: pl, kind: t, free: partition.CapacityOf(t)})
--- a/internal/coordination/scheduler/candidates.go
+++ b/internal/coordination/scheduler/candidates.go
@@ -49,17 +49,16 @@
 // to date at the beginning of each cycle, by what has changed since the last. What it says is
 // never more than a proposal: the partition's books decide on each grant.
 type roster struct {
-	index     *machineindex.Index[*candidate]
-	byMachine map[*partition.Machine]*candidate
-	dirty     []*candidate        // changed by the cycle under way
-	muted     map[*candidate]bool // out of the index until they may be commanded again
-	closed    []*candidate        // found closed by a search, and still in the index
-	wrong     bool                // the books have refused what the index proposed
-	audited   string              // the machine up to which the index was checked
+	index   *machineindex.Index[*candidate]
+	dirty   []*candidate        // changed by the cycle under way
+	muted   map[*candidate]bool // out of the index until they may be commanded again
+	closed  []*candidate        // found closed by a search, and still in the index
+	wrong   bool                // the books have refused what the index proposed
+	audited string              // the machine up to which the index was checked
 }
 
 func newRoster() roster {
-	return roster{index: machineindex.New[*candidate](), byMachine: map[*partition.Machine]*candidate{}, muted: map[*candidate]bool{}}
+	return roster{index: machineindex.New[*candidate](), muted: map[*candidate]bool{}}
 }
 
 // auditShare is which part of the machines is checked against the books in a full cycle,
@@ -107,24 +106,26 @@
 func (c *Core) rebuild(now time.Duration) {
 	c.roster = newRoster()
 	c.machines.Changed() // all are entered
-	c.machines.Each(func(m *partition.Machine) { c.refreshMachine(now, m) })
+	c.machines.Each(func(m *partition.Machine) {
+		m.View = nil
+		c.refreshMachine(now, m)
+	})
 }
 
 // refreshMachine enters a machine by its books.
 func (c *Core) refreshMachine(now time.Duration, m *partition.Machine) {
-	x := c.roster.byMachine[m]
+	x, ok := m.View.(*candidate)
 	switch {
+	case m.Lost() && ok:
+		c.roster.index.Remove(x.entry)
+		delete(c.roster.muted, x)
+		m.View = nil
+		return
 	case m.Lost():
-		if x != nil {
-			c.roster.index.Remove(x.entry)
-			delete(c.roster.byMachine, m)
-			delete(c.roster.muted, x)
-		}
 		return
-	case x == nil:
+	case !ok:
 		x = &candidate{m: m}
 		x.entry = machineindex.NewEntry(m.Name, x)
-		c.roster.byMachine[m] = x
 		m.View = x
 	}
 	c.refresh(now, x)
--- a/internal/coordination/scheduler/index_rules_test.go
+++ b/internal/coordination/scheduler/index_rules_test.go
@@ -15,10 +15,10 @@
 // indexErrors counts the machines of which the roster says something else than the books.
 func (b *bench) indexErrors() (wrong int) {
 	b.c.machines.Each(func(m *partition.Machine) {
-		x := b.c.roster.byMachine[m]
+		x, ok := m.View.(*candidate)
 		open := b.c.machines.Open(b.now, m)
 		switch {
-		case x == nil || open && !b.c.roster.index.Has(x.entry):
+		case !ok || open && !b.c.roster.index.Has(x.entry):
 			wrong++
 		case open && x.free != b.c.machines.Free(m):
 			wrong++
@@ -45,7 +45,8 @@
 		}
 		b.cycle()
 		b.settle()
-		for _, x := range b.c.roster.byMachine {
+		b.c.machines.Each(func(m *partition.Machine) {
+			x := m.View.(*candidate)
 			switch rapid.IntRange(0, 3).Draw(t, "break") {
 			case 0:
 				b.c.roster.index.Remove(x.entry)
@@ -55,7 +56,7 @@
 			case 2:
 				b.c.roster.index.Put(x.entry, machineindex.Pool{Type: "g8", Zone: "elsewhere"}, partition.CapacityOf(x.kind), x.free)
 			}
-		}
+		})
 		for i := range 6 {
 			j := spec(fmt.Sprintf("j-after%d", i), protocol.Array, "normal", 4, 2)
 			j.Zone = "a"
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -77,7 +77,6 @@
 	stamp    uint64
 	attempts uint64
 	dirty    bool
-	dirtyAt  time.Duration
 	exits    []*partition.Placement // gone, and still in the record
 }
 
@@ -130,10 +129,7 @@
 func (j *job) pageOf(task int) *page { return j.page(task / j.perPage) }
 
 func (j *job) touch(task int, now time.Duration) {
-	p := j.pageOf(task)
-	if !p.dirty {
-		p.dirty, p.dirtyAt = true, now
-	}
+	j.pageOf(task).dirty = true
 	j.queues.addEnded(now, j)
 }
 
--- a/internal/coordination/scheduler/search.go
+++ b/internal/coordination/scheduler/search.go
@@ -44,13 +44,14 @@
 // only if one of them could score better, with the fetch that it would need.
 func (f indexFinder) best(now time.Duration, j *job, l *limits, allowed func(*candidate) bool) *candidate {
 	var best machineindex.Best[*candidate]
-	if !f.c.roster.index.MayFit(f.query(j, l)) {
+	q := f.query(j, l)
+	if !f.c.roster.index.MayFit(q) {
 		return nil
 	}
 	judge := f.judge(now, j, l, allowed)
-	complete := f.lookAtImage(now, j, l, judge, &best)
+	complete := f.lookAtImage(now, j, q, judge, &best)
 	f.lookAtFetching(now, j, judge, &best)
-	complete = f.lookAtRest(j, l, judge, &best) && complete
+	complete = f.lookAtRest(j, q, judge, &best) && complete
 	f.c.removeClosed(now)
 	f.widen(j, best.Found, complete)
 	return found(&best)
@@ -58,7 +59,7 @@
 
 func (f indexFinder) withImage(now time.Duration, j *job, l *limits, allowed func(*candidate) bool) *candidate {
 	var best machineindex.Best[*candidate]
-	f.lookAtImage(now, j, l, f.judge(now, j, l, allowed), &best)
+	f.lookAtImage(now, j, f.query(j, l), f.judge(now, j, l, allowed), &best)
 	return found(&best)
 }
 
@@ -99,7 +100,7 @@
 }
 
 // lookAtImage looks at the machines that certainly have the job's image.
-func (f indexFinder) lookAtImage(now time.Duration, j *job, l *limits, judge judgement, best *machineindex.Best[*candidate]) (complete bool) {
+func (f indexFinder) lookAtImage(now time.Duration, j *job, q machineindex.Query, judge judgement, best *machineindex.Best[*candidate]) (complete bool) {
 	set := f.c.machines.WithImage(j.spec.Image)
 	if set == nil {
 		return true
@@ -110,7 +111,6 @@
 		}
 		return judge(x)
 	}
-	q := f.query(j, l)
 	if set.Len() <= q.Looks {
 		f.lookAtSet(set, j, f.leastOf(q, j), has, best)
 		return true
@@ -164,12 +164,12 @@
 }
 
 // lookAtRest looks at the machines without the job's image.
-func (f indexFinder) lookAtRest(j *job, l *limits, judge judgement, best *machineindex.Best[*candidate]) (complete bool) {
-	q := f.query(j, l)
+func (f indexFinder) lookAtRest(j *job, q machineindex.Query, judge judgement, best *machineindex.Best[*candidate]) (complete bool) {
 	base := q.Base
 	q.Base = func(p machineindex.Pool) float64 { return base(p) + f.c.fetchS(j, p.Type) }
-	q.Bound = f.fetchBound(j)
-	if f.c.prefersRoom(j) {
+	prefersRoom := f.c.prefersRoom(j)
+	q.Bound = f.fetchBound(j, prefersRoom)
+	if prefersRoom {
 		q.Order = machineindex.Loosest
 	}
 	return f.c.roster.index.Search(q, best, func(x *candidate) (float64, bool) {
@@ -193,9 +193,9 @@
 // fetchBound bounds what a machine without the job's image scores beyond one fetch of it (see
 // score). While other fetches share its rate, or where a fetch outlasts the aim, the score
 // falls with the room on the machine, by no more than that fetch takes.
-func (f indexFinder) fetchBound(j *job) func(capacity, free partition.Need) float64 {
+func (f indexFinder) fetchBound(j *job, prefersRoom bool) func(capacity, free partition.Need) float64 {
 	aim := f.c.waitAim(j.spec.Class)
-	if f.c.prefersRoom(j) {
+	if prefersRoom {
 		longest := 0.0
 		for name := range f.c.machines.Types() {
 			longest = max(longest, f.c.fetchS(j, name))
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -182,7 +182,6 @@
 	}
 	for r.sleep(pollInterval) == nil {
 		if status, st := r.users.Request(r.ctx, r.anyController(), simulation.Asks, j.ID, nil); status == http.StatusOK && st.Standing.Final() {
-			r.finished.Add(1)
 			return
 		}
 	}
@@ -190,7 +189,6 @@
 
 // submit submits a job until it is accepted, and says whether it was.
 func (r *run) submit(j *protocol.Job) bool {
-	r.submitted.Add(1)
 	for r.ctx.Err() == nil {
 		status, _ := r.users.Request(r.ctx, r.anyController(), simulation.Submits, j.ID, j)
 		switch status {
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -23,12 +23,11 @@
 	starts   int
 	answers  int64
 	accepted int64
-	finished int64
 }
 
 func (r *run) sample() (sample, error) {
 	s := sample{at: time.Now(), process: map[string]usage{}, state: r.state.Use(), kinds: r.meter.kindsNow(),
-		answers: r.answers.Load(), accepted: r.accepted.Load(), finished: r.finished.Load()}
+		answers: r.answers.Load(), accepted: r.accepted.Load()}
 	if p := r.leader(); p != nil {
 		s.leader = p.node
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -53,11 +53,9 @@
 	// processes are the workers that are processes of their own, by machine.
 	processes map[string]*runningWorker
 
-	contact   atomic.Pointer[contact]
-	submitted atomic.Int64
-	accepted  atomic.Int64
-	finished  atomic.Int64
-	answers   atomic.Int64 // of controllers to reports
+	contact  atomic.Pointer[contact]
+	accepted atomic.Int64
+	answers  atomic.Int64 // of controllers to reports
 }
 
 // What machines and tasks are like: all tasks but those of gangs take the same, and a machine
@@ -74,7 +72,7 @@
 	images           = 30
 	tick             = 20 * time.Millisecond
 	usersConnections = 256
-	// idleReturn keeps machines that have nothing to do: the size is to stay what it is.
+	// bootS is so long that machines which have nothing to do are kept: the size is to stay what it is.
 	bootS = 3600
 )
 
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -162,7 +162,7 @@
 	began := time.Now()
 	for !l.AllowN(time.Now(), n) {
 		if time.Since(began) > settlePatience && c.reserveSettle(n) {
-			return c.admit(ctx, Decide, 0)
+			break
 		}
 		Pause(ctx, time.Duration(float64(time.Second)/float64(l.Limit())))
 		if err := ctx.Err(); err != nil {
