--- /dev/null
+++ b/internal/coordination/fleet/rent.go
@@ -0,0 +1,200 @@
+package fleet
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"pinebay/internal/coordination/partition"
+	"pinebay/internal/protocol"
+)
+
+// room is a machine, there or to be rented, in which wanted tasks are packed.
+type room struct {
+	name string
+	pool pool
+	kind *protocol.MachineType
+	free partition.Need
+	// machine is nil for one to be rented.
+	machine *partition.Machine
+}
+
+// Ranks is the number of priorities.
+const Ranks = partition.Ranks
+
+// open is the room for a unit. What work takes that can save, and is of lower priority, is room
+// that a job to come could have at once, and so as good as free.
+func (r *room) open(u *Unit) partition.Need {
+	if !u.Spare || u.Quick || r.machine == nil {
+		return r.free
+	}
+	return r.free.Plus(r.machine.Savable(max(0, u.Job.Priority.Rank()) + 1))
+}
+
+// unitKind is what it depends on whether a room will do for a unit that avoids no machine.
+type unitKind struct {
+	need          partition.Need
+	types         string
+	zone, jobZone string
+	rank          int
+	spot, saves   bool
+	spare, quick  bool
+}
+
+func kindOf(u *Unit) unitKind {
+	return unitKind{
+		need: partition.NeedOf(u.Job), types: strings.Join(u.Job.Types, " "), zone: u.Zone, jobZone: u.Job.Zone, rank: u.Job.Priority.Rank(),
+		spot: u.Job.Spot, saves: u.Job.CheckpointS > 0, spare: u.Spare, quick: u.Quick,
+	}
+}
+
+// packing packs wanted tasks into rooms, and finds out what must be rented for the rest.
+type packing struct {
+	fleet    *Fleet
+	now      time.Duration
+	machines *partition.Partition
+	rooms    []room
+	perZone  map[string]int
+	used     map[string]bool // machines that wanted tasks fit on
+	wanted   map[pool]int
+	total    int
+	// full is up to where the rooms are known not to do for a kind, and denied says that none
+	// can be rented for it: rooms only get fuller while tasks are packed.
+	full   map[unitKind]int
+	denied map[unitKind]bool
+}
+
+// rent returns the rentals that the units ask for, and the machines that they would use.
+func (f *Fleet) rent(now time.Duration, p *partition.Partition, units []Unit) (effects []Effect, used map[string]bool) {
+	if len(f.policies) > 0 {
+		f.countComing(p)
+	}
+	k := &packing{
+		fleet: f, now: now, machines: p, rooms: f.rooms[:0], perZone: map[string]int{}, used: map[string]bool{}, wanted: map[pool]int{},
+		full: map[unitKind]int{}, denied: map[unitKind]bool{},
+	}
+	if len(units) > 0 {
+		k.addRooms()
+	}
+	for i := range units {
+		k.pack(&units[i])
+	}
+	f.rooms = k.rooms // to be filled anew the next time
+	return f.rentals(k.wanted), k.used
+}
+
+// addRooms lists the rooms that are there or on their way.
+func (k *packing) addRooms() {
+	f, p := k.fleet, k.machines
+	p.Each(func(m *partition.Machine) {
+		t := p.Type(m.Type)
+		if t == nil || m.Condemned || m.Notice || m.Sick {
+			return
+		}
+		k.perZone[m.Zone]++
+		if m.Up && k.now-m.Heard > p.Silent() && (k.now >= f.darkUntil[m.Zone] || f.policies[m.Zone].Uncounted) {
+			return // not to be counted on, unless all of them are to come back
+		}
+		k.rooms = append(k.rooms, room{name: m.Name, pool: pool{m.Type, m.Zone, m.Spot}, kind: t, free: p.Free(m), machine: m})
+	})
+	for req, pl := range f.pending {
+		if t := p.Type(pl.kind); t != nil {
+			for range f.counts[req] {
+				k.perZone[pl.zone]++
+				k.rooms = append(k.rooms, room{pool: pl, kind: t, free: partition.CapacityOf(t)})
+			}
+		}
+	}
+}
+
+// pack packs a unit's tasks, into rooms to be rented if need be.
+func (k *packing) pack(u *Unit) {
+	need := partition.NeedOf(u.Job)
+	for left := u.Count; left > 0; {
+		r := k.tightest(u)
+		if r == nil {
+			if r = k.order(u); r == nil {
+				return
+			}
+		}
+		k.used[r.name] = true
+		for left > 0 && need.Fits(r.open(u)) {
+			r.free = r.free.Minus(need)
+			left--
+			if need == (partition.Need{}) {
+				left = 0
+			}
+		}
+	}
+}
+
+// tightest returns the room with least free of those that will do for a unit, or nil.
+func (k *packing) tightest(u *Unit) (best *room) {
+	need := partition.NeedOf(u.Job)
+	kind := kindOf(u)
+	for i := k.full[kind]; i < len(k.rooms); i++ {
+		r := &k.rooms[i]
+		if k.fits(u, need, r) && (best == nil || tighter(r.open(u), best.open(u))) {
+			best = r
+		}
+	}
+	if best == nil && len(u.Avoid) == 0 {
+		k.full[kind] = len(k.rooms)
+	}
+	return best
+}
+
+func (k *packing) fits(u *Unit, need partition.Need, r *room) bool {
+	return need.Fits(r.open(u)) && r.kind.Allows(u.Job) && (u.Zone == "" || u.Zone == r.pool.zone) &&
+		(u.Job.Zone == "" || u.Job.Zone == r.pool.zone) && (!r.pool.spot || u.Job.Spot) && !u.Avoid[r.name]
+}
+
+// order adds a room to be rented for a unit, or returns nil if there can be none.
+func (k *packing) order(u *Unit) *room {
+	kind := kindOf(u)
+	if k.denied[kind] || k.total >= protocol.MaxRental {
+		return nil
+	}
+	pl, ok := k.fleet.choose(k.now, k.machines, *u, k.perZone)
+	if !ok {
+		k.denied[kind] = true
+		return nil
+	}
+	t := k.machines.Type(pl.kind)
+	if !partition.NeedOf(u.Job).Fits(partition.CapacityOf(t)) {
+		return nil
+	}
+	k.rooms = append(k.rooms, room{pool: pl, kind: t, free: partition.CapacityOf(t)})
+	k.wanted[pl]++
+	k.perZone[pl.zone]++
+	if k.fleet.coming != nil {
+		k.fleet.coming[pl.zone]++
+	}
+	k.total++
+	return &k.rooms[len(k.rooms)-1]
+}
+
+// rentals asks for the wanted machines.
+func (f *Fleet) rentals(wanted map[pool]int) (effects []Effect) {
+	pools := make([]pool, 0, len(wanted))
+	for pl := range wanted {
+		pools = append(pools, pl)
+	}
+	sort.Slice(pools, func(i, j int) bool { return fmt.Sprint(pools[i]) < fmt.Sprint(pools[j]) })
+	for _, pl := range pools {
+		f.seq++
+		// The term makes the name unique across leaders and restarts.
+		req := fmt.Sprintf("r-%d-%d", f.term, f.seq)
+		f.pending[req], f.counts[req] = pl, wanted[pl]
+		effects = append(effects, Rent{protocol.Rental{Request: req, Type: pl.kind, Zone: pl.zone, Spot: pl.spot, Count: wanted[pl]}})
+	}
+	return effects
+}
+
+func tighter(a, b partition.Need) bool {
+	if a.GPUs != b.GPUs {
+		return a.GPUs < b.GPUs
+	}
+	return a.CPUs < b.CPUs
+}
--- /dev/null
+++ b/internal/coordination/machineindex/index.go
@@ -0,0 +1,370 @@
+// Package machineindex orders machines by what a search for room asks for: their pool (type,
+// zone and kind) and their free room. A search looks at the machines that may score best
+// first and passes over whole groups that cannot fit or cannot win, so that what it costs
+// does not grow with the number of machines. The index decides nothing: whoever searches
+// judges each machine, and whoever grants room asks the machine's own books.
+package machineindex
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/tidwall/btree"
+
+	"pinebay/internal/coordination/partition"
+)
+
+// Pool names machines that predicates cannot tell apart.
+type Pool struct {
+	Type, Zone string
+	Spot       bool
+}
+
+func comparePools(a, b Pool) int {
+	spot := func(p Pool) int {
+		if p.Spot {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone), cmp.Compare(spot(a), spot(b)))
+}
+
+// Entry is a machine in the index, with what its user keeps of it.
+type Entry[T any] struct {
+	Value T
+	name  string
+	free  partition.Need
+	home  *cell[T]
+}
+
+// Index is an index of machines. Its methods are called by one goroutine at a time.
+type Index[T any] struct {
+	pools []*pool[T] // in order
+	size  int
+}
+
+// pool holds the machines of one Pool in cells.
+type pool[T any] struct {
+	key      Pool
+	capacity partition.Need
+	cells    []*cell[T] // not empty, in the order of their levels
+}
+
+// cell holds the machines whose free room is at the same level of each resource.
+type cell[T any] struct {
+	pool    *pool[T]
+	levels  levels
+	entries *btree.BTreeG[*Entry[T]] // by free room, then by name
+}
+
+// levelCount is into how many parts the room of a machine is divided by each resource.
+const levelCount = 16
+
+// levels are a cell's level of each resource, the highest first, so that cells in order go
+// from full machines to empty ones.
+type levels struct{ highest, cpus, gpus, memory int }
+
+func compareLevels(a, b levels) int {
+	return cmp.Or(cmp.Compare(a.highest, b.highest), cmp.Compare(a.cpus, b.cpus), cmp.Compare(a.gpus, b.gpus), cmp.Compare(a.memory, b.memory))
+}
+
+const slack = 1e-9 // amounts are decimal numbers
+
+// levelOf is the level of an amount: 0 for hardly any, levelCount for all.
+func levelOf(free, capacity float64) int {
+	if capacity <= 0 || free <= 0 {
+		return 0
+	}
+	return min(levelCount, int(free/capacity*levelCount+slack))
+}
+
+func levelsOf(free, capacity partition.Need) levels {
+	l := levels{cpus: levelOf(free.CPUs, capacity.CPUs), gpus: levelOf(free.GPUs, capacity.GPUs), memory: levelOf(free.MemoryGB, capacity.MemoryGB)}
+	l.highest = max(l.cpus, l.gpus, l.memory)
+	return l
+}
+
+// edges are the least and the most room that a machine at some level has.
+func edges(level int, capacity float64) (low, high float64) {
+	low = float64(level) / levelCount * capacity
+	high = min(capacity, float64(level+1)/levelCount*capacity)
+	return low, high
+}
+
+func (c *cell[T]) edges() (low, high partition.Need) {
+	low.CPUs, high.CPUs = edges(c.levels.cpus, c.pool.capacity.CPUs)
+	low.GPUs, high.GPUs = edges(c.levels.gpus, c.pool.capacity.GPUs)
+	low.MemoryGB, high.MemoryGB = edges(c.levels.memory, c.pool.capacity.MemoryGB)
+	return low, high
+}
+
+// New returns an empty index.
+func New[T any]() *Index[T] { return &Index[T]{} }
+
+// Len returns the number of machines in the index.
+func (x *Index[T]) Len() int { return x.size }
+
+// NewEntry returns an entry that is not in the index yet.
+func NewEntry[T any](name string, value T) *Entry[T] { return &Entry[T]{name: name, Value: value} }
+
+// Put enters a machine, or moves it to where its pool and free room say.
+func (x *Index[T]) Put(e *Entry[T], key Pool, capacity, free partition.Need) {
+	at := levelsOf(free, capacity)
+	if h := e.home; h != nil && h.pool.key == key && h.pool.capacity == capacity && h.levels == at {
+		if e.free != free {
+			h.entries.Delete(e)
+			e.free = free
+			h.entries.Set(e)
+		}
+		return
+	}
+	x.Remove(e)
+	e.free = free
+	e.home = x.cell(key, capacity, at)
+	e.home.entries.Set(e)
+	x.size++
+}
+
+// Remove takes a machine out of the index, if it is there.
+func (x *Index[T]) Remove(e *Entry[T]) {
+	if e.home == nil {
+		return
+	}
+	e.home.entries.Delete(e)
+	if e.home.entries.Len() == 0 {
+		x.drop(e.home)
+	}
+	e.home = nil
+	x.size--
+}
+
+// Has says whether an entry is in the index.
+func (x *Index[T]) Has(e *Entry[T]) bool { return e.home != nil }
+
+func comparePoolTo[T any](p *pool[T], key Pool) int { return comparePools(p.key, key) }
+
+func compareCellTo[T any](c *cell[T], at levels) int { return compareLevels(c.levels, at) }
+
+// cell returns the cell of a pool at some levels, making both if need be.
+func (x *Index[T]) cell(key Pool, capacity partition.Need, at levels) *cell[T] {
+	i, ok := slices.BinarySearchFunc(x.pools, key, comparePoolTo[T])
+	for ok && i < len(x.pools) && x.pools[i].key == key && x.pools[i].capacity != capacity {
+		i++ // machines whose type was another when they were entered
+	}
+	if i == len(x.pools) || x.pools[i].key != key || x.pools[i].capacity != capacity {
+		x.pools = slices.Insert(x.pools, i, &pool[T]{key: key, capacity: capacity})
+	}
+	p := x.pools[i]
+	k, ok := slices.BinarySearchFunc(p.cells, at, compareCellTo[T])
+	if !ok {
+		c := &cell[T]{pool: p, levels: at, entries: btree.NewBTreeGOptions(before[T], btree.Options{NoLocks: true})}
+		p.cells = slices.Insert(p.cells, k, c)
+	}
+	return p.cells[k]
+}
+
+// drop removes an empty cell, and its pool if that is empty too.
+func (x *Index[T]) drop(c *cell[T]) {
+	p := c.pool
+	if k := slices.Index(p.cells, c); k >= 0 {
+		p.cells = slices.Delete(p.cells, k, k+1)
+	}
+	if len(p.cells) > 0 {
+		return
+	}
+	if i := slices.Index(x.pools, p); i >= 0 {
+		x.pools = slices.Delete(x.pools, i, i+1)
+	}
+}
+
+// before orders the entries of a cell.
+func before[T any](a, b *Entry[T]) bool {
+	if a.free != b.free {
+		return compareRoom(a.free, b.free) < 0
+	}
+	return a.name < b.name
+}
+
+func compareRoom(a, b partition.Need) int {
+	return cmp.Or(cmp.Compare(a.CPUs, b.CPUs), cmp.Compare(a.GPUs, b.GPUs), cmp.Compare(a.MemoryGB, b.MemoryGB))
+}
+
+// lastName sorts after every name of a machine.
+const lastName = "\U0010ffff"
+
+// Order says which machines a search looks at first.
+type Order int
+
+// Orders.
+const (
+	Tightest Order = iota // those with least free room
+	Loosest               // those with most
+)
+
+// Query is what a search asks for.
+type Query struct {
+	// Need is the room that a machine must have free; nothing passes over none.
+	Need partition.Need
+	// Any looks at machines whatever room they have.
+	Any   bool
+	Order Order
+	// Base is the least that every machine of a pool scores, infinite if none of them will do,
+	// and Bound the least that one with so much free room scores beyond that. With Tightest the
+	// bound must not fall as the room grows, with Loosest not rise.
+	Base  func(Pool) float64
+	Bound func(capacity, free partition.Need) float64
+	// Looks is at how many machines the search looks at the most, and Ties at how many that
+	// cannot score better than the best but may be its equals.
+	Looks, Ties int
+}
+
+// Best is the best machine found so far.
+type Best[T any] struct {
+	Found bool
+	Score float64
+	Entry *Entry[T]
+}
+
+// offer takes in a machine's score. Of equals the first by name is the best, so that the
+// outcome does not depend on the order of the looks.
+func (b *Best[T]) offer(e *Entry[T], score float64) {
+	if !b.Found || score < b.Score || score == b.Score && e.name < b.Entry.name {
+		b.Found, b.Score, b.Entry = true, score, e
+	}
+}
+
+// Offer takes in the score of a machine that was looked at outside a search.
+func (b *Best[T]) Offer(e *Entry[T], score float64) { b.offer(e, score) }
+
+// search is a search under way.
+type search[T any] struct {
+	Query
+	best  *Best[T]
+	look  func(T) (float64, bool)
+	looks int
+	ties  int
+}
+
+// Search looks at machines until no other can score less than the best, or the looks are
+// used up. look returns a machine's score, and whether it will do. The best of earlier
+// searches may be handed in. It says whether every machine that could be better was looked at.
+func (x *Index[T]) Search(q Query, best *Best[T], look func(T) (float64, bool)) (complete bool) {
+	s := &search[T]{Query: q, best: best, look: look}
+	for _, p := range x.byBase(q.Base) {
+		if s.worse(p.base + s.least(p.pool)) {
+			continue
+		}
+		if !s.pool(p) {
+			return false
+		}
+	}
+	return true
+}
+
+// basedPool is a pool with what each of its machines scores at least.
+type basedPool[T any] struct {
+	*pool[T]
+	base float64
+}
+
+// byBase lists the pools that will do, those that score least first.
+func (x *Index[T]) byBase(base func(Pool) float64) []basedPool[T] {
+	list := make([]basedPool[T], 0, len(x.pools))
+	for _, p := range x.pools {
+		if b := base(p.key); !math.IsInf(b, 1) {
+			list = append(list, basedPool[T]{p, b})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b basedPool[T]) int { return cmp.Compare(a.base, b.base) })
+	return list
+}
+
+// least is the least that any machine of a pool can score beyond its base.
+func (s *search[T]) least(p *pool[T]) float64 {
+	if s.Order == Loosest {
+		return s.Bound(p.capacity, p.capacity)
+	}
+	return s.Bound(p.capacity, s.Need)
+}
+
+// pool searches a pool's cells, and says whether the search goes on.
+func (s *search[T]) pool(p basedPool[T]) bool {
+	for i := range p.cells {
+		c := p.cells[i]
+		if s.Order == Loosest {
+			c = p.cells[len(p.cells)-1-i]
+		}
+		low, high := c.edges()
+		if !s.Any && !s.Need.Fits(high) {
+			continue
+		}
+		room := maxRoom(low, s.Need)
+		if s.Order == Loosest {
+			room = high
+		}
+		if s.worse(p.base + s.Bound(p.capacity, room)) {
+			continue
+		}
+		if !s.cell(c, p.base) {
+			return false
+		}
+	}
+	return true
+}
+
+// maxRoom is the larger of two amounts of each resource.
+func maxRoom(a, b partition.Need) partition.Need {
+	return partition.Need{CPUs: max(a.CPUs, b.CPUs), GPUs: max(a.GPUs, b.GPUs), MemoryGB: max(a.MemoryGB, b.MemoryGB)}
+}
+
+// worse says whether a bound shows that a machine is worse than the best. Bounds are computed
+// in another order than scores, and may be above them by rounding.
+func (s *search[T]) worse(bound float64) bool { return s.best.Found && bound-slack > s.best.Score }
+
+// cell looks at the machines of a cell, and says whether the search goes on.
+func (s *search[T]) cell(c *cell[T], base float64) bool {
+	it := c.entries.Iter()
+	defer it.Release()
+	ok := it.First()
+	for ok {
+		e := it.Item()
+		bound := base + s.Bound(c.pool.capacity, e.free)
+		if !s.Any && !s.Need.Fits(e.free) || s.worse(bound) {
+			ok = it.Seek(&Entry[T]{free: e.free, name: lastName}) // past all with just this room
+			continue
+		}
+		if s.looks++; s.looks > s.Looks {
+			return false
+		}
+		if s.best.Found && bound+slack >= s.best.Score {
+			if s.ties++; s.ties > s.Ties {
+				return false
+			}
+		}
+		score, fits := s.look(e.Value)
+		if fits {
+			s.best.offer(e, score)
+		}
+		if fits && score <= bound+slack {
+			// No other with just this room can be better, or its equal with an earlier name.
+			ok = it.Seek(&Entry[T]{free: e.free, name: lastName})
+			continue
+		}
+		ok = it.Next()
+	}
+	return true
+}
+
+// Each calls f for every machine in the index.
+func (x *Index[T]) Each(f func(T)) {
+	for _, p := range x.pools {
+		for _, c := range p.cells {
+			c.entries.Scan(func(e *Entry[T]) bool {
+				f(e.Value)
+				return true
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/machineindex/index_test.go
@@ -0,0 +1,183 @@
+package machineindex
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/coordination/partition"
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+// machine is the model's view of a machine.
+type machine struct {
+	entry *Entry[*machine]
+	pool  Pool
+	free  partition.Need
+	worse float64 // what it scores beyond its room
+	shut  bool
+}
+
+var capacity = partition.Need{CPUs: 64, GPUs: 8, MemoryGB: 256}
+
+func drawNeed(t *rapid.T, label string) partition.Need {
+	return partition.Need{CPUs: rapid.Float64Range(0, 64).Draw(t, label+" cpus"), GPUs: float64(rapid.IntRange(0, 8).Draw(t, label+" gpus")),
+		MemoryGB: float64(rapid.IntRange(0, 8).Draw(t, label+" memory")) * 32}
+}
+
+// score is what a machine scores for a need; Loosest turns it round.
+func (m *machine) score(order Order, need partition.Need) float64 {
+	if order == Loosest {
+		return base(m.pool) - m.free.Share(capacity) + m.worse
+	}
+	return base(m.pool) + m.free.Minus(need).Share(capacity) + m.worse
+}
+
+func base(p Pool) float64 {
+	if p.Zone == "closed" {
+		return math.Inf(1)
+	}
+	if p.Spot {
+		return 0.5
+	}
+	return 0
+}
+
+func query(order Order, need partition.Need, looks int) Query {
+	q := Query{Need: need, Order: order, Looks: looks, Ties: looks, Base: base}
+	q.Bound = func(capacity, free partition.Need) float64 { return free.Minus(need).Share(capacity) }
+	if order == Loosest {
+		q.Bound = func(capacity, free partition.Need) float64 { return -free.Share(capacity) }
+	}
+	return q
+}
+
+// TestSearchFindsTheBest: however machines came, moved and went, a search with enough looks finds
+// just the machine that a scan of all finds, in either order.
+func TestSearchFindsTheBest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := New[*machine]()
+		var all []*machine
+		for i := range rapid.IntRange(1, 60).Draw(t, "machines") {
+			m := &machine{worse: float64(rapid.IntRange(0, 2).Draw(t, "worse")) / 4, shut: rapid.IntRange(0, 5).Draw(t, "shut") == 0}
+			m.entry = NewEntry(fmt.Sprintf("m%03d", i), m)
+			all = append(all, m)
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "changes") {
+			m := all[rapid.IntRange(0, len(all)-1).Draw(t, "which")]
+			if rapid.IntRange(0, 6).Draw(t, "gone") == 0 {
+				x.Remove(m.entry)
+				continue
+			}
+			m.pool = Pool{Type: "g8", Zone: rapid.SampledFrom([]string{"a", "b", "closed"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot")}
+			m.free = drawNeed(t, "free")
+			x.Put(m.entry, m.pool, capacity, m.free)
+		}
+		size := 0
+		need := drawNeed(t, "need")
+		order := rapid.SampledFrom([]Order{Tightest, Loosest}).Draw(t, "order")
+		var want *machine
+		for _, m := range all {
+			if !x.Has(m.entry) {
+				continue
+			}
+			size++
+			if m.shut || !need.Fits(m.free) || math.IsInf(base(m.pool), 1) {
+				continue
+			}
+			if want == nil || m.score(order, need) < want.score(order, need) {
+				want = m
+			}
+		}
+		var best Best[*machine]
+		complete := x.Search(query(order, need, len(all)), &best, func(m *machine) (float64, bool) { return m.score(order, need), !m.shut })
+		if x.Len() != size || !complete {
+			t.Fatalf("%d machines, want %d; complete %v", x.Len(), size, complete)
+		}
+		switch {
+		case want == nil && best.Found:
+			t.Fatalf("found %+v, though none will do", best.Entry.Value)
+		case want != nil && (!best.Found || best.Entry.Value != want):
+			t.Fatalf("found %+v, want %+v", best, want)
+		}
+	})
+}
+
+// TestLooksDoNotGrow: what a search looks at does not grow with the number of machines, whether
+// they are all alike, all different, full, or nearly full.
+func TestLooksDoNotGrow(t *testing.T) {
+	const most = 40
+	need := partition.Need{CPUs: 2, MemoryGB: 4}
+	for name, free := range map[string]func(i int) partition.Need{
+		"empty":       func(int) partition.Need { return capacity },
+		"full":        func(int) partition.Need { return partition.Need{} },
+		"nearly full": func(i int) partition.Need { return partition.Need{CPUs: float64(i % 3), GPUs: 8, MemoryGB: 8} },
+		"different": func(i int) partition.Need {
+			return partition.Need{CPUs: float64(i*7919%6400) / 100, GPUs: float64(i % 9), MemoryGB: float64(i * 31 % 256)}
+		},
+	} {
+		for _, n := range []int{100, 1000, 18_000} {
+			x := New[*machine]()
+			for i := range n {
+				m := &machine{pool: Pool{Type: "g8", Zone: []string{"a", "b", "c"}[i%3]}, free: free(i)}
+				m.entry = NewEntry(fmt.Sprintf("m%05d", i), m)
+				x.Put(m.entry, m.pool, capacity, m.free)
+			}
+			looks := 0
+			var best Best[*machine]
+			q := query(Tightest, need, 1000)
+			q.Ties = 8
+			x.Search(q, &best, func(m *machine) (float64, bool) {
+				looks++
+				return m.score(Tightest, need), true
+			})
+			if looks > most || best.Found != (name != "full") {
+				t.Errorf("%s, %d machines: %d looks, found %v", name, n, looks, best.Found)
+			}
+		}
+	}
+}
+
+// TestBoundedSearch: a search whose looks are used up says so, and has the best of what it saw.
+func TestBoundedSearch(t *testing.T) {
+	x := New[*machine]()
+	for i := range 20 {
+		m := &machine{pool: Pool{Type: "g8", Zone: "a"}, free: capacity, worse: float64(20 - i)}
+		m.entry = NewEntry(fmt.Sprintf("m%02d", i), m)
+		x.Put(m.entry, m.pool, capacity, m.free)
+	}
+	var best Best[*machine]
+	if x.Search(query(Tightest, partition.Need{}, 5), &best, func(m *machine) (float64, bool) { return m.score(Tightest, partition.Need{}), true }) {
+		t.Error("five looks at twenty machines that all differ were enough")
+	}
+	if !best.Found || best.Entry.name != "m04" {
+		t.Errorf("best of the first five is %+v", best)
+	}
+	n := 0
+	x.Each(func(*machine) { n++ })
+	if n != 20 {
+		t.Errorf("%d machines, want 20", n)
+	}
+}
+
+func BenchmarkSearch(b *testing.B) {
+	for _, n := range []int{250, 1000, 4000, 18_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			x := New[*machine]()
+			for i := range n {
+				m := &machine{pool: Pool{Type: "g8", Zone: []string{"a", "b", "c"}[i%3]}, free: partition.Need{CPUs: float64(2 * (i % 32)), GPUs: float64(i % 9), MemoryGB: 128}}
+				m.entry = NewEntry(fmt.Sprintf("m%05d", i), m)
+				x.Put(m.entry, m.pool, capacity, m.free)
+			}
+			need := partition.Need{CPUs: 2, MemoryGB: 4}
+			for b.Loop() {
+				var best Best[*machine]
+				x.Search(query(Tightest, need, 1000), &best, func(m *machine) (float64, bool) { return m.score(Tightest, need), true })
+			}
+		})
+	}
+}
--- a/internal/coordination/partition/images.go
+++ b/internal/coordination/partition/images.go
@@ -45,8 +45,9 @@
 // Copies returns the images that machines have, as far as can be told.
 func (p *Partition) Copies() map[string][]Copy {
 	out := map[string][]Copy{}
-	for _, n := range p.names {
-		for name, im := range p.machines[n].images {
+	for _, m := range p.ordered {
+		n := m.Name
+		for name, im := range m.images {
 			if im.sure {
 				out[n] = append(out[n], Copy{name, im.sizeGB})
 			}
@@ -121,7 +122,7 @@
 	if im == nil {
 		whole := p.Warm(now, m, j)
 		im = &image{sizeGB: j.ImageGB, ready: now + whole, latest: now + time.Duration(float64(whole)*SlowFetch)}
-		m.images[j.Image] = im
+		p.setImage(m, j.Image, im)
 	}
 	im.used = now
 	t := p.types[m.Type]
@@ -139,15 +140,24 @@
 		total, oldest := 0.0, ""
 		for name, im := range m.images {
 			total += im.sizeGB
-			if !needed[name] && (oldest == "" || im.used < m.images[oldest].used) {
+			if !needed[name] && (oldest == "" || goesFirst(m, name, oldest)) {
 				oldest = name
 			}
 		}
 		if total <= t.CacheGB || oldest == "" {
 			return
 		}
-		delete(m.images, oldest)
+		p.deleteImage(m, oldest)
+	}
+}
+
+// goesFirst says whether one image gives way before another: the one that was used longer ago,
+// or else the first by name, for the same decisions every time.
+func goesFirst(m *Machine, a, b string) bool {
+	if usedA, usedB := m.images[a].used, m.images[b].used; usedA != usedB {
+		return usedA < usedB
 	}
+	return a < b
 }
 
 // dropFetch forgets an image whose fetch was given up with its last task.
@@ -164,5 +174,5 @@
 			return
 		}
 	}
-	delete(m.images, pl.Job.Image)
+	p.deleteImage(m, pl.Job.Image)
 }
--- a/internal/coordination/partition/machine.go
+++ b/internal/coordination/partition/machine.go
@@ -36,8 +36,48 @@
 	exits      map[protocol.TaskID]*exit
 	stray      map[protocol.TaskID]uint64
 	images     map[string]*image
+
+	lost     bool           // it is proven gone
+	touched  bool           // see Partition.Changed
+	byRank   [Ranks]rankUse // what placements of each priority take
+	stopping rankUse        // what those take that are to end
+	savable  [Ranks]rankUse // what those of each priority take that can save
+}
+
+// rankUse is what some placements on a machine take.
+type rankUse struct {
+	count int
+	need  Need
 }
 
+// Ranks is the number of priorities.
+const Ranks = 4
+
+// Lost says whether the machine is proven gone.
+func (m *Machine) Lost() bool { return m.lost }
+
+// Givable is at most the room that work of at least the given rank would leave, with what is
+// about to leave anyhow.
+func (m *Machine) Givable(rank int) Need {
+	n := m.stopping.need
+	for r := max(0, rank); r < Ranks; r++ {
+		n = n.Plus(m.byRank[r].need)
+	}
+	return n
+}
+
+// Savable is the room that work of at least the given rank takes that can save, but for services.
+func (m *Machine) Savable(rank int) Need {
+	var n Need
+	for r := max(0, rank); r < Ranks; r++ {
+		n = n.Plus(m.savable[r].need)
+	}
+	return n
+}
+
+// HasImage says whether the machine has a job's image or is fetching it.
+func (m *Machine) HasImage(image string) bool { return m.images[image] != nil }
+
 // Placements calls f for each placement that may be on the machine.
 func (m *Machine) Placements(f func(*Placement)) {
 	for _, p := range m.placements {
--- a/internal/coordination/partition/partition.go
+++ b/internal/coordination/partition/partition.go
@@ -5,7 +5,8 @@
 package partition
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"pinebay/internal/config"
@@ -51,10 +52,11 @@
 	workers  config.Workers
 	types    map[string]*protocol.MachineType
 	machines map[string]*Machine
-	names    []string // sorted, for the same decisions every time
+	ordered  []*Machine // by name, for the same decisions every time
 	usage    map[string]Need
 	owed     map[string]*Machine // those on which a placement may need a command
 	hints    map[string][]Copy   // images that machines had in an earlier term
+	views    views
 }
 
 // New returns an empty part of the given term.
@@ -62,7 +64,7 @@
 	return &Partition{
 		term: term, workers: w,
 		types: map[string]*protocol.MachineType{}, machines: map[string]*Machine{}, usage: map[string]Need{},
-		hints: map[string][]Copy{}, owed: map[string]*Machine{},
+		hints: map[string][]Copy{}, owed: map[string]*Machine{}, views: newViews(),
 	}
 }
 
@@ -71,6 +73,9 @@
 	for i := range types {
 		p.types[types[i].Name] = &types[i]
 	}
+	for _, m := range p.ordered {
+		p.touch(m)
+	}
 }
 
 // Type returns a machine type, or nil.
@@ -87,11 +92,24 @@
 
 // Each calls f for every machine in name order.
 func (p *Partition) Each(f func(*Machine)) {
-	for _, n := range p.names {
-		f(p.machines[n])
+	for _, m := range p.ordered {
+		f(m)
 	}
 }
 
+// EachFrom calls f for the machines from a name on, in name order, until it returns false.
+func (p *Partition) EachFrom(name string, f func(*Machine) bool) {
+	i, _ := slices.BinarySearchFunc(p.ordered, name, compareToName)
+	for _, m := range p.ordered[i:] {
+		if !f(m) {
+			return
+		}
+	}
+}
+
+// Len returns the number of machines.
+func (p *Partition) Len() int { return len(p.ordered) }
+
 // Usage returns what a team's tasks may be using.
 func (p *Partition) Usage(team string) Need { return p.usage[team] }
 
@@ -106,17 +124,18 @@
 		exits: map[protocol.TaskID]*exit{}, stray: map[protocol.TaskID]uint64{}, images: map[string]*image{},
 	}
 	for _, c := range p.hints[name] {
-		m.images[c.Image] = &image{sizeGB: c.SizeGB, sure: true, used: now}
+		p.setImage(m, c.Image, &image{sizeGB: c.SizeGB, sure: true, used: now})
 	}
 	delete(p.hints, name)
 	p.machines[name] = m
-	i := sort.SearchStrings(p.names, name)
-	p.names = append(p.names, "")
-	copy(p.names[i+1:], p.names[i:])
-	p.names[i] = name
+	i, _ := slices.BinarySearchFunc(p.ordered, name, compareToName)
+	p.ordered = slices.Insert(p.ordered, i, m)
+	p.touch(m)
 	return m
 }
 
+func compareToName(m *Machine, name string) int { return strings.Compare(m.Name, name) }
+
 // Free returns the room on a machine that is not promised to anybody.
 func (p *Partition) Free(m *Machine) Need {
 	t := p.types[m.Type]
@@ -169,7 +188,8 @@
 func (p *Partition) add(m *Machine, pl *Placement) {
 	m.placements[pl.Task] = pl
 	m.used = m.used.Plus(pl.Need)
-	p.usage[pl.Team] = p.usage[pl.Team].Plus(pl.Need)
+	p.changeUsage(pl.Team, p.usage[pl.Team].Plus(pl.Need))
+	p.enter(m, pl)
 }
 
 // remove takes a placement that is gone off the books.
@@ -183,7 +203,8 @@
 		m.images[pl.Job.Image].used = now // until now
 	}
 	m.used = m.used.Minus(pl.Need)
-	p.usage[pl.Team] = p.usage[pl.Team].Minus(pl.Need)
+	p.changeUsage(pl.Team, p.usage[pl.Team].Minus(pl.Need))
+	p.leave(m, pl)
 	if len(m.placements) == 0 {
 		m.used = Need{}
 		m.IdleSince = now
@@ -221,6 +242,7 @@
 	}
 	if !pl.Stopping {
 		pl.Stopping, pl.GraceS = true, graceS
+		p.stops(pl)
 	}
 	pl.GraceS = min(pl.GraceS, graceS)
 	p.expedite(pl)
--- a/internal/coordination/partition/reports.go
+++ b/internal/coordination/partition/reports.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -18,6 +19,9 @@
 // for copies and latecomers, whose task lists prove nothing but exits.
 func (p *Partition) Report(now time.Duration, r *protocol.Report) (m *Machine, facts []Fact, newer bool) {
 	m = p.Ensure(now, r.Machine)
+	if !p.Open(now, m) {
+		defer p.touch(m) // it may be open now
+	}
 	newer = r.Session > m.Session || r.Session == m.Session && r.Seq > m.Seq
 	if r.Session > m.Session {
 		// The worker has killed everything of its earlier sessions.
@@ -41,9 +45,15 @@
 	if newer {
 		m.Seq = r.Seq
 		m.Heard, m.Up = now, true
+		if m.Type != r.Type || m.Zone != r.Zone || m.Spot != r.Spot {
+			p.touch(m)
+		}
 		m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
 		m.Token = max(m.Token, r.Token)
-		m.Notice = m.Notice || r.NoticeS != nil
+		if r.NoticeS != nil && !m.Notice {
+			m.Notice = true
+			p.views.noticed.Set(m)
+		}
 		clear(m.stray)
 	}
 	listed := make(map[protocol.TaskID]uint64, len(r.Tasks))
@@ -120,9 +130,12 @@
 		changed = true
 		if t.State != protocol.Fetching && pl.Job != nil {
 			if im := m.images[pl.Job.Image]; im != nil {
-				im.sure = true
+				if !im.sure {
+					im.sure = true
+					p.setImage(m, pl.Job.Image, im)
+				}
 			} else {
-				m.images[pl.Job.Image] = &image{sizeGB: pl.Job.ImageGB, sure: true, used: now}
+				p.setImage(m, pl.Job.Image, &image{sizeGB: pl.Job.ImageGB, sure: true, used: now})
 			}
 		}
 	}
@@ -140,9 +153,11 @@
 		p.remove(now, m, pl)
 		facts = append(facts, Fact{pl, true})
 	}
+	p.forget(m)
 	delete(p.machines, name)
-	i := sort.SearchStrings(p.names, name)
-	p.names = append(p.names[:i], p.names[i+1:]...)
+	if i, ok := slices.BinarySearchFunc(p.ordered, name, compareToName); ok {
+		p.ordered = slices.Delete(p.ordered, i, i+1)
+	}
 	return facts
 }
 
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -1,10 +1,8 @@
 package scheduler
 
 import (
-	"math"
 	"time"
 
-	"pinebay/internal/coordination/fleet"
 	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 )
@@ -13,110 +11,24 @@
 // smaller jobs may backfill it, for one cycle at a time.
 const shortCycles = 3
 
-// candidate is a machine that takes new tasks in this cycle.
-type candidate struct {
-	m    *partition.Machine
-	kind *protocol.MachineType
-	free partition.Need // less what was granted or is held in this cycle
-	// taken says that the room reserved on it is spoken for in this cycle.
-	taken bool
-	// kept is room for jobs to come.
-	kept []kept
-}
-
-// kept is room for jobs to come of a class, against work of the given rank that
-// can wait for longer. Of the class's own rank, it could not be preempted for them.
-type kept struct {
-	rank     int
-	aim      float64 // the class's on waiting, in seconds
-	position int     // the class's in the order of return, while that is in force
-	need     partition.Need
-}
-
-// less is what is left of the free room for work of the rank with that aim on
-// waiting, and that position in the order of return.
-func (x *candidate) less(rank int, aim float64, position int) partition.Need {
-	n := x.free
-	for _, k := range x.kept {
-		if k.rank == rank && k.aim < aim && k.position <= position {
-			n = n.Minus(k.need)
-		}
-	}
-	return n
-}
-
-// room is what a job may use of a candidate.
-func (c *Core) room(x *candidate, j *job) partition.Need {
-	if len(x.kept) == 0 {
-		return x.free
-	}
-	return x.less(j.rank, c.waitAim(j.spec.Class), c.returnPosition(&j.spec))
-}
-
-// keep sets aside the room that classes with an aim on waiting are likely to
-// want soon. Against lower work it needs no keeping where there is time to
-// preempt that. While the order of return is in force, lower work must not have what
-// is kept from higher work.
-func (c *Core) keep(now time.Duration, cands []*candidate) {
-	none := &limits{}
-	recovering := c.recovering()
-	for _, u := range c.spareNow {
-		j := &job{spec: *u.Job, need: partition.NeedOf(u.Job), rank: u.Job.Priority.Rank()}
-		aim, position := c.waitAim(u.Job.Class), c.returnPosition(u.Job)
-		for range u.Count {
-			var best *candidate
-			bestScore := 0.0
-			for _, x := range cands {
-				if u.Zone != "" && u.Zone != x.m.Zone || !j.need.Fits(x.less(j.rank, math.Inf(1), math.MaxInt)) ||
-					x.m.Spot && !j.spec.Spot || !x.kind.Allows(&j.spec) {
-					continue
-				}
-				if s := c.score(now, j, x, none); best == nil || s < bestScore {
-					best, bestScore = x, s
-				}
-			}
-			if best == nil {
-				break
-			}
-			for rank := j.rank; rank == j.rank || (u.Quick || recovering) && rank < fleet.Ranks; rank++ {
-				best.kept = append(best.kept, kept{rank, aim, position, j.need})
-			}
-		}
-	}
-}
-
-// candidates lists the machines that take new tasks now, with their free room.
-func (c *Core) candidates(now time.Duration) (cands []*candidate) {
-	c.machines.Each(func(m *partition.Machine) {
-		if t := c.machines.Type(m.Type); t != nil && c.machines.Open(now, m) {
-			cands = append(cands, &candidate{m: m, kind: t, free: c.machines.Free(m)})
-		}
-	})
-	return cands
-}
-
 // schedule is the cycle: jobs by priority, then age, teams in turn.
-func (c *Core) schedule(now time.Duration, jobs []*job) {
-	var waiting []*job
+func (c *Core) schedule(now time.Duration) {
 	c.cycles++
-	for _, j := range jobs {
-		if c.waits(now, j) {
-			j.queued = c.cycles
-			waiting = append(waiting, j)
-		}
-	}
+	c.beginCycle(now)
+	waiting := c.waitingJobs(now)
 	c.byDeadline(now, waiting)
-	cands := c.candidates(now)
-	c.keep(now, cands)
+	c.keep(now)
+	c.beginPreemption()
 	failed := map[kind]int{}
 	if c.recovering() {
-		c.placeGuaranteed(now, waiting, cands)
+		c.placeGuaranteed(now, waiting)
 	}
-	for len(waiting) > 0 {
-		i := c.next(waiting)
-		j := waiting[i]
-		waiting = append(waiting[:i], waiting[i+1:]...)
+	queue := c.newTurns(waiting)
+	for j := queue.next(); j != nil; j = queue.next() {
 		j.served = c.cycles
+		if len(j.reserved) > 0 {
+			c.roomEvents++ // what is cleared for it may be had by others from now on
+		}
 		if j.counts[pending] == 0 {
 			continue // placed within its team's guarantee just now
 		}
@@ -126,21 +38,33 @@
 			continue
 		}
 		before := j.counts[pending]
-		c.place(now, j, cands, c.allowance(j))
+		c.place(now, j, c.allowance(j))
 		if j.spec.Shape != protocol.Gang && j.counts[pending] == before {
 			failed[k]++
 		}
 	}
-	for _, j := range jobs {
-		c.rewarm(now, j, cands)
-	}
+	c.endPreemption()
+	c.rewarmAll(now)
 	// Last, with the room that is left: what waits still could not use it.
-	c.consolidate(now, cands)
+	c.consolidate(now)
+}
+
+// waitingJobs lists the jobs that have tasks to place, in order.
+func (c *Core) waitingJobs(now time.Duration) (waiting []*job) {
+	c.queues.pendingJobs.Scan(func(j *job) bool {
+		if c.waits(now, j) {
+			j.queued = c.cycles
+			waiting = append(waiting, j)
+		}
+		return true
+	})
+	c.sortForReturn(waiting)
+	return waiting
 }
 
 // place allocates as much of a job as there is room for, of so many tasks that are
 // allowed: up to minAvailable or nothing for a gang, task by task for the others.
-func (c *Core) place(now time.Duration, j *job, cands []*candidate, allowed int) {
+func (c *Core) place(now time.Duration, j *job, allowed int) {
 	gang := j.spec.Shape == protocol.Gang
 	if gang && allowed < j.spec.Tasks {
 		return
@@ -148,19 +72,19 @@
 	l := c.limits(j)
 	var got allocation
 	if gang && j.spec.SameZone && l.zone == "" {
-		got, l = c.bestZone(now, j, cands, l)
+		got, l = c.bestZone(now, j, l)
 	} else {
-		got = c.allocate(now, j, cands, l, min(allowed, j.counts[pending]))
+		got = c.allocate(now, j, l, min(allowed, j.counts[pending]))
 	}
 	if gang && len(got) < j.spec.Tasks {
-		c.hold(now, j, cands, got, l)
+		c.hold(now, j, got, l)
 		return
 	}
 	wanted := min(allowed, j.counts[pending])
 	c.grant(now, j, got)
 	if len(got) < wanted {
 		j.short++
-		c.preempt(now, j, cands, l, wanted-len(got))
+		c.preempt(now, j, l, wanted-len(got))
 	} else {
 		j.short = 0
 	}
@@ -173,21 +97,21 @@
 }
 
 // allocate takes room for up to n tasks, task by task.
-func (c *Core) allocate(now time.Duration, j *job, cands []*candidate, l *limits, n int) allocation {
+func (c *Core) allocate(now time.Duration, j *job, l *limits, n int) allocation {
 	var got allocation
 	for t := j.nextPending(0); t >= 0 && len(got) < n; t = j.nextPending(t + 1) {
-		x, attempted := c.pick(now, j, t, cands, l)
+		x, attempted := c.pick(now, j, t, l)
 		if x == nil {
 			if attempted {
 				continue
 			}
 			break
 		}
-		if j.spec.Shape != protocol.Gang && c.displace(now, j, t, x, cands, l) {
+		if j.spec.Shape != protocol.Gang && c.displace(now, j, t, x, l) {
 			continue
 		}
 		c.stopCompetingFetches(now, j, x)
-		x.free = x.free.Minus(j.need)
+		c.setFree(x, x.free.Minus(j.need))
 		l.perZone[x.m.Zone]++
 		if j.spec.SameZone {
 			l.zone = x.m.Zone
@@ -200,19 +124,20 @@
 	return got
 }
 
-func release(j *job, got allocation) {
+func (c *Core) release(j *job, got allocation) {
+	c.roomEvents++
 	for _, g := range got {
-		g.x.free = g.x.free.Plus(j.need)
+		c.setFree(g.x, g.x.free.Plus(j.need))
 	}
 }
 
 // bestZone tries the zones for a gang that must be in one, and keeps the room
 // in the one that holds all of it, or else most of it.
-func (c *Core) bestZone(now time.Duration, j *job, cands []*candidate, l *limits) (allocation, *limits) {
+func (c *Core) bestZone(now time.Duration, j *job, l *limits) (allocation, *limits) {
 	best, bestN, bestScore := "", -1, 0.0
 	try := func(z string) (allocation, *limits, float64) {
 		zl := &limits{zone: z, perZone: map[string]int{}, most: l.most}
-		got := c.allocate(now, j, cands, zl, j.spec.Tasks)
+		got := c.allocate(now, j, zl, j.spec.Tasks)
 		s := 0.0
 		for _, g := range got {
 			s = max(s, c.machines.Warm(now, g.x.m, &j.spec).Seconds())
@@ -221,7 +146,7 @@
 	}
 	for _, z := range c.zonesToTry(&j.spec) {
 		got, _, s := try(z)
-		release(j, got)
+		c.release(j, got)
 		if len(got) > bestN || len(got) == bestN && s < bestScore {
 			best, bestN, bestScore = z, len(got), s
 		}
@@ -236,30 +161,22 @@
 // hold keeps the room of a short gang closed to others until the next cycle:
 // what it was allocated, and for each task without room the machine that is
 // nearest to having it. Every fourth short cycle smaller jobs may backfill.
-func (c *Core) hold(now time.Duration, j *job, cands []*candidate, got allocation, l *limits) {
+func (c *Core) hold(now time.Duration, j *job, got allocation, l *limits) {
 	j.short++
 	missing := j.spec.Tasks - len(got)
-	c.preempt(now, j, cands, l, missing)
-	if j.short%(shortCycles+1) == 0 && !c.awaitsLoan(now, j, cands) {
-		release(j, got)
+	c.preempt(now, j, l, missing)
+	if j.short%(shortCycles+1) == 0 && !c.awaitsLoan(now, j) {
+		c.release(j, got)
 		return
 	}
 	taken := map[*candidate]bool{}
 	for range missing {
-		var best *candidate
-		for _, x := range cands {
-			if taken[x] || !c.fits(now, j, x, l) || !j.need.Fits(partition.CapacityOf(x.kind)) {
-				continue
-			}
-			if best == nil || x.free.Share(partition.CapacityOf(x.kind)) > best.free.Share(partition.CapacityOf(best.kind)) {
-				best = x
-			}
-		}
-		if best == nil {
+		x := c.find.nearest(now, j, l, taken)
+		if x == nil {
 			return
 		}
-		taken[best] = true
-		best.free = partition.Need{CPUs: -1, GPUs: -1, MemoryGB: -1}
+		taken[x] = true
+		c.setFree(x, partition.Need{CPUs: -1, GPUs: -1, MemoryGB: -1})
 	}
 }
 
@@ -287,7 +204,7 @@
 		p.attempts = max(p.attempts, a)
 	}
 	if !c.machines.Grant(now, ps) {
-		c.due = true // the partition knows better; ask again with what it says
+		c.due, c.roster.wrong = true, true // the partition knows better; ask again with what it says
 		return
 	}
 	for _, pl := range ps {
@@ -296,6 +213,7 @@
 		j.places[t] = pl
 		j.touch(t, now)
 		j.granted = append(j.granted, pl)
+		j.queues.addFetching(j)
 		if m := c.machines.Machine(pl.Machine); m.Reserved == j.spec.ID {
 			m.Reserved = ""
 		}
--- a/internal/coordination/scheduler/bench_test.go
+++ b/internal/coordination/scheduler/bench_test.go
@@ -29,6 +29,8 @@
 	token map[string]uint64
 	zone  map[string]string
 	spot  map[string]bool
+	// onEffect, if set, sees every effect.
+	onEffect func(Effect)
 }
 
 func newBench(teams []config.Team, zones ...string) *bench {
@@ -43,8 +45,17 @@
 		tasks: map[string]map[protocol.TaskID]protocol.TaskReport{}, token: map[string]uint64{}, zone: map[string]string{}, spot: map[string]bool{}}
 }
 
+// setObjectives replaces the aims.
+func (b *bench) setObjectives(objectives []config.Objective) {
+	b.c.cfg.Objectives = objectives
+	b.c.waitAims = waitAimsOf(objectives)
+}
+
 func (b *bench) do(e Event) {
 	for _, out := range b.c.Step(b.now, e) {
+		if b.onEffect != nil {
+			b.onEffect(out)
+		}
 		switch o := out.(type) {
 		case Write:
 			b.rev++
@@ -82,8 +93,8 @@
 	b.seq[name]++
 	r := &protocol.Report{Machine: name, Addr: "x", Type: "g8", Zone: b.zone[name], Spot: b.spot[name], Session: 1,
 		Seq: b.seq[name], Token: b.token[name]}
-	for _, t := range b.tasks[name] {
-		r.Tasks = append(r.Tasks, t)
+	for _, id := range sortedIDs(b.tasks[name]) {
+		r.Tasks = append(r.Tasks, b.tasks[name][id])
 	}
 	return r
 }
--- a/internal/coordination/scheduler/borrow.go
+++ b/internal/coordination/scheduler/borrow.go
@@ -23,23 +23,19 @@
 
 // awaitsLoan says whether room that a job was lent is about to come free. Backfill would take
 // what it has meanwhile, only to be stopped for it at once.
-func (c *Core) awaitsLoan(now time.Duration, j *job, cands []*candidate) bool {
+func (c *Core) awaitsLoan(now time.Duration, j *job) bool {
 	if !c.mayBorrow(j) {
 		return false
 	}
-	return slices.ContainsFunc(cands, func(x *candidate) bool { return x.m.ReservedFor(now, j.spec.ID) })
+	return len(c.reservedFor(now, j)) > 0
 }
 
 // borrow finds room for up to n tasks of a job that lost them with a zone. What is to be
 // stopped for it is recorded first: should we end in between, the next leader finds who
 // was to lend to whom. It says whether that is how the job gets room: not when no further
 // loan can be recorded.
-func (c *Core) borrow(now time.Duration, j *job, cands []*candidate, l *limits, n int) bool {
-	for _, x := range cands {
-		if x.m.ReservedFor(now, j.spec.ID) {
-			n-- // lent already, and not yet free
-		}
-	}
+func (c *Core) borrow(now time.Duration, j *job, l *limits, n int) bool {
+	n -= len(c.reservedFor(now, j)) // lent already, and not yet free
 	if n <= 0 {
 		return true
 	}
@@ -50,6 +46,7 @@
 	if l.zone != "" {
 		request.PerZone = map[string]int{l.zone: request.PerZone[l.zone]}
 	}
+	cands := c.candidates(now)
 	k := c.marketOf(now, cands)
 	choice := k.choose(j, request, func(x *candidate) bool {
 		return c.fits(now, j, x, l) && !x.m.ReservedFor(now, j.spec.ID)
@@ -62,7 +59,7 @@
 		c.log.Info("no loan", "job", j.spec.ID, "err", err)
 		return false
 	}
-	c.reserve(now, j, cands, l, choice)
+	c.reserveChoice(now, j, cands, l, choice)
 	return true
 }
 
@@ -79,8 +76,8 @@
 	return z.searched <= c.searches()
 }
 
-// reserve keeps the machines of a choice for the job until the lenders have left.
-func (c *Core) reserve(now time.Duration, j *job, cands []*candidate, l *limits, choice zones.Choice) {
+// reserveChoice keeps the machines of a choice for the job until the lenders have left.
+func (c *Core) reserveChoice(now time.Duration, j *job, cands []*candidate, l *limits, choice zones.Choice) {
 	save := 0.0
 	for _, task := range choice.Lenders {
 		save = max(save, c.jobs[task.Job].spec.SaveS+c.cfg.Workers.GangPeerS)
@@ -89,9 +86,8 @@
 		if !slices.ContainsFunc(choice.Picks, func(p zones.Pick) bool { return p.Machine == x.m.Name }) {
 			continue
 		}
-		x.taken = true
+		c.setTaken(x)
 		l.perZone[x.m.Zone]++
-		x.m.Reserved = j.spec.ID
-		x.m.ReservedUntil = now + config.Seconds(save+3*c.cfg.Workers.ReportS) + 2*Cycle
+		c.reserve(x.m, j, now+config.Seconds(save+3*c.cfg.Workers.ReportS)+2*Cycle)
 	}
 }
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -35,6 +35,23 @@
 	machines *partition.Partition
 	fleet    *fleet.Fleet
 	jobs     map[string]*job
+	queues   *jobQueues
+	teams    map[string]*config.Team
+	waitAims map[string]float64 // by class, in seconds
+	roster   roster
+	find     finder
+	// roomEvents counts what may have made room within a cycle.
+	roomEvents uint64
+	// preemptionLeft is what searches for work to stop may still cost in this cycle,
+	// preemptionRound counts the rounds in which every waiting job has one, and preemptFrom is
+	// where the next search of a large fleet begins.
+	preemptionLeft  int
+	preemptionRound uint64
+	preemptFrom     string
+	noVictims       map[kind]uint64
+	preemptionLooks int    // what preemptionLeft begins with
+	looks           uint64 // machines that searches have looked at
+	lightFrom       string // where the next look for machines to empty begins
 	// withdrawn holds the jobs that users may have been told are cancelled, until the
 	// state service tells, by when one must have been told.
 	withdrawn map[string]time.Duration
@@ -82,6 +99,11 @@
 		arrivals: map[string][]time.Duration{}, sample: map[string]*protocol.Job{}, sizes: map[string]float64{},
 		counted: map[string]float64{}, prior: map[string]float64{}, warm: map[string]string{}, lastWarm: now,
 	}
+	c.queues, c.roster, c.find, c.preemptionRound, c.preemptionLooks = newJobQueues(), newRoster(), indexFinder{c}, 1, preemptionLooks
+	c.teams, c.waitAims = map[string]*config.Team{}, waitAimsOf(cfg.Objectives)
+	for i := range cfg.Teams {
+		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
+	}
 	c.machines.SetTypes(rec.Types)
 	c.recoverWarm(rec.Warm)
 	for _, p := range rec.Live {
@@ -226,29 +248,46 @@
 	full := now-c.lastPlan >= Cycle
 	if full || c.due && now-c.lastCycle >= Eager*time.Duration(1+len(c.jobs)/crowd) {
 		c.lastCycle, c.due = now, false
-		jobs := c.sorted()
-		if full {
-			c.watchZones(now, jobs)
+		if full && c.returning != nil {
+			c.watchZones(now, c.sorted())
 		}
-		c.sortForReturn(jobs)
 		c.stopOnNotice(now)
-		c.schedule(now, jobs)
-		for _, j := range jobs {
-			if c.writeDue(now, j) {
-				c.write(now, j)
-			}
-		}
+		c.schedule(now)
+		c.writeAll(now)
 		if full {
-			c.lastPlan = now
-			units := c.demand(now, jobs)
-			for _, e := range c.fleet.Plan(now, c.machines, units) {
-				c.emit(Fleet{e})
-			}
-			c.logFleet(now, units)
-			c.checkReach(now)
-			c.writeWarm(now)
+			c.plan(now)
 		}
 		c.writeZoneReturn(now)
 	}
 	c.send(now)
 }
+
+// plan has the fleet rent and return machines, and does what else is due once a second.
+func (c *Core) plan(now time.Duration) {
+	c.lastPlan = now
+	c.audit(now)
+	units := c.demand(now)
+	for _, e := range c.fleet.Plan(now, c.machines, units) {
+		c.emit(Fleet{e})
+	}
+	c.logFleet(now, units)
+	c.checkReach(now)
+	c.writeWarm(now)
+}
+
+// writeAll writes the pages that are due.
+func (c *Core) writeAll(now time.Duration) {
+	var due []*job
+	c.queues.dirtyJobs.Scan(func(j *job) bool {
+		due = append(due, j)
+		return true
+	})
+	c.sortForReturn(due)
+	for _, j := range due {
+		if len(j.granted) == 0 && len(j.dirtyPages()) == 0 {
+			c.queues.dirtyJobs.Delete(j)
+		} else if c.writeDue(now, j) {
+			c.write(now, j)
+		}
+	}
+}
--- a/internal/coordination/scheduler/demand.go
+++ b/internal/coordination/scheduler/demand.go
@@ -14,8 +14,15 @@
 
 // demand lists the room that is wanted: for tasks that wait, and then for the
 // jobs that are likely to come before a machine rented now would be up.
-func (c *Core) demand(now time.Duration, jobs []*job) []fleet.Unit {
+func (c *Core) demand(now time.Duration) []fleet.Unit {
 	var units []fleet.Unit
+	var jobs []*job
+	c.queues.pendingJobs.Scan(func(j *job) bool {
+		jobs = append(jobs, j)
+		return true
+	})
+	c.sortForReturn(jobs)
+	zones := map[zoneQuestion]string{}
 	for _, j := range jobs {
 		n := min(j.counts[pending], c.allowance(j))
 		if n == 0 || c.held(j) {
@@ -33,7 +40,7 @@
 		}
 		l := c.limits(j)
 		if j.spec.SameZone && l.zone == "" && n > 1 {
-			l.zone = c.likelyZone(now, j)
+			l.zone = c.likelyZone(now, j, zones)
 		}
 		if !j.spec.Spread || l.zone != "" {
 			units = append(units, fleet.Unit{Job: &j.spec, Zone: l.zone, Count: n, Avoid: j.avoids()})
@@ -48,10 +55,29 @@
 	return append(units, c.spareNow...)
 }
 
-// likelyZone picks the zone in which room for a job that must be in one is
-// gathered. Without it, machines in several zones could look like enough room
+// zoneQuestion is what the choice of a zone depends on.
+type zoneQuestion struct {
+	need        partition.Need
+	types, zone string
+	tasks       int
+	spot        bool
+}
+
+// likelyZone picks the zone in which room for a job that must be in one is gathered, and
+// remembers it for its like. Without it, machines in several zones could look like enough room
 // while no zone has it, and the job would wait for ever.
-func (c *Core) likelyZone(now time.Duration, j *job) string {
+func (c *Core) likelyZone(now time.Duration, j *job, known map[zoneQuestion]string) string {
+	q := zoneQuestion{j.need, j.types, j.spec.Zone, j.spec.Tasks, j.spec.Spot}
+	zone, ok := known[q]
+	if !ok {
+		zone = c.roomiestZone(now, j)
+		known[q] = zone
+	}
+	return zone
+}
+
+// roomiestZone returns the zone with room for most of a job's tasks, there or to be rented.
+func (c *Core) roomiestZone(now time.Duration, j *job) string {
 	room := map[string]int{}
 	c.machines.Each(func(m *partition.Machine) {
 		t := c.machines.Type(m.Type)
--- /dev/null
+++ b/internal/coordination/scheduler/index_rules_test.go
@@ -0,0 +1,178 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/machineindex"
+	"pinebay/internal/coordination/partition"
+	"pinebay/internal/protocol"
+)
+
+// indexErrors counts the machines of which the roster says something else than the books.
+func (b *bench) indexErrors() (wrong int) {
+	b.c.machines.Each(func(m *partition.Machine) {
+		x := b.c.roster.byMachine[m]
+		open := b.c.machines.Open(b.now, m)
+		switch {
+		case x == nil || open && !b.c.roster.index.Has(x.entry):
+			wrong++
+		case open && x.free != b.c.machines.Free(m):
+			wrong++
+		}
+	})
+	return wrong
+}
+
+// TestBrokenIndex breaks the index on purpose: machines have room in it that they don't have, are
+// missing, or stand in a wrong zone. No machine gets more than it holds, no job leaves its zone, and
+// the index is right again soon, by refused grants or by the audit.
+func TestBrokenIndex(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const machines = 12
+		b := newBench([]config.Team{{Name: "red"}, {Name: "blue"}}, "a", "b")
+		for i := range machines {
+			b.machine(fmt.Sprintf("m%02d", i), []string{"a", "b"}[i%2], false)
+		}
+		b.cycle()
+		for i := range rapid.IntRange(1, 10).Draw(t, "jobs") {
+			j := spec(fmt.Sprintf("j-%d", i), rapid.SampledFrom([]protocol.Shape{protocol.Array, protocol.Gang}).Draw(t, "shape"), "normal", 4, 2)
+			j.Team, j.Zone = rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team"), rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "zone")
+			b.job(j)
+		}
+		b.cycle()
+		b.settle()
+		for _, x := range b.c.roster.byMachine {
+			switch rapid.IntRange(0, 3).Draw(t, "break") {
+			case 0:
+				b.c.roster.index.Remove(x.entry)
+			case 1:
+				x.free = partition.Need{CPUs: 1000, GPUs: 1000, MemoryGB: 1000}
+				b.c.enter(x)
+			case 2:
+				b.c.roster.index.Put(x.entry, machineindex.Pool{Type: "g8", Zone: "elsewhere"}, partition.CapacityOf(x.kind), x.free)
+			}
+		}
+		for i := range 6 {
+			j := spec(fmt.Sprintf("j-after%d", i), protocol.Array, "normal", 4, 2)
+			j.Zone = "a"
+			b.job(j)
+			b.cycle()
+			b.settle()
+			b.checkRoom(t)
+		}
+		for range machines + 2 {
+			b.cycle()
+			b.settle()
+		}
+		b.checkRoom(t)
+		b.c.beginCycle(b.now) // with what has been reported since the last
+		if n := b.indexErrors(); n > 0 {
+			t.Errorf("the index is wrong about %d machines", n)
+		}
+	})
+}
+
+// checkRoom demands that no machine runs more than it holds, and nothing outside its zone.
+func (b *bench) checkRoom(t *rapid.T) {
+	for name, tasks := range b.tasks {
+		gpus := 0.0
+		for id, task := range tasks {
+			if task.State == protocol.Exited {
+				continue
+			}
+			j := b.c.jobs[id.Job]
+			gpus += j.spec.GPUs
+			if j.spec.Zone != "" && j.spec.Zone != b.zone[name] {
+				t.Fatalf("%s runs in zone %s", id, b.zone[name])
+			}
+		}
+		if gpus > 8 {
+			t.Fatalf("%s runs tasks of %v GPUs", name, gpus)
+		}
+	}
+}
+
+// TestIndexFollowsTheBooks: after machines came, fell silent, returned in another session or were
+// lost, after types changed, and after a take-over, the index agrees with the books.
+func TestIndexFollowsTheBooks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newTwins(t, rapid.Uint64().Draw(t, "seed"), []config.Team{{Name: "red"}, {Name: "blue"}, {Name: "green"}}, nil, false)
+		for range 8 {
+			w.machine()
+		}
+		for range rapid.IntRange(5, 30).Draw(t, "steps") {
+			w.step()
+		}
+		if rapid.Bool().Draw(t, "types change") {
+			for _, b := range w.pair {
+				changed := *b.c.machines.Type("g8")
+				changed.CPUs *= 2
+				b.do(Types{Types: []protocol.MachineType{changed}})
+			}
+		}
+		if rapid.Bool().Draw(t, "old report") {
+			w.both("a copy of an old report", func(b *bench) {
+				r := b.report(w.names[0])
+				r.Seq = 1
+				b.do(Reported{Tag: w.names[0], Report: r})
+			})
+		}
+		b := w.pair[0]
+		b.c.beginCycle(b.now)
+		if n := b.indexErrors(); n > 0 {
+			t.Errorf("the index is wrong about %d of %d machines", n, b.c.machines.Len())
+		}
+	})
+}
+
+// TestLooksOfAStart: how many machines are looked at for a start does not grow with the fleet, and a
+// cycle in which nothing can be placed looks at none again and again.
+func TestLooksOfAStart(t *testing.T) {
+	const mostPerStart, mostPerWaiting = 80, 4
+	for _, machines := range []int{200, 2000, 6000} {
+		b := newFleetBench(machines, 50, 0)
+		b.fill(50, standing)
+		b.reportAll()
+		b.c.looks, b.started = 0, 0
+		for range 10 {
+			b.submit(protocol.Array, b.rng.IntN(50), 64, "normal")
+			b.pass(Eager)
+		}
+		b.pass(Cycle)
+		if b.started != 640 || b.c.looks > uint64(mostPerStart*b.started) {
+			t.Errorf("%d machines: %d looks for %d starts", machines, b.c.looks, b.started)
+		}
+		t.Logf("%d machines: %.1f looks a start", machines, float64(b.c.looks)/float64(b.started))
+	}
+	b := overload(200, 50, 500)
+	b.c.looks = 0
+	b.pass(Cycle)
+	if most := uint64(mostPerWaiting * 500); b.c.looks > most {
+		t.Errorf("%d looks in a cycle in which 500 jobs wait, want %d at most", b.c.looks, most)
+	}
+}
+
+// TestAllocationsOfAQuietCycle: a cycle without news allocates as much for many machines as for
+// few, and a quiet second no more than what the fleet's list of rooms takes.
+func TestAllocationsOfAQuietCycle(t *testing.T) {
+	const most = 150
+	for _, machines := range []int{200, 4000} {
+		b := newFleetBench(machines, 50, 0)
+		b.fill(50, standing)
+		b.reportAll()
+		b.pass(Cycle)
+		allocations := testing.AllocsPerRun(20, func() {
+			b.c.due = true
+			b.c.lastCycle = b.now - Cycle
+			b.c.Step(b.now, Tick{})
+		})
+		t.Logf("%d machines: %.0f allocations", machines, allocations)
+		if allocations > most {
+			t.Errorf("%d machines: %.0f allocations in a cycle without news, want %d at most", machines, allocations, most)
+		}
+	}
+}
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -6,6 +6,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"pinebay/internal/coordination/partition"
@@ -27,6 +28,7 @@
 	spec  protocol.Job
 	need  partition.Need
 	rank  int
+	types string // the allowed types, in one word
 	stamp uint64 // version of its live record; 0 once it is over
 	atMS  int64
 	known time.Duration // when it was submitted, by this leader's clock
@@ -56,6 +58,12 @@
 	displacedFrom string
 	// searchAgain is when room outside a lost zone is looked for again, after none was found.
 	searchAgain time.Duration
+
+	// reserved are the machines on which room was cleared for it, as far as known.
+	reserved map[*partition.Machine]bool
+	// preemptionRound and preemptionCycle are when work to stop was last looked for.
+	preemptionRound, preemptionCycle uint64
+	queues                           *jobQueues // nil until it is in some
 }
 
 // page is a run of tasks that share a record.
@@ -69,7 +77,7 @@
 
 func newJob(spec protocol.Job, stamp uint64, atMS int64, now time.Duration, perPage int) *job {
 	return &job{
-		spec: spec, need: partition.NeedOf(&spec), rank: spec.Priority.Rank(), stamp: stamp, atMS: atMS, known: now,
+		spec: spec, need: partition.NeedOf(&spec), rank: spec.Priority.Rank(), types: strings.Join(spec.Types, " "), stamp: stamp, atMS: atMS, known: now,
 		tasks: make([]taskState, spec.Tasks), counts: [3]int{spec.Tasks, 0, 0},
 		places: map[int]*partition.Placement{}, ran: map[int]bool{}, pages: map[int]*page{}, perPage: perPage, failedOn: map[string]bool{},
 	}
@@ -79,12 +87,16 @@
 	if task < 0 || task >= len(j.tasks) {
 		return
 	}
+	waited := j.counts[pending] > 0
 	j.counts[j.tasks[task]]--
 	j.counts[s]++
 	j.tasks[task] = s
 	if s == pending && task < j.low {
 		j.low = task
 	}
+	if waited != (j.counts[pending] > 0) {
+		j.queues.update(j)
+	}
 }
 
 // nextPending returns the first pending task from the given one on, or -1.
@@ -116,6 +128,7 @@
 	if !p.dirty {
 		p.dirty, p.dirtyAt = true, now
 	}
+	j.queues.addDirty(j)
 }
 
 // attempt returns the next attempt number of a task; those of a gang agree.
--- a/internal/coordination/scheduler/large_test.go
+++ b/internal/coordination/scheduler/large_test.go
@@ -11,10 +11,10 @@
 // largeBench is a fleet of n machines that are nearly full, with jobs that wait.
 func largeBench(n int) *bench {
 	b := newBench([]config.Team{{Name: "red"}}, "a", "b")
-	b.c.cfg.Objectives = []config.Objective{
+	b.setObjectives([]config.Objective{
 		{Kind: "wait", Class: "serve", WithinS: 0.5, Share: 0.9}, {Kind: "wait", Class: "big", WithinS: 20, Share: 0.9},
 		{Kind: "finished", Class: "sweep", WithinS: 100, Share: 0.9},
-	}
+	})
 	zones := []string{"a", "b"}
 	for i := range n {
 		b.machine(fmt.Sprintf("m%04d", i), zones[i%2], i%5 == 0)
--- a/internal/coordination/scheduler/lifecycle.go
+++ b/internal/coordination/scheduler/lifecycle.go
@@ -21,6 +21,7 @@
 	}
 	j := newJob(rec.Job, stamp, rec.AtMS, since, c.perPage)
 	c.jobs[id] = j
+	c.enqueue(j)
 	class := rec.Job.Class
 	c.arrivals[class] = append(c.arrivals[class], since)
 	c.sample[class] = &j.spec
@@ -164,6 +165,7 @@
 
 // stop asks a placement to end, and takes in when that needs no proof.
 func (c *Core) stop(now time.Duration, j *job, pl *partition.Placement, graceS float64) {
+	c.roomEvents++
 	if c.machines.Stop(now, pl, graceS) && !pl.Written && j.writing {
 		// Its record may be written at this moment; it names a placement that
 		// was never started, which a later write replaces.
@@ -185,6 +187,7 @@
 // end takes in that a job is over.
 func (c *Core) end(now time.Duration, j *job) {
 	j.over, j.stamp = true, 0
+	c.queues.update(j)
 	c.due = true
 	if j.counts[done] < len(j.tasks) {
 		c.setFencingDeadline(j, c.fencingDeadline(now))
@@ -195,10 +198,7 @@
 // stopOnNotice takes work off machines that the cloud is about to take away: saved
 // if that can be done in time.
 func (c *Core) stopOnNotice(now time.Duration) {
-	c.machines.Each(func(m *partition.Machine) {
-		if !m.Notice {
-			return
-		}
+	c.machines.Noticed(func(m *partition.Machine) {
 		m.Placements(func(pl *partition.Placement) {
 			if !pl.Stopping {
 				c.stopOrderly(now, pl, math.MaxInt64)
--- a/internal/coordination/scheduler/market.go
+++ b/internal/coordination/scheduler/market.go
@@ -29,6 +29,7 @@
 
 // newMarket returns the room on all machines of zones that are available.
 func (c *Core) newMarket(now time.Duration) *market {
+	c.beginCycle(now)
 	return c.marketOf(now, c.candidates(now))
 }
 
@@ -105,7 +106,7 @@
 // protected says whether a placement runs within its team's guarantee, given what of the
 // team leaves already.
 func (k *market) protected(pl *partition.Placement) bool {
-	return withinGuarantee(k.core.cfg.Team(pl.Team), k.teamUsage(pl.Team))
+	return withinGuarantee(k.core.team(pl.Team), k.teamUsage(pl.Team))
 }
 
 func (k *market) teamUsage(team string) partition.Need {
@@ -185,7 +186,7 @@
 			if !ok {
 				used = k.teamUsage(pl.Team)
 			}
-			if withinGuarantee(k.core.cfg.Team(pl.Team), used) {
+			if withinGuarantee(k.core.team(pl.Team), used) {
 				return true
 			}
 			usage[pl.Team] = used.Minus(pl.Need)
--- a/internal/coordination/scheduler/move.go
+++ b/internal/coordination/scheduler/move.go
@@ -22,22 +22,14 @@
 // replica away for a moment, while a machine held by one small replica is paid
 // for as long as it lives. The old attempt is proven gone before the new one
 // starts, as always.
-func (c *Core) consolidate(now time.Duration, cands []*candidate) {
+func (c *Core) consolidate(now time.Duration) {
 	if now-c.lastMove < movePause {
 		return
 	}
-	var light []*candidate
-	for _, x := range cands {
-		if c.movable(now, x) {
-			light = append(light, x)
-		}
-	}
-	share := func(x *candidate) float64 {
-		return partition.CapacityOf(x.kind).Minus(c.machines.Free(x.m)).Share(partition.CapacityOf(x.kind))
-	}
-	sort.SliceStable(light, func(a, b int) bool { return share(light[a]) < share(light[b]) })
+	light := c.lightMachines(now)
+	sort.SliceStable(light, func(a, b int) bool { return c.usedShare(light[a]) < c.usedShare(light[b]) })
 	for _, x := range light {
-		if !c.fitsElsewhere(now, x, cands, share) {
+		if !c.fitsElsewhere(now, x) {
 			continue
 		}
 		c.lastMove = now
@@ -51,6 +43,31 @@
 	}
 }
 
+// usedShare is the part of a machine that is in use.
+func (c *Core) usedShare(x *candidate) float64 {
+	capacity := partition.CapacityOf(x.kind)
+	return capacity.Minus(c.machines.Free(x.m)).Share(capacity)
+}
+
+// lightMachines lists machines that could be emptied. In a large fleet it looks at a part of
+// the machines, and the next time at the next.
+func (c *Core) lightMachines(now time.Duration) (light []*candidate) {
+	left := maxLooks
+	from := c.lightFrom
+	c.lightFrom = ""
+	c.machines.EachFrom(from, func(m *partition.Machine) bool {
+		if left--; left < 0 {
+			c.lightFrom = m.Name
+			return false
+		}
+		if x := c.candidateOf(now, m); x != nil && c.movable(now, x) {
+			light = append(light, x)
+		}
+		return true
+	})
+	return light
+}
+
 func (c *Core) placementsOn(m *partition.Machine) (out []*partition.Placement) {
 	m.Placements(func(pl *partition.Placement) { out = append(out, pl) })
 	sort.Slice(out, func(a, b int) bool { return out[a].Task.String() < out[b].Task.String() })
@@ -70,26 +87,15 @@
 			ok = false
 		}
 	})
-	cap := partition.CapacityOf(x.kind)
-	return ok && cap.Minus(c.machines.Free(x.m)).Share(cap) <= 0.5
+	return ok && c.usedShare(x) <= 0.5
 }
 
 // fitsElsewhere says whether all that a machine holds fits on machines that
 // are fuller, have the images and are in the same zone.
-func (c *Core) fitsElsewhere(now time.Duration, x *candidate, cands []*candidate, share func(*candidate) float64) bool {
+func (c *Core) fitsElsewhere(now time.Duration, x *candidate) bool {
 	taken := map[*candidate]partition.Need{}
 	for _, pl := range c.placementsOn(x.m) {
-		var best *candidate
-		for _, y := range cands {
-			if y == x || y.m.Zone != x.m.Zone || y.m.Spot || !y.kind.Allows(pl.Job) || share(y) < share(x) || y.m.Count() == 0 ||
-				y.m.HasAttempt(pl.Task) || len(y.m.Errors) > 0 || c.machines.Warm(now, y.m, pl.Job) > 0 ||
-				c.reserved(now, y.m, "") || !pl.Need.Fits(y.free.Minus(taken[y])) {
-				continue
-			}
-			if best == nil || share(y) > share(best) {
-				best = y
-			}
-		}
+		best := c.fuller(now, x, pl, taken)
 		if best == nil {
 			return false
 		}
@@ -98,17 +104,72 @@
 	return true
 }
 
+// fuller returns the fullest machine that a placement could move to, or nil.
+func (c *Core) fuller(now time.Duration, x *candidate, pl *partition.Placement, taken map[*candidate]partition.Need) (best *candidate) {
+	set := c.machines.WithImage(pl.Job.Image)
+	if set == nil {
+		return nil
+	}
+	looks := 0
+	set.Scan(func(m *partition.Machine) bool {
+		if looks++; looks > maxLooks {
+			return false
+		}
+		y := c.candidateOf(now, m)
+		if y == nil || y == x || m.Zone != x.m.Zone || m.Spot || !y.kind.Allows(pl.Job) || c.usedShare(y) < c.usedShare(x) || m.Count() == 0 ||
+			m.HasAttempt(pl.Task) || len(m.Errors) > 0 || c.machines.Warm(now, m, pl.Job) > 0 ||
+			c.reserved(now, m, "") || !pl.Need.Fits(y.free.Minus(taken[y])) {
+			return true
+		}
+		if best == nil || c.usedShare(y) > c.usedShare(best) {
+			best = y
+		}
+		return true
+	})
+	return best
+}
+
+// rewarmAll has a look at the jobs of which tasks may still fetch their image.
+func (c *Core) rewarmAll(now time.Duration) {
+	var jobs []*job
+	c.queues.fetchingJobs.Scan(func(j *job) bool {
+		jobs = append(jobs, j)
+		return true
+	})
+	c.sortForReturn(jobs)
+	for _, j := range jobs {
+		if !c.mayRewarm(j) || !fetches(j) {
+			c.queues.fetchingJobs.Delete(j)
+			continue
+		}
+		c.rewarm(now, j)
+	}
+}
+
+// mayRewarm says whether tasks of a job are ever moved to a machine with its image. Those of a
+// gang wait for the slowest, and would have to move together.
+func (c *Core) mayRewarm(j *job) bool {
+	return !j.over && !math.IsInf(c.waitAim(j.spec.Class), 1) && (j.spec.Shape != protocol.Gang || j.spec.Tasks == 1)
+}
+
+// fetches says whether a task of the job may still fetch its image.
+func fetches(j *job) bool {
+	for _, pl := range j.places {
+		if !pl.Seen || pl.State == protocol.Fetching {
+			return true
+		}
+	}
+	return false
+}
+
 // rewarm moves tasks that still fetch their image to a machine that has it and
 // has come free meanwhile. Fetches take up to a third longer than the type
 // says, and for large images that is longer than some aims on waiting; a task
 // that has not started loses nothing by the move.
-func (c *Core) rewarm(now time.Duration, j *job, cands []*candidate) {
-	if c.held(j) || j.writing || j.counts[pending] > 0 || len(j.places) == 0 || math.IsInf(c.waitAim(j.spec.Class), 1) {
+func (c *Core) rewarm(now time.Duration, j *job) {
+	if c.held(j) || j.writing || j.counts[pending] > 0 {
 		return
 	}
-	if j.spec.Shape == protocol.Gang && j.spec.Tasks > 1 {
-		return // its tasks wait for the slowest, and would have to move together
-	}
 	for _, pl := range placements(j) {
 		m := c.machines.Machine(pl.Machine)
 		if m == nil || !pl.Seen || pl.Stopping || pl.State != protocol.Fetching ||
@@ -120,19 +181,15 @@
 		if len(j.places) == 1 {
 			l.zone = j.spec.Zone
 		}
-		var best *candidate
-		for _, x := range cands {
-			if x.m != m && c.fits(now, j, x, l) && c.machines.Warm(now, x.m, &j.spec) == 0 && j.need.Fits(c.room(x, j)) &&
-				!x.m.HasAttempt(pl.Task) && len(x.m.Errors) == 0 && (best == nil || c.score(now, j, x, l) < c.score(now, j, best, l)) {
-				best = x
-			}
-		}
+		best := c.find.withImage(now, j, l, func(x *candidate) bool {
+			return x.m != m && c.fits(now, j, x, l) && j.need.Fits(c.room(x, j)) && !x.m.HasAttempt(pl.Task) && len(x.m.Errors) == 0
+		})
 		if best == nil {
 			continue
 		}
 		c.log.Info("moving to a machine with the image", "task", pl.Task, "from", pl.Machine, "to", best.m.Name)
-		best.free = best.free.Minus(j.need)
-		best.m.Reserved, best.m.ReservedUntil = j.spec.ID, now+config.Seconds(2*c.cfg.Workers.ReportS)
+		c.setFree(best, best.free.Minus(j.need))
+		c.reserve(best.m, j, now+config.Seconds(2*c.cfg.Workers.ReportS))
 		c.stop(now, j, pl, 0)
 		return
 	}
--- a/internal/coordination/scheduler/preempt.go
+++ b/internal/coordination/scheduler/preempt.go
@@ -15,7 +15,7 @@
 // last longer than the class's aim on waiting. It clears such room of work
 // that is at least two steps lower in priority. Free room is no reason to make
 // a critical replica wait for a fetch of most of a minute.
-func (c *Core) displace(now time.Duration, j *job, task int, x *candidate, cands []*candidate, l *limits) bool {
+func (c *Core) displace(now time.Duration, j *job, task int, x *candidate, l *limits) bool {
 	within := c.waitAim(j.spec.Class)
 	if math.IsInf(within, 1) || c.mayBorrow(j) {
 		return false
@@ -27,72 +27,88 @@
 	if left <= 0 || c.machines.WarmWithout(now, x.m, &j.spec, c.fetchesYield(j)) <= left {
 		return false
 	}
-	for _, y := range cands {
+	for _, y := range c.reservedFor(now, j) {
 		// Room that is free by now is no longer waited for: had it been the
 		// better one, the task would have got it.
-		if y.m.ReservedFor(now, j.spec.ID) && !y.taken && l.allow(y.m.Zone) && !j.need.Fits(y.free) {
-			y.taken = true // being cleared for one task of the job already
+		if !y.taken && l.allow(y.m.Zone) && !j.need.Fits(y.free) {
+			c.setTaken(y) // being cleared for one task of the job already
 			l.perZone[y.m.Zone]++
 			return true
 		}
 	}
-	return c.clear(now, j, cands, l, left, j.rank+2)
+	return c.clear(now, j, l, left, j.rank+2)
 }
 
 // preempt stops work of lower priority to make room for up to n tasks, on the
 // machines where least is lost, and reserves the room.
-func (c *Core) preempt(now time.Duration, j *job, cands []*candidate, l *limits, n int) {
-	if c.mayBorrow(j) && c.borrow(now, j, cands, l, n) {
+func (c *Core) preempt(now time.Duration, j *job, l *limits, n int) {
+	if c.mayBorrow(j) && c.borrow(now, j, l, n) {
 		return // its room comes by the ledger, or not at all
 	}
 	if j.short < 2 {
 		return
 	}
-	for _, x := range cands {
-		if x.m.ReservedFor(now, j.spec.ID) {
-			n-- // cleared already, and not yet free
-		}
+	n -= len(c.reservedFor(now, j)) // cleared already, and not yet free
+	for ; n > 0 && c.clear(now, j, l, math.MaxInt64, j.rank+1); n-- {
 	}
-	for ; n > 0 && c.clear(now, j, cands, l, math.MaxInt64, j.rank+1); n-- {
+}
+
+// beginPreemption gives the cycle its share of searches for work to stop.
+func (c *Core) beginPreemption() {
+	c.preemptionLeft = c.preemptionLooks
+	c.noVictims = map[kind]uint64{}
+}
+
+// endPreemption begins a new round of searches if all that waited have had theirs.
+func (c *Core) endPreemption() {
+	if c.preemptionLeft > 0 {
+		c.preemptionRound++
 	}
 }
 
+// maySearchVictims says whether work to stop may be looked for now. When the searches of a
+// cycle are used up, the jobs that had theirs in this round wait until the others have had one.
+func (c *Core) maySearchVictims(j *job, k kind) bool {
+	if at, ok := c.noVictims[k]; ok && at == c.roomEvents {
+		return false // none was found for its like, and no room has come up since
+	}
+	if c.preemptionLeft <= 0 {
+		return false
+	}
+	if j.preemptionRound == c.preemptionRound && j.preemptionCycle != c.cycles {
+		return false // it had its turn in an earlier cycle of the round
+	}
+	j.preemptionRound, j.preemptionCycle = c.preemptionRound, c.cycles
+	return true
+}
+
 // clear makes room for one task on the machine where that costs least, among
 // those where the task could run within the given time, and reserves it. Only
 // work of at least the given rank leaves.
-func (c *Core) clear(now time.Duration, j *job, cands []*candidate, l *limits, within time.Duration, rank int) bool {
-	var best *candidate
-	var bestVictims []*partition.Placement
-	bestCost := math.Inf(1)
-	for _, x := range cands {
-		if !c.fits(now, j, x, l) || x.m.ReservedFor(now, j.spec.ID) || !j.need.Fits(partition.CapacityOf(x.kind)) {
-			continue
-		}
-		warm := c.machines.Warm(now, x.m, &j.spec)
-		if warm > within {
-			continue
-		}
-		victims, cost, ok := c.victims(now, j, x, rank)
-		cost += warm.Seconds()
-		if ok && cost < bestCost {
-			best, bestVictims, bestCost = x, victims, cost
-		}
+func (c *Core) clear(now time.Duration, j *job, l *limits, within time.Duration, rank int) bool {
+	k := j.kind()
+	k.victims = rank
+	if !c.maySearchVictims(j, k) {
+		return false
 	}
+	best, victims := c.find.cheapest(now, j, l, within, rank)
 	if best == nil {
+		if within == math.MaxInt64 && len(j.avoids()) == 0 && len(j.reserved) == 0 && !c.recovering() {
+			c.noVictims[k] = c.roomEvents
+		}
 		return false
 	}
 	wait := 0.0
 	patience := c.patience(now, j, c.machines.Warm(now, best.m, &j.spec))
-	for _, v := range bestVictims {
+	for _, v := range victims {
 		if !v.Stopping {
 			c.stopFor(now, v, j.spec.ID, patience)
 		}
 		wait = max(wait, v.GraceS)
 	}
-	best.taken = true
+	c.setTaken(best)
 	l.perZone[best.m.Zone]++
-	best.m.Reserved = j.spec.ID
-	best.m.ReservedUntil = now + config.Seconds(wait+3*c.cfg.Workers.ReportS) + Cycle
+	c.reserve(best.m, j, now+config.Seconds(wait+3*c.cfg.Workers.ReportS)+Cycle)
 	return true
 }
 
--- a/internal/coordination/scheduler/preempt_test.go
+++ b/internal/coordination/scheduler/preempt_test.go
@@ -20,7 +20,7 @@
 		stops      int
 	}{{"critical", 10, 60, 6, 1}, {"critical", 4, 60, 0, 1}, {"critical", 10, 4, 0, 1}, {"normal", 10, 60, 0, 0}} {
 		b := newBench([]config.Team{{Name: "red"}}, "a")
-		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: x.aim, Share: 0.9}}
+		b.setObjectives([]config.Objective{{Kind: "wait", Class: "quick", WithinS: x.aim, Share: 0.9}})
 		b.machine("m1", "a", false)
 		low := spec("j-1", protocol.Array, "normal", 1, 8)
 		low.CheckpointS, low.SaveS = x.checkpoint, 2
@@ -80,7 +80,7 @@
 // clearing, had used up the whole aim.
 func TestClearedRoomIsTaken(t *testing.T) {
 	b := newBench([]config.Team{{Name: "red"}}, "a")
-	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
+	b.setObjectives([]config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}})
 	b.machine("m1", "a", false)
 	low := spec("j-1", protocol.Gang, "urgent", 1, 8)
 	low.CheckpointS, low.SaveS = 30, 3
@@ -115,9 +115,9 @@
 		want   string
 	}{{5, "j-2"}, {25, "j-3"}, {70, "j-2"}} {
 		b := newBench([]config.Team{{Name: "red"}}, "a")
-		b.c.cfg.Objectives = []config.Objective{
+		b.setObjectives([]config.Objective{
 			{Kind: "wait", Class: "big", WithinS: 20, Share: 0.9}, {Kind: "finished", Class: "big", WithinS: 30, Share: 0.9},
-		}
+		})
 		gang := spec("j-1", protocol.Gang, "urgent", 1, 8)
 		gang.Class, gang.EstimateS = "big", 20
 		b.machine("m1", "a", false)
@@ -187,7 +187,7 @@
 // that want a whole one need.
 func TestColdReplicaLeavesRoomForTheNext(t *testing.T) {
 	b := newBench([]config.Team{{Name: "red"}}, "a")
-	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 1, Share: 0.9}}
+	b.setObjectives([]config.Objective{{Kind: "wait", Class: "quick", WithinS: 1, Share: 0.9}})
 	for i, gpus := range []float64{6, 3} {
 		name := fmt.Sprintf("m%d", i+1)
 		b.machine(name, "a", false)
@@ -220,7 +220,7 @@
 		stops int
 	}{{protocol.Fetching, "critical", 1}, {"", "critical", 0}, {protocol.TaskRunning, "critical", 0}, {protocol.Fetching, "urgent", 0}} {
 		b := newBench([]config.Team{{Name: "red"}}, "a")
-		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 40, Share: 0.9}}
+		b.setObjectives([]config.Objective{{Kind: "wait", Class: "quick", WithinS: 40, Share: 0.9}})
 		b.machine("m1", "a", false)
 		low := spec("j-1", protocol.Array, "normal", 1, 1)
 		low.Image, low.ImageGB = "low", 20
@@ -252,7 +252,7 @@
 		want string
 	}{{"critical", "m1"}, {"urgent", "m2"}} {
 		b := newBench([]config.Team{{Name: "red"}}, "a")
-		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
+		b.setObjectives([]config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}})
 		b.machine("m1", "a", false)
 		low := spec("j-2", protocol.Array, "normal", 1, 4)
 		low.CheckpointS, low.SaveS = 10, 2
@@ -288,7 +288,7 @@
 // only when one is seen past its fetch does the other join it.
 func TestFetchesThatTakeLongerAreNotSwapped(t *testing.T) {
 	b := newBench([]config.Team{{Name: "red"}}, "a")
-	b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "quick", WithinS: 40, Share: 0.9}}
+	b.setObjectives([]config.Objective{{Kind: "wait", Class: "quick", WithinS: 40, Share: 0.9}})
 	one, two := protocol.TaskID{Job: "j-1"}, protocol.TaskID{Job: "j-2"}
 	fetching := func(id protocol.TaskID) protocol.TaskReport {
 		return protocol.TaskReport{Name: id.String(), Attempt: 1, State: protocol.Fetching}
@@ -331,7 +331,7 @@
 
 func roomIsKept(t *testing.T, aims ...config.Objective) {
 	b := newBench([]config.Team{{Name: "red"}}, "a")
-	b.c.cfg.Objectives = append(aims, config.Objective{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9})
+	b.setObjectives(append(aims, config.Objective{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}))
 	b.machine("m1", "a", false)
 	quick := spec("j-1", protocol.Service, "normal", 1, 4)
 	quick.Class = "quick"
@@ -363,7 +363,7 @@
 		tasks  int // of the array that may start
 	}{{45, 0}, {65, 8}} {
 		b := newBench([]config.Team{{Name: "red"}}, "a")
-		b.c.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "big", WithinS: x.within, Share: 0.9}}
+		b.setObjectives([]config.Objective{{Kind: "wait", Class: "big", WithinS: x.within, Share: 0.9}})
 		b.machine("m1", "a", false)
 		gang := spec("j-1", protocol.Gang, "urgent", 1, 8)
 		gang.Class, gang.Image, gang.ImageGB = "big", "big", 40
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"strings"
 	"time"
 
 	"pinebay/internal/coordination/partition"
@@ -20,11 +19,12 @@
 	need                     partition.Need
 	rank, placed             int
 	same, spread, spot       bool
+	victims                  int // rank of the work that may leave, for searches for that
 }
 
 func (j *job) kind() kind {
 	return kind{
-		team: j.spec.Team, image: j.spec.Image, zone: j.spec.Zone, types: strings.Join(j.spec.Types, " "), need: j.need,
+		team: j.spec.Team, image: j.spec.Image, zone: j.spec.Zone, types: j.types, need: j.need,
 		rank: j.rank, placed: len(j.places), same: j.spec.SameZone, spread: j.spec.Spread, spot: j.spec.Spot,
 	}
 }
--- a/internal/coordination/scheduler/records.go
+++ b/internal/coordination/scheduler/records.go
@@ -23,6 +23,7 @@
 			MemoryGB: rec.MemoryGB, Priority: "best_effort"}, 0, 0, now, c.perPage)
 		j.over = true
 		c.jobs[id] = j
+		c.enqueue(j)
 	}
 	if more := (n+1)*c.perPage - len(j.tasks); j.over && more > 0 {
 		j.tasks = append(j.tasks, make([]taskState, more)...)
@@ -49,6 +50,7 @@
 		}
 		c.machines.Adopt(now, np)
 	}
+	j.queues.addFetching(j)
 }
 
 // finish records that all tasks are done. The job's end moves it from its
@@ -148,6 +150,7 @@
 	}
 	if len(dropped) == 0 {
 		delete(c.jobs, j.spec.ID)
+		c.queues.remove(j)
 		return
 	}
 	j.writing = true
--- a/internal/coordination/scheduler/returnorder.go
+++ b/internal/coordination/scheduler/returnorder.go
@@ -77,7 +77,7 @@
 // placeGuaranteed places what teams run within their guarantee, which need not wait for
 // other teams, in the order of return. What is beyond it has its turn with the others, and
 // so have the team's jobs after it: a guarantee is held against other teams, not within one.
-func (c *Core) placeGuaranteed(now time.Duration, waiting []*job, cands []*candidate) {
+func (c *Core) placeGuaranteed(now time.Duration, waiting []*job) {
 	beyond := map[string]bool{} // teams
 	for _, j := range waiting {
 		if beyond[j.spec.Team] {
@@ -88,7 +88,7 @@
 			least = j.spec.Tasks
 		}
 		if n := min(c.allowance(j), c.tasksWithinGuarantee(j)); n >= least {
-			c.place(now, j, cands, n)
+			c.place(now, j, n)
 		}
 		beyond[j.spec.Team] = j.counts[pending] > 0
 	}
--- a/internal/coordination/scheduler/score.go
+++ b/internal/coordination/scheduler/score.go
@@ -64,8 +64,8 @@
 	warm := c.machines.WarmWithout(now, x.m, &j.spec, yields)
 	s := warm.Seconds() + c.machines.SlowsWithout(now, x.m, &j.spec, yields).Seconds()
 	cap := partition.CapacityOf(x.kind)
-	if warm > config.Seconds(max(c.waitAim(j.spec.Class), x.kind.BootS)) {
-		// The fetch outlasts the aim and a boot. The next of its kind will want
+	if aim := c.waitAim(j.spec.Class); math.IsInf(aim, 1) || warm > config.Seconds(max(aim, x.kind.BootS)) {
+		// No aim presses, or the fetch outlasts the aim and a boot. The next of its kind will want
 		// to start here without one, so room beside it, free or held by arrays,
 		// is worth having: half the fetch at most, as a warm machine stays better.
 		s += 1 - warm.Seconds()/2*x.free.Minus(j.need).Plus(x.m.Arrays()).Share(cap)
@@ -94,20 +94,18 @@
 
 // pick chooses the machine for a task. attempted says that one was passed over
 // just for this task's sake, so that another task may still have it.
-func (c *Core) pick(now time.Duration, j *job, task int, cands []*candidate, l *limits) (best *candidate, attempted bool) {
-	bestScore := 0.0
-	for _, x := range cands {
+func (c *Core) pick(now time.Duration, j *job, task int, l *limits) (best *candidate, attempted bool) {
+	id := protocol.TaskID{Job: j.spec.ID, Task: task}
+	best = c.find.best(now, j, l, func(x *candidate) bool {
 		if !j.need.Fits(c.room(x, j)) || !c.fits(now, j, x, l) {
-			continue
+			return false
 		}
-		if x.m.HasAttempt(protocol.TaskID{Job: j.spec.ID, Task: task}) {
+		if x.m.HasAttempt(id) {
 			attempted = true
-			continue
+			return false
 		}
-		if s := c.score(now, j, x, l); best == nil || s < bestScore {
-			best, bestScore = x, s
-		}
-	}
+		return true
+	})
 	return best, attempted
 }
 
@@ -142,11 +140,19 @@
 
 // waitAim is the shortest wait that the objectives ask for a class, in seconds.
 func (c *Core) waitAim(class string) float64 {
-	within := math.Inf(1)
-	for _, o := range c.cfg.Objectives {
-		if o.Kind == "wait" && o.Class == class {
-			within = min(within, o.WithinS)
+	if within, ok := c.waitAims[class]; ok {
+		return within
+	}
+	return math.Inf(1)
+}
+
+// waitAimsOf returns the shortest wait that the objectives ask for each class.
+func waitAimsOf(objectives []config.Objective) map[string]float64 {
+	aims := map[string]float64{}
+	for _, o := range objectives {
+		if within, ok := aims[o.Class]; o.Kind == "wait" && (!ok || o.WithinS < within) {
+			aims[o.Class] = o.WithinS
 		}
 	}
-	return within
+	return aims
 }
--- /dev/null
+++ b/internal/coordination/scheduler/search.go
@@ -0,0 +1,350 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/machineindex"
+	"pinebay/internal/coordination/partition"
+)
+
+// finder looks for machines within a cycle. Tests have another one that looks at all of them.
+type finder interface {
+	// best returns the allowed candidate with the lowest score for a task of the job, or nil.
+	best(now time.Duration, j *job, l *limits, allowed func(*candidate) bool) *candidate
+	// withImage is best among those that have the job's image.
+	withImage(now time.Duration, j *job, l *limits, allowed func(*candidate) bool) *candidate
+	// cheapest returns the candidate on which it costs least to make room for a task of the
+	// job, by stopping work of at least the given rank, and what would have to leave.
+	cheapest(now time.Duration, j *job, l *limits, within time.Duration, rank int) (*candidate, []*partition.Placement)
+	// nearest returns the candidate with most free room of those that the job allows and that
+	// could hold a task of it, but for those taken.
+	nearest(now time.Duration, j *job, l *limits, taken map[*candidate]bool) *candidate
+}
+
+// Bounds of one search. In a fleet with fewer machines a search finds what looking at all
+// machines would find; in a larger one it may miss a machine that is better by a little, or
+// an equal one with an earlier name.
+const (
+	maxLooks = 1024
+	maxTies  = 64
+)
+
+// indexFinder finds machines by the roster's index and the partition's views.
+type indexFinder struct{ c *Core }
+
+func sortCandidates(list []*candidate) {
+	slices.SortFunc(list, func(a, b *candidate) int { return cmp.Compare(a.m.Name, b.m.Name) })
+}
+
+// best first looks at the machines that have the image or fetch it. The others are looked at
+// only if one of them could score better, with the fetch that it would need.
+func (f indexFinder) best(now time.Duration, j *job, l *limits, allowed func(*candidate) bool) *candidate {
+	var best machineindex.Best[*candidate]
+	judge := f.judge(now, j, l, allowed)
+	f.lookAtImage(now, j, l, judge, &best)
+	f.lookAtFetching(now, j, judge, &best)
+	f.lookAtRest(j, l, judge, &best)
+	f.c.removeClosed(now)
+	return found(&best)
+}
+
+func (f indexFinder) withImage(now time.Duration, j *job, l *limits, allowed func(*candidate) bool) *candidate {
+	var best machineindex.Best[*candidate]
+	f.lookAtImage(now, j, l, f.judge(now, j, l, allowed), &best)
+	return found(&best)
+}
+
+func found(best *machineindex.Best[*candidate]) *candidate {
+	if !best.Found {
+		return nil
+	}
+	return best.Entry.Value
+}
+
+// judgement returns the score of a candidate, and whether it will do.
+type judgement func(*candidate) (float64, bool)
+
+// judge returns the judgement by a job's score.
+func (f indexFinder) judge(now time.Duration, j *job, l *limits, allowed func(*candidate) bool) judgement {
+	return func(x *candidate) (float64, bool) {
+		f.c.looks++
+		if !f.c.open(now, x) || !allowed(x) {
+			return 0, false
+		}
+		return f.c.score(now, j, x, l), true
+	}
+}
+
+// lookAtImage looks at the machines that certainly have the job's image.
+func (f indexFinder) lookAtImage(now time.Duration, j *job, l *limits, judge judgement, best *machineindex.Best[*candidate]) {
+	set := f.c.machines.WithImage(j.spec.Image)
+	if set == nil {
+		return
+	}
+	has := func(x *candidate) (float64, bool) {
+		if !x.m.HasImage(j.spec.Image) || f.c.machines.Warm(now, x.m, &j.spec) > 0 {
+			return 0, false
+		}
+		return judge(x)
+	}
+	if set.Len() <= maxLooks {
+		f.lookAtSet(now, set, j, has, best)
+		return
+	}
+	q := f.query(j, l)
+	q.Bound = func(capacity, free partition.Need) float64 { return free.Minus(j.need).Share(capacity) }
+	if f.c.aimless(j) {
+		q.Bound = func(_, _ partition.Need) float64 { return 1 } // all score the same
+	}
+	f.c.roster.index.Search(q, best, has)
+}
+
+// lookAtFetching looks at the machines that fetch the job's image.
+func (f indexFinder) lookAtFetching(now time.Duration, j *job, judge judgement, best *machineindex.Best[*candidate]) {
+	if set := f.c.machines.Fetching(j.spec.Image); set != nil {
+		f.lookAtSet(now, set, j, func(x *candidate) (float64, bool) {
+			if f.c.machines.Warm(now, x.m, &j.spec) == 0 {
+				return 0, false // it was looked at already
+			}
+			return judge(x)
+		}, best)
+	}
+}
+
+// lookAtSet looks at machines one by one.
+func (f indexFinder) lookAtSet(now time.Duration, set *partition.MachineSet, j *job, judge judgement, best *machineindex.Best[*candidate]) {
+	looks := 0
+	set.Scan(func(m *partition.Machine) bool {
+		if looks++; looks > maxLooks {
+			return false
+		}
+		x := f.c.candidateOf(now, m)
+		if x == nil || !j.need.Fits(x.free) {
+			return true
+		}
+		if score, ok := judge(x); ok {
+			best.Offer(x.entry, score)
+		}
+		return true
+	})
+}
+
+// lookAtRest looks at the machines without the job's image.
+func (f indexFinder) lookAtRest(j *job, l *limits, judge judgement, best *machineindex.Best[*candidate]) {
+	q := f.query(j, l)
+	base := q.Base
+	q.Base = func(p machineindex.Pool) float64 { return base(p) + f.c.fetchS(j, p.Type) }
+	q.Bound = f.fetchBound(j)
+	if f.c.prefersRoom(j) {
+		q.Order = machineindex.Loosest
+	}
+	f.c.roster.index.Search(q, best, func(x *candidate) (float64, bool) {
+		if x.m.HasImage(j.spec.Image) {
+			return 0, false
+		}
+		return judge(x)
+	})
+}
+
+// query returns a query for machines with room for a task of the job, tightest first.
+func (f indexFinder) query(j *job, l *limits) machineindex.Query {
+	return machineindex.Query{Need: j.need, Looks: maxLooks, Ties: maxTies, Base: func(p machineindex.Pool) float64 {
+		if !f.c.poolAllows(j, l, p) {
+			return math.Inf(1)
+		}
+		return f.c.poolScore(j, l, p)
+	}}
+}
+
+// fetchBound bounds what a machine without the job's image scores beyond one fetch of it (see
+// score). While other fetches share its rate, or where a fetch outlasts the aim, the score
+// falls with the room on the machine, by no more than that fetch takes.
+func (f indexFinder) fetchBound(j *job) func(capacity, free partition.Need) float64 {
+	aim := f.c.waitAim(j.spec.Class)
+	if f.c.prefersRoom(j) {
+		longest := 0.0
+		for name := range f.c.machines.Types() {
+			longest = max(longest, f.c.fetchS(j, name))
+		}
+		least := 1 - longest/2
+		if !f.c.aimless(j) {
+			least = min(least, -1)
+		}
+		return func(_, _ partition.Need) float64 { return least }
+	}
+	crowded := math.Inf(1)
+	for name := range f.c.machines.Types() {
+		crowded = min(crowded, aim/partition.SlowFetch-1-f.c.fetchS(j, name))
+	}
+	return func(capacity, free partition.Need) float64 {
+		return min(free.Minus(j.need).Share(capacity), crowded)
+	}
+}
+
+// aimless says whether no aim on waiting is stated for a job's class.
+func (c *Core) aimless(j *job) bool { return math.IsInf(c.waitAim(j.spec.Class), 1) }
+
+// prefersRoom says whether the score of machines without the job's image falls with their room.
+func (c *Core) prefersRoom(j *job) bool {
+	aim := c.waitAim(j.spec.Class)
+	if c.aimless(j) {
+		return true
+	}
+	for name, t := range c.machines.Types() {
+		if fetch := c.fetchS(j, name); fetch > max(aim, t.BootS) || fetch*partition.SlowFetch > aim {
+			return true
+		}
+	}
+	return false
+}
+
+// poolAllows says whether machines of a pool may do for a job.
+func (c *Core) poolAllows(j *job, l *limits, p machineindex.Pool) bool {
+	t := c.machines.Type(p.Type)
+	return t != nil && (!p.Spot || j.spec.Spot) && t.Allows(&j.spec) && (l.perZone == nil || l.allow(p.Zone))
+}
+
+// poolScore is what every machine of a pool adds to a score.
+func (c *Core) poolScore(j *job, l *limits, p machineindex.Pool) float64 {
+	s := c.distrust(j, p.Zone)
+	if j.spec.Spread && l.perZone != nil {
+		s += float64(l.perZone[p.Zone]) / float64(j.spec.Tasks)
+	}
+	switch {
+	case !p.Spot:
+	case j.spec.CheckpointS > 0:
+		s--
+	default:
+		s += c.machines.Type(p.Type).BootS
+	}
+	return s
+}
+
+// fetchS is how long a type of machines takes for the job's image, in seconds.
+func (c *Core) fetchS(j *job, kind string) float64 {
+	t := c.machines.Type(kind)
+	if t == nil || t.FetchGBPerS <= 0 {
+		return 0
+	}
+	return config.Seconds(j.spec.ImageGB / t.FetchGBPerS).Seconds()
+}
+
+// nearest looks at the machines with most room first.
+func (f indexFinder) nearest(now time.Duration, j *job, l *limits, taken map[*candidate]bool) *candidate {
+	var best machineindex.Best[*candidate]
+	q := f.query(j, l)
+	q.Any, q.Order = true, machineindex.Loosest
+	base := q.Base
+	q.Base = func(p machineindex.Pool) float64 {
+		if math.IsInf(base(p), 1) {
+			return base(p)
+		}
+		return 0
+	}
+	q.Bound = func(capacity, free partition.Need) float64 { return -free.Share(capacity) }
+	f.c.roster.index.Search(q, &best, func(x *candidate) (float64, bool) {
+		capacity := partition.CapacityOf(x.kind)
+		if taken[x] || !f.c.open(now, x) || !f.c.fits(now, j, x, l) || !j.need.Fits(capacity) {
+			return 0, false
+		}
+		return -x.free.Share(capacity), true
+	})
+	f.c.removeClosed(now)
+	return found(&best)
+}
+
+// preemptionLooks bounds what searches for work to stop may cost in a cycle, in machines looked
+// at; one whose work must be chosen counts as several.
+const (
+	preemptionLooks = 1 << 18
+	choiceLooks     = 8
+)
+
+// cheapest looks at the machines that have work which may have to leave: of at least the rank,
+// or about to leave anyhow, or any if the job's team is within its guarantee.
+func (f indexFinder) cheapest(now time.Duration, j *job, l *limits, within time.Duration, rank int) (*candidate, []*partition.Placement) {
+	lowest := rank
+	if f.c.owed(j) {
+		lowest = 0
+	}
+	sets := []*partition.MachineSet{f.c.machines.WithStopping()}
+	for r := lowest; r < partition.Ranks; r++ {
+		sets = append(sets, f.c.machines.WithRank(r))
+	}
+	total := 0
+	for _, set := range sets {
+		total += set.Len()
+	}
+	from := ""
+	if total > maxLooks {
+		from = f.c.preemptFrom
+	}
+	s := preemptionSearch{c: f.c, now: now, j: j, l: l, within: within, rank: rank, lowest: lowest, cost: math.Inf(1), left: maxLooks}
+	for _, set := range sets {
+		s.scan(set, from)
+	}
+	if total > maxLooks {
+		f.c.preemptFrom = s.last
+	}
+	return s.best, s.victims
+}
+
+// preemptionSearch is a search for work to stop.
+type preemptionSearch struct {
+	c      *Core
+	now    time.Duration
+	j      *job
+	l      *limits
+	within time.Duration
+	rank   int // work of at least it leaves
+	lowest int // rank of work that may leave for whatever reason
+	left   int // machines that may still be looked at
+	last   string
+
+	best    *candidate
+	victims []*partition.Placement
+	cost    float64
+}
+
+// scan looks at the machines of a set from a name on, and then at those before it.
+func (s *preemptionSearch) scan(set *partition.MachineSet, from string) {
+	look := func(m *partition.Machine) bool {
+		if s.left--; s.left < 0 {
+			return false
+		}
+		s.last = m.Name
+		s.look(m)
+		return true
+	}
+	set.Ascend(&partition.Machine{Name: from}, look)
+	if from == "" || s.left < 0 {
+		return
+	}
+	set.Scan(func(m *partition.Machine) bool { return m.Name < from && look(m) })
+}
+
+// look takes a machine into account.
+func (s *preemptionSearch) look(m *partition.Machine) {
+	c, j := s.c, s.j
+	c.preemptionLeft--
+	c.looks++
+	x := c.candidateOf(s.now, m)
+	if x == nil || !j.need.Fits(x.free.Plus(m.Givable(s.lowest))) || !j.need.Fits(partition.CapacityOf(x.kind)) ||
+		!c.fits(s.now, j, x, s.l) || m.ReservedFor(s.now, j.spec.ID) {
+		return
+	}
+	warm := c.machines.Warm(s.now, m, &j.spec)
+	if warm > s.within {
+		return
+	}
+	c.preemptionLeft -= choiceLooks
+	victims, cost, ok := c.victims(s.now, j, x, s.rank)
+	cost += warm.Seconds()
+	if ok && (cost < s.cost || cost == s.cost && s.best != nil && m.Name < s.best.m.Name) {
+		s.best, s.victims, s.cost = x, victims, cost
+	}
+}
--- a/internal/coordination/scheduler/takeover_test.go
+++ b/internal/coordination/scheduler/takeover_test.go
@@ -52,9 +52,9 @@
 // also for a leader that has just come: here, which gang can still start in time.
 func TestNewLeaderKnowsTheAges(t *testing.T) {
 	b := newBench([]config.Team{{Name: "red"}}, "a")
-	b.c.cfg.Objectives = []config.Objective{
+	b.setObjectives([]config.Objective{
 		{Kind: "wait", Class: "big", WithinS: 20, Share: 0.9}, {Kind: "finished", Class: "big", WithinS: 30, Share: 0.9},
-	}
+	})
 	const wallMS = 100_000
 	var live []protocol.Pair
 	for id, waitedMS := range map[string]int64{"j-1": 25_000, "j-2": 5_000} {
@@ -125,7 +125,7 @@
 func TestNewLeaderKnowsTheArrivals(t *testing.T) {
 	cfg := []config.Objective{{Kind: "wait", Class: "quick", WithinS: 12, Share: 0.9}}
 	b := newBench([]config.Team{{Name: "red"}}, "a")
-	b.c.cfg.Objectives = cfg
+	b.setObjectives(cfg)
 	j := spec("j-1", protocol.Service, "normal", 2, 4)
 	j.Class = "quick"
 	var live []protocol.Pair
--- a/internal/coordination/scheduler/teams.go
+++ b/internal/coordination/scheduler/teams.go
@@ -7,42 +7,13 @@
 	"pinebay/internal/coordination/partition"
 )
 
-// next picks the job to serve: teams within their guarantee first, then by
-// priority; among equals the team that has least for its share, and of its
-// queue the oldest. The list is sorted by priority and age.
-func (c *Core) next(waiting []*job) int {
-	best := 0
-	if len(c.cfg.Teams) < 2 {
-		return 0
-	}
-	if c.recovering() {
-		return 0 // what goes before the order of return has been placed
-	}
-	for i, j := range waiting[1:] {
-		b := waiting[best]
-		if j.spec.Team == b.spec.Team {
-			continue // the older or higher one of a team stands first
-		}
-		switch jw, bw := c.owed(j), c.owed(b); {
-		case jw != bw:
-			if jw {
-				best = i + 1
-			}
-		case j.rank != b.rank:
-			if j.rank < b.rank {
-				best = i + 1
-			}
-		case c.teamShare(j.spec.Team) < c.teamShare(b.spec.Team):
-			best = i + 1
-		}
-	}
-	return best
-}
+// team returns the team of that name, or nil.
+func (c *Core) team(name string) *config.Team { return c.teams[name] }
 
 // teamShare is what a team uses for its weight: its guarantee, or 1.
 func (c *Core) teamShare(team string) float64 {
 	u := c.machines.Usage(team)
-	t := c.cfg.Team(team)
+	t := c.team(team)
 	if t != nil && (t.GPUs > 0 || t.CPUs > 0) {
 		return u.Share(partition.Need{CPUs: t.CPUs, GPUs: t.GPUs})
 	}
@@ -51,7 +22,7 @@
 
 // allowance is how many more tasks of the job its team's limit lets start.
 func (c *Core) allowance(j *job) int {
-	t := c.cfg.Team(j.spec.Team)
+	t := c.team(j.spec.Team)
 	n := math.MaxInt32
 	if t == nil {
 		return n
@@ -68,13 +39,13 @@
 
 // borrows says whether a placement's team uses more than its guarantee.
 func (c *Core) borrows(pl *partition.Placement) bool {
-	return !withinGuarantee(c.cfg.Team(pl.Team), c.machines.Usage(pl.Team))
+	return !withinGuarantee(c.team(pl.Team), c.machines.Usage(pl.Team))
 }
 
 // owed says whether a job's team is still within its guarantee with one more
 // of its tasks.
 func (c *Core) owed(j *job) bool {
-	return withinGuarantee(c.cfg.Team(j.spec.Team), c.machines.Usage(j.spec.Team).Plus(j.need))
+	return withinGuarantee(c.team(j.spec.Team), c.machines.Usage(j.spec.Team).Plus(j.need))
 }
 
 // tasksWithinGuarantee is how many more of a job's tasks its team can run within its guarantee.
@@ -82,7 +53,7 @@
 	if !c.owed(j) {
 		return 0
 	}
-	t, used := c.cfg.Team(j.spec.Team), c.machines.Usage(j.spec.Team)
+	t, used := c.team(j.spec.Team), c.machines.Usage(j.spec.Team)
 	n := j.counts[pending]
 	for _, r := range [][3]float64{{t.CPUs, used.CPUs, j.need.CPUs}, {t.GPUs, used.GPUs, j.need.GPUs}} {
 		if guarantee, taken, each := r[0], r[1], r[2]; guarantee > 0 && each > 0 {
--- /dev/null
+++ b/internal/coordination/scheduler/turns_test.go
@@ -0,0 +1,161 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/partition"
+	"pinebay/internal/protocol"
+)
+
+// TestTurns: on drawn queues the next job is always the one at the head of its team's queue that
+// goes first by guarantee, priority, the team's share and age, also when usage changes between two
+// turns; every job has its turn once.
+func TestTurns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var teams []config.Team
+		for i := range rapid.IntRange(2, 6).Draw(t, "teams") {
+			teams = append(teams, config.Team{Name: fmt.Sprintf("team-%d", i), GPUs: float64(rapid.IntRange(0, 1).Draw(t, "guarantee") * 4)})
+		}
+		b := newBench(teams, "a")
+		var waiting []*job
+		for i := range rapid.IntRange(0, 30).Draw(t, "jobs") {
+			j := spec(fmt.Sprintf("j-%d", i), protocol.Array, rapid.SampledFrom([]protocol.Priority{"critical", "normal"}).Draw(t, "priority"), 1, float64(rapid.IntRange(1, 3).Draw(t, "gpus")))
+			j.Team = teams[rapid.IntRange(0, len(teams)-1).Draw(t, "team")].Name
+			waiting = append(waiting, newJob(j, 1, int64(i), 0, 10))
+		}
+		slices.SortFunc(waiting, func(a, b *job) int {
+			if goesBefore(a, b) {
+				return -1
+			}
+			return 1
+		})
+		left := slices.Clone(waiting)
+		turns := b.c.newTurns(waiting)
+		for len(left) > 0 {
+			want := referenceNext(b.c, left)
+			got := turns.next()
+			if got != want {
+				t.Fatalf("turn of %v, want %v", got, want.spec.ID)
+			}
+			left = slices.DeleteFunc(left, func(j *job) bool { return j == got })
+			if rapid.Bool().Draw(t, "placed") {
+				place(b, got)
+			}
+		}
+		if got := turns.next(); got != nil {
+			t.Errorf("%s has two turns", got.spec.ID)
+		}
+	})
+}
+
+// place puts a task of a job on a machine, so that its team uses more.
+func place(b *bench, j *job) {
+	b.c.machines.Adopt(0, &partition.Placement{Task: protocol.TaskID{Job: j.spec.ID}, Attempt: 1, Machine: "m-" + j.spec.ID, Need: j.need,
+		Team: j.spec.Team, Rank: j.rank, Job: &j.spec})
+}
+
+// referenceNext walks all heads of queues.
+func referenceNext(c *Core, left []*job) *job {
+	var best *job
+	seen := map[string]bool{}
+	for _, j := range left {
+		if seen[j.spec.Team] {
+			continue
+		}
+		seen[j.spec.Team] = true
+		if best == nil || less(c, j, best) {
+			best = j
+		}
+	}
+	return best
+}
+
+func less(c *Core, a, b *job) bool {
+	if c.owed(a) != c.owed(b) {
+		return c.owed(a)
+	}
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(c.teamShare(a.spec.Team), c.teamShare(b.spec.Team))) < 0
+}
+
+// TestEachTeamIsServed: while room for one task after the other comes up, teams that wait are
+// served in turn, however many jobs each of them has waiting and whoever came first.
+func TestEachTeamIsServed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 8).Draw(t, "teams")
+		var teams []config.Team
+		for i := range n {
+			teams = append(teams, config.Team{Name: fmt.Sprintf("team-%d", i)})
+		}
+		b := newBench(teams, "a")
+		for i := range n {
+			for k := range rapid.IntRange(3, 9).Draw(t, "jobs") {
+				j := spec(fmt.Sprintf("j-%d%d", i, k), protocol.Array, "normal", 3, 8)
+				j.Team = teams[i].Name
+				b.job(j)
+			}
+		}
+		const rounds = 3
+		for i := range rounds * n {
+			b.machine(fmt.Sprintf("m%02d", i), "a", false)
+			b.cycle()
+			b.settle()
+		}
+		for _, team := range teams {
+			if used := b.c.machines.Usage(team.Name).GPUs / 8; used != rounds {
+				t.Errorf("%s has %v of %d places for %d teams", team.Name, used, rounds*n, n)
+			}
+		}
+	})
+}
+
+// obey ends the tasks that were told to stop.
+func (b *bench) obey() {
+	for _, tasks := range b.tasks {
+		for id, t := range tasks {
+			if b.stopped(id) {
+				t.State, t.Cause = protocol.Exited, protocol.CauseStopped
+				tasks[id] = t
+			}
+		}
+	}
+}
+
+// TestNobodyIsPassedOver: when the looks for work to stop are used up in each cycle, every job
+// that waits for some has its turn all the same, also behind older ones that never find any.
+func TestNobodyIsPassedOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 10).Draw(t, "jobs")
+		b := newBench([]config.Team{{Name: "red"}}, "a", "b")
+		b.c.preemptionLooks = 1
+		for i := range n {
+			b.machine(fmt.Sprintf("m%02d", i), "a", false)
+			b.job(spec(fmt.Sprintf("j-low%d", i), protocol.Array, "normal", 1, 8))
+		}
+		b.cycle()
+		b.settle()
+		const blocked = 3
+		for i := range blocked {
+			j := spec(fmt.Sprintf("j-blocked%d", i), protocol.Service, "urgent", 1, 8)
+			j.Zone, j.CPUs = "b", float64(1+i) // no machine is there
+			b.job(j)
+		}
+		for i := range n {
+			b.now += Eager
+			b.job(spec(fmt.Sprintf("j-high%d", i), protocol.Service, "urgent", 1, 8))
+		}
+		for range 2 * (n + blocked) * (n + blocked) {
+			b.cycle()
+			b.obey()
+			b.settle()
+		}
+		if len(b.stops) != n {
+			t.Errorf("work was stopped for %d of %d jobs", len(b.stops), n)
+		}
+	})
+}
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"math"
-	"regexp"
+	"strings"
 )
 
 // Shape says how a job's tasks belong together.
@@ -85,10 +85,27 @@
 	DeadlineS   *float64  `msgpack:"due_s"`
 }
 
-var jobID = regexp.MustCompile(`^j-[0-9A-Za-z]{1,64}$`)
+// jobPrefix begins every job id, and maxJobID is the most letters and digits after it.
+const (
+	jobPrefix = "j-"
+	maxJobID  = 64
+)
 
-// ValidJobID says whether id has the form that all job ids have.
-func ValidJobID(id string) bool { return jobID.MatchString(id) }
+// ValidJobID says whether id has the form that all job ids have. It is asked for every task of
+// every report.
+func ValidJobID(id string) bool {
+	rest, ok := strings.CutPrefix(id, jobPrefix)
+	if !ok || rest == "" || len(rest) > maxJobID {
+		return false
+	}
+	for i := range len(rest) {
+		c := rest[i]
+		if !(c >= '0' && c <= '9' || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z') {
+			return false
+		}
+	}
+	return true
+}
 
 // maxWord bounds names that come from users, well inside a stored value.
 const maxWord = 200
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -23,7 +23,7 @@
 
 // interval is the time between two log lines, and maxMicros the longest duration told apart.
 const (
-	interval  = 5 * time.Second
+	interval  = time.Second
 	maxMicros = int64(time.Hour / time.Microsecond)
 	digits    = 3
 )
