--- a/cmd/pinebay/main.go
+++ b/cmd/pinebay/main.go
@@ -23,6 +23,7 @@
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/zones"
 	"pinebay/internal/daemon"
+	"pinebay/internal/random"
 	"pinebay/internal/timing"
 	"pinebay/internal/transport"
 )
@@ -76,7 +77,7 @@
 			limit(cfg)
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			return daemon.New(transport.TCP{}, cfg, features, log).Run(ctx)
+			return daemon.New(transport.TCP{}, random.Seeded(), cfg, features, log).Run(ctx)
 		},
 	}
 	cmd.SetContext(context.Background())
--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -53,16 +53,17 @@
 		case <-ctx.Done():
 			return
 		case <-b.bell:
-			for _, m := range b.Take() {
-				if ctx.Err() != nil {
-					return
-				}
-				step(m)
-			}
-			// Messages that came together are decided on together.
-			tick()
 		case <-t.C:
-			tick()
 		}
+		// Messages go before the tick whichever woke us, so that what is decided does not depend on
+		// which of the two that are due is looked at first. Messages that came together are decided
+		// on together.
+		for _, m := range b.Take() {
+			if ctx.Err() != nil {
+				return
+			}
+			step(m)
+		}
+		tick()
 	}
 }
--- a/internal/coordination/api/api.go
+++ b/internal/coordination/api/api.go
@@ -16,6 +16,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/storage"
 	"pinebay/internal/transport"
 )
@@ -24,6 +25,7 @@
 type Server struct {
 	cfg    *config.Deployment
 	store  *storage.Client
+	random *random.Source
 	log    *slog.Logger
 	reader *reader
 	// announce has a majority of the controllers hold an intent that a job is cancelled.
@@ -42,9 +44,9 @@
 const Confirm = submitPatience
 
 // New returns a server that does not know the machine types yet.
-func New(cfg *config.Deployment, store *storage.Client, log *slog.Logger, status Statuses, announce Announce) *Server {
+func New(cfg *config.Deployment, store *storage.Client, source *random.Source, log *slog.Logger, status Statuses, announce Announce) *Server {
 	// Final states never change, so they may be kept: some hundred a MB.
-	return &Server{cfg: cfg, store: store, log: log, announce: announce,
+	return &Server{cfg: cfg, store: store, random: source, log: log, announce: announce,
 		reader: newReader(store, log, status, int(cfg.Quota.RAMMB*100))}
 }
 
@@ -142,7 +144,7 @@
 			s.log.Debug("submission put off", "job", job.ID, "err", err)
 			return http.StatusServiceUnavailable, protocol.JobStatus{}
 		}
-		storage.Pause(ctx, retryPause) // over the rate for the moment
+		s.random.Pause(ctx, job.ID, retryPause) // over the rate for the moment
 	}
 }
 
@@ -264,7 +266,7 @@
 		if err != nil && !again(err, began) {
 			break // the user is told at once when to come back
 		}
-		storage.Pause(ctx, retryPause)
+		s.random.Pause(ctx, id, retryPause)
 	}
 	return http.StatusServiceUnavailable, protocol.JobStatus{}
 }
--- a/internal/coordination/api/api_test.go
+++ b/internal/coordination/api/api_test.go
@@ -19,6 +19,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/simulation"
 	"pinebay/internal/storage"
 	"pinebay/internal/testkit"
@@ -48,8 +49,8 @@
 	cfg := &config.Deployment{Nodes: 2, Teams: []config.Team{{Name: "red", GPUsMax: 16}},
 		State: rates, Workers: config.Workers{LeaseS: 10}, Quota: config.Quota{RAMMB: 16, MaxSockets: 500}}
 	for range 2 {
-		store := storage.NewClient(transport.TCP{}, cfg, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
-		in := New(cfg, store, slog.New(slog.NewTextHandler(io.Discard, nil)),
+		store := storage.NewClient(transport.TCP{}, random.New(1), cfg, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
+		in := New(cfg, store, random.New(1), slog.New(slog.NewTextHandler(io.Discard, nil)),
 			func(context.Context, []string) (map[string]protocol.JobStatus, bool) { return nil, false },
 			func(context.Context, string) (time.Time, error) { return time.Now(), s.unsafe })
 		in.SetTypes(kinds)
--- a/internal/coordination/cancellation/cancellation.go
+++ b/internal/coordination/cancellation/cancellation.go
@@ -8,11 +8,12 @@
 
 import (
 	"errors"
-	"math/rand/v2"
+	"fmt"
 	"sync"
 	"time"
 
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 )
 
 // ErrFull says that no further intent can be held for the moment.
@@ -21,11 +22,12 @@
 // Log is the intents that this controller holds, its own and its peers', in the
 // order in which it took them in, with what each peer holds of them.
 type Log struct {
-	mu    sync.Mutex
-	life  uint64
-	keep  time.Duration
-	max   int
-	whole time.Duration
+	mu     sync.Mutex
+	random *random.Source
+	life   uint64
+	keep   time.Duration
+	max    int
+	whole  time.Duration
 
 	base  uint64  // how many have expired before list
 	list  []entry // the oldest first
@@ -61,12 +63,12 @@
 // that come late.
 const lives = 4
 
-// New returns an empty log of a process that began at the given time. Intents are
+// New returns an empty log, which draws its marks from the source, of a process that began at the given time. Intents are
 // kept for the given time, and max at most; after the time whole nothing matters
 // any more that an earlier process of the same name may have held.
-func New(peers []string, keep, whole time.Duration, max int) *Log {
+func New(source *random.Source, peers []string, keep, whole time.Duration, max int) *Log {
 	l := &Log{
-		life: rand.Uint64() | 1, keep: keep, max: max, whole: whole, known: map[protocol.Intent]bool{},
+		random: source, life: source.For("life").Uint64() | 1, keep: keep, max: max, whole: whole, known: map[protocol.Intent]bool{},
 		jobs: map[string]time.Duration{}, mine: map[string]Own{}, peers: map[string]*peer{}, news: make(chan struct{}),
 	}
 	for _, p := range peers {
@@ -87,7 +89,7 @@
 	if len(l.list) >= l.max {
 		return Own{}, ErrFull
 	}
-	l.add(now, protocol.Intent{Job: job, Mark: rand.Uint64()})
+	l.add(now, protocol.Intent{Job: job, Mark: l.random.For(fmt.Sprint("intent ", l.base+uint64(len(l.list)), " ", job)).Uint64()})
 	o := Own{Seq: l.base + uint64(len(l.list)), At: now}
 	l.mine[job] = o
 	return o, nil
--- a/internal/coordination/cancellation/cancellation_test.go
+++ b/internal/coordination/cancellation/cancellation_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/testkit"
 )
 
@@ -28,7 +29,7 @@
 		most := rapid.SampledFrom([]int{4, 400}).Draw(t, "most")
 		names := []string{"a", "b"}
 		logs := map[string]*Log{}
-		begin := func(i int) { logs[names[i]] = New([]string{names[1-i]}, keep, now+amnesia, most) }
+		begin := func(i int) { logs[names[i]] = New(random.Seeded(), []string{names[1-i]}, keep, now+amnesia, most) }
 		begin(0)
 		begin(1)
 		var old []protocol.MeshMessage
@@ -117,7 +118,7 @@
 // TestIntentsAreOfLimitedUse: an intent of ours serves again only while it is fresh,
 // all are forgotten in the end, and a peer of an older version consents to nothing.
 func TestIntentsAreOfLimitedUse(t *testing.T) {
-	l := New([]string{"b"}, keep, 0, 3)
+	l := New(random.Seeded(), []string{"b"}, keep, 0, 3)
 	first, _ := l.Announce(0, time.Second, "j-1")
 	if again, _ := l.Announce(time.Second, time.Second, "j-1"); again != first {
 		t.Errorf("a fresh intent was made again: %v", again)
--- a/internal/coordination/fleet/rent.go
+++ b/internal/coordination/fleet/rent.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -103,7 +105,8 @@
 		}
 		k.rooms = append(k.rooms, room{name: m.Name, pool: pool{m.Type, m.Zone, m.Spot}, kind: t, free: p.Free(m), machine: m})
 	})
-	for req, pl := range f.pending {
+	for _, req := range slices.Sorted(maps.Keys(f.pending)) {
+		pl := f.pending[req]
 		if t := p.Type(pl.kind); t != nil {
 			for range f.counts[req] {
 				k.perZone[pl.zone]++
--- a/internal/coordination/leader/cloud.go
+++ b/internal/coordination/leader/cloud.go
@@ -36,8 +36,30 @@
 	errCapacity = errors.New("no capacity")
 )
 
-func (c *Cloud) call(ctx context.Context, method, path string, body, out any) (int, error) {
-	if err := c.limit.Wait(ctx); err != nil {
+// Turn is a call's place within the rate.
+type Turn struct{ at time.Time }
+
+// Turn takes the next place. Whoever asks in a certain order calls in that order.
+func (c *Cloud) Turn() Turn {
+	now := time.Now()
+	return Turn{now.Add(c.limit.ReserveN(now, 1).DelayFrom(now))}
+}
+
+// wait waits for the turn.
+func (t Turn) wait(ctx context.Context) error {
+	timer := time.NewTimer(time.Until(t.at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// call makes a call at its turn.
+func (c *Cloud) call(ctx context.Context, turn Turn, method, path string, body, out any) (int, error) {
+	if err := turn.wait(ctx); err != nil {
 		return 0, err
 	}
 	status, raw, err := c.client.Do(ctx, c.timeout, method, c.base+path, body)
@@ -60,7 +82,7 @@
 
 func (c *Cloud) fetchTypes(ctx context.Context) ([]protocol.MachineType, error) {
 	var t protocol.MachineTypes
-	if _, err := c.call(ctx, http.MethodGet, "/machine_types", nil, &t); err != nil {
+	if _, err := c.call(ctx, c.Turn(), http.MethodGet, "/machine_types", nil, &t); err != nil {
 		return nil, err
 	}
 	if len(t.Types) == 0 {
@@ -90,17 +112,17 @@
 	return types, nil
 }
 
-// List reads the whole machine list.
-func (c *Cloud) List(ctx context.Context) ([]protocol.ListedMachine, error) {
+// List reads the whole machine list, page by page, the first at its turn.
+func (c *Cloud) List(ctx context.Context, turn Turn) ([]protocol.ListedMachine, error) {
 	var all []protocol.ListedMachine
 	from := ""
-	for {
+	for ; ; turn = c.Turn() {
 		path := fmt.Sprintf("/machines?limit=%d", protocol.MaxListed)
 		if from != "" {
 			path += "&from=" + from
 		}
 		var page protocol.MachineList
-		if _, err := c.call(ctx, http.MethodGet, path, nil, &page); err != nil {
+		if _, err := c.call(ctx, turn, http.MethodGet, path, nil, &page); err != nil {
 			return nil, err
 		}
 		all = append(all, page.Machines...)
@@ -112,9 +134,9 @@
 }
 
 // Rent rents machines; refused means that there are none.
-func (c *Cloud) Rent(ctx context.Context, r protocol.Rental) (names []string, refused bool, err error) {
+func (c *Cloud) Rent(ctx context.Context, turn Turn, r protocol.Rental) (names []string, refused bool, err error) {
 	var out protocol.MachineNames
-	status, err := c.call(ctx, http.MethodPost, "/machines", r, &out)
+	status, err := c.call(ctx, turn, http.MethodPost, "/machines", r, &out)
 	if errors.Is(err, errCapacity) || status == http.StatusBadRequest {
 		return nil, true, nil
 	}
@@ -122,7 +144,7 @@
 }
 
 // Release returns machines. Without an error they are gone.
-func (c *Cloud) Release(ctx context.Context, names []string) error {
-	_, err := c.call(ctx, http.MethodPost, "/machines/release", protocol.MachineNames{Machines: names}, nil)
+func (c *Cloud) Release(ctx context.Context, turn Turn, names []string) error {
+	_, err := c.call(ctx, turn, http.MethodPost, "/machines/release", protocol.MachineNames{Machines: names}, nil)
 	return err
 }
--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -25,11 +25,11 @@
 			l.Log.Info("deposed", "reason", e.Reason, "later", e.Term)
 			l.Deposed(l.term, e)
 		case scheduler.Write:
-			go l.write(e)
+			go l.write(e, l.Store.Admit(useOf(e.For), &e.Txn))
 		case scheduler.Order:
 			go l.order(e)
 		case scheduler.Inspect:
-			go l.inspect(e)
+			l.inspections.Add(e)
 		case scheduler.Decided:
 			l.Log.Info("zone return", "decision", e.Decision.Describe())
 		case scheduler.Fleet:
@@ -40,13 +40,14 @@
 
 // callCloud carries out what the fleet asks of the cloud.
 func (l *Leader) callCloud(effect fleet.Effect) {
+	turn := l.Cloud.Turn()
 	switch e := effect.(type) {
 	case fleet.Rent:
-		go l.rent(e)
+		go l.rent(e, turn)
 	case fleet.Release:
-		go l.release(e)
+		go l.release(e, turn)
 	case fleet.List:
-		go l.list()
+		go l.list(turn)
 	}
 }
 
@@ -64,12 +65,12 @@
 
 // write tries a transaction until its outcome is known. After a try without an
 // answer, a failed condition may be the work of that very try: the record that
-// names the write tells.
-func (l *Leader) write(w scheduler.Write) {
+// names the write tells. It has its place within the budgets.
+func (l *Leader) write(w scheduler.Write, admission storage.Admission) {
 	use := useOf(w.For)
 	uncertain := false
-	for l.ctx.Err() == nil {
-		rev, ok, failed, err := l.Store.TxnFailed(l.ctx, use, w.Txn)
+	for ; l.ctx.Err() == nil; admission = l.Store.Admit(use, &w.Txn) {
+		rev, ok, failed, err := l.Store.TxnAdmitted(l.ctx, admission, w.Txn)
 		switch {
 		case err == nil && ok:
 			l.box.Send(scheduler.Written{Write: w.ID, OK: true, Rev: rev})
@@ -97,9 +98,9 @@
 			// Refused for its form: trying again at once would not help, and
 			// giving up would leave the books open.
 			l.Log.Error("write refused", "key", w.Verify, "err", err)
-			storage.Pause(l.ctx, 10*scheduler.Cycle)
+			l.Random.Pause(l.ctx, w.Verify, 10*scheduler.Cycle)
 		}
-		storage.Pause(l.ctx, scheduler.Cycle/10)
+		l.Random.Pause(l.ctx, w.Verify, scheduler.Cycle/10)
 	}
 }
 
@@ -120,10 +121,9 @@
 // inspect asks a machine how it stands. A new leader asks all of them at once;
 // some at a time are asked in fact.
 func (l *Leader) inspect(e scheduler.Inspect) {
-	if err := l.inspects.Acquire(l.ctx, 1); err != nil {
+	if l.ctx.Err() != nil {
 		return
 	}
-	defer l.inspects.Release(1)
 	status, raw, err := l.Workers.Do(l.ctx, orderPatience(l.Cfg), http.MethodGet, "http://"+e.Addr+"/inspect", nil)
 	if err != nil || status != http.StatusOK {
 		l.Log.Debug("not inspected", "machine", e.Machine, "status", status, "err", err)
@@ -140,37 +140,37 @@
 	return config.Seconds(min(cfg.Workers.ReportS*1.5, cfg.Workers.GangPeerS/2))
 }
 
-func (l *Leader) list() {
+func (l *Leader) list(turn Turn) {
 	asked := l.Now()
-	ms, err := l.Cloud.List(l.ctx)
+	ms, err := l.Cloud.List(l.ctx, turn)
 	if err != nil {
 		l.Log.Info("machine list not read", "err", err)
 	}
 	l.box.Send(scheduler.Listed{Asked: asked, Machines: ms, Failed: err != nil})
 }
 
-func (l *Leader) rent(e fleet.Rent) {
+func (l *Leader) rent(e fleet.Rent, turn Turn) {
 	asked := l.Now()
-	for l.ctx.Err() == nil {
-		names, refused, err := l.Cloud.Rent(l.ctx, e.Rental)
+	for ; l.ctx.Err() == nil; turn = l.Cloud.Turn() {
+		names, refused, err := l.Cloud.Rent(l.ctx, turn, e.Rental)
 		if err == nil {
 			l.box.Send(scheduler.Rented{Request: e.Rental.Request, Asked: asked, Names: names, Refused: refused})
 			return
 		}
 		// The same name rents nothing twice, so trying again is safe.
 		l.Log.Info("rental unanswered", "request", e.Rental.Request, "err", err)
-		storage.Pause(l.ctx, scheduler.Cycle)
+		l.Random.Pause(l.ctx, e.Rental.Request, scheduler.Cycle)
 	}
 }
 
-func (l *Leader) release(e fleet.Release) {
-	for l.ctx.Err() == nil {
-		err := l.Cloud.Release(l.ctx, e.Names)
+func (l *Leader) release(e fleet.Release, turn Turn) {
+	for ; l.ctx.Err() == nil; turn = l.Cloud.Turn() {
+		err := l.Cloud.Release(l.ctx, turn, e.Names)
 		if err == nil {
 			l.box.Send(scheduler.Released{Names: e.Names, OK: true})
 			return
 		}
 		l.Log.Info("release unanswered", "machines", len(e.Names), "err", err)
-		storage.Pause(l.ctx, scheduler.Cycle)
+		l.Random.Pause(l.ctx, "release "+e.Names[0], scheduler.Cycle)
 	}
 }
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -5,16 +5,17 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"pinebay/internal/actor"
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/coordination/zones"
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/storage"
 	"pinebay/internal/timing"
 	"pinebay/internal/transport"
@@ -25,6 +26,7 @@
 	Cfg     *config.Deployment
 	Log     *slog.Logger
 	Store   *storage.Client
+	Random  *random.Source
 	Cloud   *Cloud
 	Workers *transport.Client
 	Now     func() time.Duration
@@ -57,10 +59,29 @@
 	box         *actor.Mailbox[any] // of scheduler.Event, query and loaded
 	ctx         context.Context
 	cancel      context.CancelFunc
-	inspects    *semaphore.Weighted
+	inspections *actor.Pool[scheduler.Inspect]
 	ready       atomic.Bool // the records are read
 }
 
+// earlyReports keeps the newest report of each machine that came before the records were read,
+// in the order in which the machines were first heard.
+type earlyReports struct {
+	reports []scheduler.Reported
+	index   map[string]int
+}
+
+func (e *earlyReports) add(r scheduler.Reported) {
+	if i, ok := e.index[r.Report.Machine]; ok {
+		e.reports[i] = r
+		return
+	}
+	if e.index == nil {
+		e.index = map[string]int{}
+	}
+	e.index[r.Report.Machine] = len(e.reports)
+	e.reports = append(e.reports, r)
+}
+
 // query asks for the status of jobs.
 type query struct {
 	ids   []string
@@ -73,8 +94,8 @@
 
 // Start begins a term.
 func Start(ctx context.Context, d Deps, term, stamp uint64) *Leader {
-	l := &Leader{Deps: d, term: term, stamp: stamp, box: actor.NewMailbox[any](),
-		inspects: semaphore.NewWeighted(int64(max(1, d.Cfg.Quota.MaxSockets/socketsInspects)))}
+	l := &Leader{Deps: d, term: term, stamp: stamp, box: actor.NewMailbox[any]()}
+	l.inspections = actor.NewPool(max(1, d.Cfg.Quota.MaxSockets/socketsInspects), l.inspect)
 	l.Log = d.Log.With("term", term)
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	go l.run()
@@ -129,7 +150,7 @@
 	began := l.Now()
 	go l.recover()
 	var core *scheduler.Core
-	early := map[string]scheduler.Reported{}
+	var early earlyReports
 	var changes []scheduler.Event // of the accepted jobs, since they were read
 	step := func(e any) {
 		if !l.stands() {
@@ -159,21 +180,22 @@
 			// What users may have been told is cancelled ends all the same.
 			e.Tag.(chan protocol.ReportAnswer) <- protocol.ReportAnswer{Token: protocol.Token(l.term, 0), Commands: e.Report.StopsOf(l.IsWithdrawn)}
 			e.Tag = nil // it has its answer
-			early[e.Report.Machine] = e
+			early.add(e)
 		case loaded:
 			records := scheduler.Records{Types: e.types, Live: e.live, Pages: e.pages, Warm: e.warm, ZonePages: e.zones}
 			term := scheduler.Term{Number: l.term, Stamp: l.stamp}
 			core = scheduler.New(now, l.Cfg, l.Log, term, records, time.Now().UnixMilli(), l.ZoneReturn)
 			l.Log.Info("records read", "jobs", len(e.live), "pages", len(e.pages), "took", now-began)
-			for job, at := range l.Withdrawals(now) {
-				l.do(core.Step(now, scheduler.Withdrawn{ID: job, Until: at + l.Confirm}))
+			withdrawals := l.Withdrawals(now)
+			for _, job := range slices.Sorted(maps.Keys(withdrawals)) {
+				l.do(core.Step(now, scheduler.Withdrawn{ID: job, Until: withdrawals[job] + l.Confirm}))
 			}
 			for _, c := range changes {
 				l.do(core.Step(now, c))
 			}
 			changes = nil
 			l.ready.Store(true)
-			for _, r := range early {
+			for _, r := range early.reports {
 				l.do(core.Step(now, r))
 			}
 			go l.refreshTypes()
--- a/internal/coordination/leader/leader_test.go
+++ b/internal/coordination/leader/leader_test.go
@@ -13,6 +13,7 @@
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/simulation"
 	"pinebay/internal/storage"
 	"pinebay/internal/testkit"
@@ -40,7 +41,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	l := Start(ctx, Deps{
-		Cfg: cfg, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Store: storage.NewClient(transport.TCP{}, cfg, addr, time.Minute),
+		Cfg: cfg, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Random: random.New(1), Store: storage.NewClient(transport.TCP{}, random.New(1), cfg, addr, time.Minute),
 		Cloud: NewCloud(transport.TCP{}, addr, cfg.Cloud), Workers: transport.NewClient(transport.TCP{}, 1, 4, time.Minute),
 		Now: func() time.Duration { return time.Since(start) }, Types: func([]protocol.MachineType) {},
 		Confirmed: func() bool { return !stale.Load() },
--- a/internal/coordination/leader/recovery.go
+++ b/internal/coordination/leader/recovery.go
@@ -42,7 +42,7 @@
 			return
 		}
 		l.Log.Info("recovery delayed", "err", err)
-		storage.Pause(l.ctx, scheduler.Cycle/5)
+		l.Random.Pause(l.ctx, "recovery", scheduler.Cycle/5)
 	}
 }
 
@@ -81,7 +81,7 @@
 			return
 		}
 		if err != nil {
-			storage.Pause(l.ctx, scheduler.Cycle/5)
+			l.Random.Pause(l.ctx, "watch jobs", scheduler.Cycle/5)
 			continue
 		}
 		rev = max(rev, ev.Revision)
@@ -104,7 +104,7 @@
 // refreshTypes follows the cloud's prices.
 func (l *Leader) refreshTypes() {
 	for l.ctx.Err() == nil {
-		storage.Pause(l.ctx, config.Seconds(8*l.Cfg.Cloud.ListLagS))
+		l.Random.Pause(l.ctx, "machine types", config.Seconds(8*l.Cfg.Cloud.ListLagS))
 		types, err := l.Cloud.fetchTypes(l.ctx)
 		if err != nil {
 			l.Log.Info("prices not read", "err", err)
--- a/internal/coordination/partition/commands.go
+++ b/internal/coordination/partition/commands.go
@@ -1,6 +1,9 @@
 package partition
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -51,13 +54,13 @@
 			}
 		}
 	}
-	for id, attempt := range m.stray {
+	for _, id := range inOrder(m.stray) {
 		if len(out) < maxOrders {
-			stop(id, attempt, 0)
+			stop(id, m.stray[id], 0)
 		}
 	}
-	for id, e := range m.exits {
-		if len(out) < maxOrders && p.forgettable(m, e) {
+	for _, id := range inOrder(m.exits) {
+		if e := m.exits[id]; len(out) < maxOrders && p.forgettable(m, e) {
 			out = append(out, protocol.Command{Verb: protocol.Forget, Name: id.String(), Attempt: e.attempt})
 			delete(m.exits, id)
 		}
@@ -65,6 +68,18 @@
 	return out
 }
 
+// inOrder lists the tasks of a machine in an order that does not depend on chance.
+func inOrder[V any](tasks map[protocol.TaskID]V) []protocol.TaskID {
+	if len(tasks) == 0 {
+		return nil
+	}
+	list := slices.AppendSeq(make([]protocol.TaskID, 0, len(tasks)), maps.Keys(tasks))
+	slices.SortFunc(list, func(a, b protocol.TaskID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
+	})
+	return list
+}
+
 // forgettable says whether no run of an exited attempt can reach the machine
 // any more: after forget, a late copy would start the attempt again. Commands
 // with a token below the highest that the worker has seen are refused.
--- a/internal/coordination/partition/machine.go
+++ b/internal/coordination/partition/machine.go
@@ -81,7 +81,7 @@
 // HasImage says whether the machine has a job's image or is fetching it.
 func (m *Machine) HasImage(image string) bool { return m.images[image] != nil }
 
-// Placements calls f for each placement that may be on the machine.
+// Placements calls f for each placement that may be on the machine, in no order.
 func (m *Machine) Placements(f func(*Placement)) {
 	for _, p := range m.placements {
 		f(p)
--- a/internal/coordination/partition/reports.go
+++ b/internal/coordination/partition/reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"pinebay/internal/config"
@@ -163,14 +162,8 @@
 
 func sorted(ps map[protocol.TaskID]*Placement) []*Placement {
 	list := make([]*Placement, 0, len(ps))
-	for _, pl := range ps {
-		list = append(list, pl)
+	for _, id := range inOrder(ps) {
+		list = append(list, ps[id])
 	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].Task.Job != list[j].Task.Job {
-			return list[i].Task.Job < list[j].Task.Job
-		}
-		return list[i].Task.Task < list[j].Task.Task
-	})
 	return list
 }
--- a/internal/coordination/scheduler/images.go
+++ b/internal/coordination/scheduler/images.go
@@ -79,13 +79,14 @@
 	}
 	t := protocol.Txn{If: []protocol.Cond{{Key: storage.TermKey, Version: c.termStamp}}}
 	var changed []string
-	for key := range c.warm {
+	for _, key := range slices.Sorted(maps.Keys(c.warm)) {
 		if pages[key] == nil {
 			t.Then = append(t.Then, protocol.Op{Delete: key})
 			changed = append(changed, key)
 		}
 	}
-	for key, raw := range pages {
+	for _, key := range slices.Sorted(maps.Keys(pages)) {
+		raw := pages[key]
 		if c.warm[key] != string(raw) && len(t.Then) < c.cfg.State.TxnOps/2 {
 			t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
 			changed = append(changed, key)
--- a/internal/coordination/scheduler/lifecycle.go
+++ b/internal/coordination/scheduler/lifecycle.go
@@ -199,11 +199,11 @@
 // if that can be done in time.
 func (c *Core) stopOnNotice(now time.Duration) {
 	c.machines.Noticed(func(m *partition.Machine) {
-		m.Placements(func(pl *partition.Placement) {
+		for _, pl := range c.placementsOn(m) {
 			if !pl.Stopping {
 				c.stopOrderly(now, pl, math.MaxInt64)
 			}
-		})
+		}
 	})
 }
 
--- a/internal/coordination/scheduler/records.go
+++ b/internal/coordination/scheduler/records.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"pinebay/internal/coordination/partition"
@@ -75,7 +77,8 @@
 	}
 	var dropped []int
 	if len(j.places) == 0 {
-		for n, p := range j.pages {
+		for _, n := range slices.Sorted(maps.Keys(j.pages)) {
+			p := j.pages[n]
 			if p.stamp != 0 && len(t.Then) < c.cfg.State.TxnOps {
 				t.If = append(t.If, protocol.Cond{Key: storage.PageKey(j.spec.ID, n), Version: p.stamp})
 				t.Then = append(t.Then, protocol.Op{Delete: storage.PageKey(j.spec.ID, n)})
@@ -138,7 +141,8 @@
 	}
 	t := protocol.Txn{If: []protocol.Cond{{Key: storage.TermKey, Version: c.termStamp}}}
 	var dropped []int
-	for n, p := range j.pages {
+	for _, n := range slices.Sorted(maps.Keys(j.pages)) {
+		p := j.pages[n]
 		if p.stamp == 0 {
 			c.settle(p)
 			delete(j.pages, n)
--- a/internal/coordination/scheduler/zonerecords.go
+++ b/internal/coordination/scheduler/zonerecords.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -157,7 +159,8 @@
 		contents[number] = content
 	}
 	pages := c.zonePages(now)
-	for number, page := range pages {
+	for _, number := range slices.Sorted(maps.Keys(pages)) {
+		page := pages[number]
 		plain, err := protocol.Encode(page)
 		if err != nil {
 			c.log.Error("zone return record", "err", err)
@@ -174,7 +177,7 @@
 		}
 		add(number, string(plain), protocol.Op{Put: storage.ZoneReturnKey(number), Value: value})
 	}
-	for number := range z.records.stamps {
+	for _, number := range slices.Sorted(maps.Keys(z.records.stamps)) {
 		if pages[number] == nil {
 			add(number, "", protocol.Op{Delete: storage.ZoneReturnKey(number)})
 		}
--- a/internal/coordination/scheduler/zonewatch.go
+++ b/internal/coordination/scheduler/zonewatch.go
@@ -23,10 +23,14 @@
 	expired := c.leaseOver()
 	c.machines.Each(func(m *partition.Machine) {
 		i, ok := index[m.Zone]
-		if !ok || m.Condemned || !m.Up && m.Count() == 0 {
+		if !ok || m.Condemned {
 			return
 		}
 		f := &facts[i]
+		if !m.Up && m.Count() == 0 {
+			f.Coming++
+			return
+		}
 		f.Machines++
 		switch quiet := now - m.Heard; {
 		case m.Up && quiet <= c.machines.Silent():
@@ -68,7 +72,8 @@
 		case zones.Lost:
 			policies[zone.Name] = c.lostPolicy(now, zone)
 		case zones.Returning:
-			policies[zone.Name] = fleet.ZonePolicy{KeepUntil: zone.Since + lease}
+			// Until a machine there is heard, one at a time shows whether others would be.
+			policies[zone.Name] = fleet.ZonePolicy{Probe: zone.Evidence.Heard == 0, KeepUntil: zone.Since + lease}
 		}
 	}
 	c.fleet.SetZones(policies)
--- a/internal/coordination/zones/ledger.go
+++ b/internal/coordination/zones/ledger.go
@@ -110,7 +110,7 @@
 // Debts returns what each lender has lost by its open loans.
 func (l *Ledger) Debts() map[string]float64 {
 	debts := map[string]float64{}
-	for _, loan := range l.loans {
+	for _, loan := range l.Loans() {
 		debts[loan.Lender.Job] += 1 + loan.LostS
 	}
 	return debts
--- a/internal/coordination/zones/monitor.go
+++ b/internal/coordination/zones/monitor.go
@@ -18,7 +18,8 @@
 	// Lost: most of its machines have been silent for so long that no lease there can
 	// still be renewed.
 	Lost
-	// Returning: machines report again, and the zone is not trusted yet.
+	// Returning: machines report again, or the zone has been without machines for long, and it is not
+	// trusted yet.
 	Returning
 )
 
@@ -42,6 +43,7 @@
 	Silent   int // have not been heard for a while
 	Expired  int // silent for so long that no lease there can still be renewed
 	Left     int // have left the cloud's list by themselves since the zone was last available
+	Coming   int // were rented and have not been heard yet
 }
 
 // Evidence is what a zone's state was concluded from.
@@ -74,6 +76,10 @@
 const (
 	mostDoublings = 3 // of the holding time
 	decayHolds    = 8 // a flap is forgotten after so many base times
+	// emptyHolds is for how many holding times a lost zone must be without machines until nothing
+	// speaks against it any more. Without it the order of return stayed in force for good once the
+	// last machine of a lost zone had been returned and nothing asked for another.
+	emptyHolds = 4
 )
 
 // Zone is the state of one zone.
@@ -85,6 +91,7 @@
 	Evidence Evidence
 
 	peak      int           // most machines heard since its return began
+	emptyFrom time.Duration // since when a lost zone has no machines
 	decayFrom time.Duration // when the last flap happened or was forgotten
 	returned  bool          // it has been away, as far as is remembered
 }
@@ -124,6 +131,7 @@
 	}
 	known.State, known.Since, known.Flaps = z.State, z.Since, max(0, z.Flaps)
 	known.decayFrom, known.returned = z.Since, z.State != Available
+	known.emptyFrom = max(known.emptyFrom, z.Since)
 }
 
 // Zones returns the zones in the order of their names.
@@ -208,7 +216,10 @@
 			return Available // they were returned; nothing speaks against the zone
 		}
 	case Lost:
-		if e.Heard > 0 {
+		if e.Machines > 0 {
+			z.emptyFrom = now
+		}
+		if e.Heard > 0 || now-z.emptyFrom >= emptyHolds*m.holdOf(z) {
 			return Returning
 		}
 	case Returning:
@@ -216,8 +227,8 @@
 		switch {
 		case float64(e.Heard) < relapseShare*float64(z.peak) && e.reference():
 			return Suspected
-		case now-z.Since >= m.holdOf(z):
-			return Available
+		case now-z.Since >= m.holdOf(z) && (e.Heard > 0 || e.Coming == 0):
+			return Available // it is heard, or nothing there could be
 		}
 	}
 	return z.State
@@ -244,7 +255,7 @@
 	if to == Lost || to == Returning {
 		z.returned = true
 	}
-	z.State, z.Since, z.peak = to, now, e.Heard
+	z.State, z.Since, z.peak, z.emptyFrom = to, now, e.Heard, now
 	return Change{Zone: z.Name, From: from, To: to, Hold: m.holdOf(z), Evidence: e}
 }
 
--- a/internal/coordination/zones/monitor_test.go
+++ b/internal/coordination/zones/monitor_test.go
@@ -43,6 +43,12 @@
 		{"half of it", []row{{expired, elsewhere, 1, Suspected}, {expired, elsewhere, 1, Lost}, {half, elsewhere, 1, Returning}, {half, elsewhere, hold, Available}}},
 		{"all of it is gone", []row{{silent, elsewhere, 1, Suspected}, {Facts{Zone: "a", Left: 3}, elsewhere, 1, Lost}, {Facts{Zone: "a", Left: 3}, elsewhere, hold, Lost},
 			{heard, elsewhere, 1, Returning}}},
+		{"empty for long", []row{{silent, elsewhere, 1, Suspected}, {expired, elsewhere, 1, Lost}, {Facts{Zone: "a"}, elsewhere, emptyHolds*hold - 1, Lost},
+			{Facts{Zone: "a", Coming: 1}, elsewhere, 1, Returning}, {Facts{Zone: "a", Coming: 1}, elsewhere, 2 * hold, Returning}, {heard, elsewhere, 1, Available}}},
+		{"empty, and nothing is wanted there", []row{{silent, elsewhere, 1, Suspected}, {expired, elsewhere, 1, Lost}, {Facts{Zone: "a"}, elsewhere, emptyHolds * hold, Returning},
+			{Facts{Zone: "a"}, elsewhere, hold - 1, Returning}, {Facts{Zone: "a"}, elsewhere, 1, Available}}},
+		{"silent machines are no empty zone", []row{{silent, elsewhere, 1, Suspected}, {expired, elsewhere, 1, Lost}, {expired, elsewhere, 2 * emptyHolds * hold, Lost},
+			{Facts{Zone: "a"}, elsewhere, emptyHolds*hold - 1, Lost}}},
 		{"all of it was returned", []row{{silent, elsewhere, 1, Suspected}, {Facts{Zone: "a"}, elsewhere, 1, Available}}},
 		{"its tasks still run", []row{{silent, elsewhere, 1, Suspected}, {silent, elsewhere, hold, Suspected}}},
 		{"a new leader has not heard it yet", []row{{unheard, elsewhere, 1, Available}, {unheard, elsewhere, hold, Available}}},
@@ -64,8 +70,8 @@
 }
 
 // TestZoneInvariants: whatever the facts, a zone is lost only when most of it is beyond its
-// lease and others are heard, is trusted after a loss only when it has been heard for its
-// holding time, and the holding time stays within its bounds.
+// lease and others are heard, is trusted after a loss only a holding time after it was heard again or
+// had been without machines for several of them, and the holding time stays within its bounds.
 func TestZoneInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := NewMonitor(0, hold, []string{"a", "b"})
@@ -89,6 +95,9 @@
 				if c.To == Lost && f.Machines > 0 && (4*f.Expired < 3*f.Machines || 2*other.Heard < other.Machines) {
 					t.Fatalf("lost with %+v and %+v", f, other)
 				}
+				if c.From == Lost && f.Machines > 0 && f.Heard == 0 {
+					t.Fatalf("returning with %+v", f)
+				}
 				if c.To == Available && lost >= 0 && (heardSince < 0 || now-heardSince < hold) {
 					t.Fatalf("trusted %v after it was heard again", now-heardSince)
 				}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"pinebay/internal/coordination/fencing"
 	"pinebay/internal/coordination/leader"
 	"pinebay/internal/coordination/zones"
+	"pinebay/internal/random"
 	"pinebay/internal/storage"
 	"pinebay/internal/timing"
 	"pinebay/internal/transport"
@@ -38,6 +39,7 @@
 // Controller is one process of the service.
 type Controller struct {
 	network  transport.Network
+	random   *random.Source
 	cfg      *config.Settings
 	features Features
 	log      *slog.Logger
@@ -91,16 +93,16 @@
 	Timing *timing.Recorder
 }
 
-// New returns a controller that is not running yet.
-func New(network transport.Network, cfg *config.Settings, features Features, log *slog.Logger) *Controller {
+// New returns a controller that is not running yet. It draws its random numbers from the source.
+func New(network transport.Network, source *random.Source, cfg *config.Settings, features Features, log *slog.Logger) *Controller {
 	d := &cfg.Deploy
-	c := &Controller{network: network, cfg: cfg, features: features, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[election.Event](),
+	c := &Controller{network: network, random: source, cfg: cfg, features: features, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[election.Event](),
 		fenceBox: actor.NewMailbox[fencing.Event](), fencing: fencing.New(fenceTimes(d)),
 		peers: map[string]election.Peer{}, renewers: map[string]time.Duration{}, wakes: map[string]chan struct{}{}, turned: NewTurned(config.Seconds(d.Workers.LeaseS))}
-	c.store = storage.NewClient(network, d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
+	c.store = storage.NewClient(network, source, d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
 	c.cloud = leader.NewCloud(network, cfg.Outside.Cloud, d.Cloud)
 	c.workers = transport.NewClient(network, 1, max(1, int(float64(d.Quota.MaxSockets)*socketsCommands)), config.Seconds(d.Workers.LeaseS))
-	c.api = api.New(d, c.store, c.log, c.statuses, c.announce)
+	c.api = api.New(d, c.store, source, c.log, c.statuses, c.announce)
 	peers := map[string]string{}
 	var names []string
 	for _, p := range cfg.Seeds {
@@ -113,7 +115,7 @@
 	}
 	keep := keepIntents(d, c.times)
 	// The state service's writes bound how many cancellations there can be.
-	c.intents = cancellation.New(names, keep, c.now()+c.times.Amnesia, int(max(1, d.State.WriteRPS*keep.Seconds())))
+	c.intents = cancellation.New(source, names, keep, c.now()+c.times.Amnesia, int(max(1, d.State.WriteRPS*keep.Seconds())))
 	c.mesh = transport.NewMesh(network, cfg.Node, peers, c.times.Silent/2, c.log, c.answerPeer,
 		func(node string) { c.box.Send(election.Lost{Peer: node}) })
 	c.elect = election.New(c.now(), cfg.Node, names, c.times)
@@ -211,7 +213,7 @@
 				c.log.Debug("state service does not answer", "err", err)
 			}
 		}
-		storage.Pause(ctx, c.times.Silent/8)
+		c.random.Pause(ctx, "probe", c.times.Silent/8)
 	}
 }
 
@@ -225,6 +227,6 @@
 			return
 		}
 		c.log.Info("machine types not read", "err", err)
-		storage.Pause(ctx, c.times.Beat*2)
+		c.random.Pause(ctx, "machine types", c.times.Beat*2)
 	}
 }
--- a/internal/daemon/fence.go
+++ b/internal/daemon/fence.go
@@ -62,7 +62,7 @@
 	switch e := effect.(type) {
 	case fencing.List:
 		go func() {
-			list, err := c.cloud.List(ctx)
+			list, err := c.cloud.List(ctx, c.cloud.Turn())
 			if err != nil {
 				c.log.Info("machine list not read", "err", err)
 				return // the next assessment asks again
@@ -120,7 +120,7 @@
 func (c *Controller) releaseSilent(ctx context.Context, machines []string) {
 	for names := range slices.Chunk(machines, protocol.MaxRelease) {
 		c.log.Info("fencing silent machines without a leader", "machines", names)
-		if err := c.cloud.Release(ctx, names); err != nil {
+		if err := c.cloud.Release(ctx, c.cloud.Turn(), names); err != nil {
 			c.log.Info("release unanswered", "machines", len(names), "err", err)
 			return
 		}
--- a/internal/daemon/lead.go
+++ b/internal/daemon/lead.go
@@ -40,7 +40,7 @@
 		}()
 	case election.Lead:
 		l := leader.Start(ctx, leader.Deps{
-			Cfg: &c.cfg.Deploy, Log: c.log, Store: c.store, Cloud: c.cloud, Workers: c.workers, Now: c.now,
+			Cfg: &c.cfg.Deploy, Log: c.log, Store: c.store, Random: c.random, Cloud: c.cloud, Workers: c.workers, Now: c.now,
 			Types: c.api.SetTypes, ZoneReturn: c.features.ZoneReturn, Timing: c.features.Timing,
 			Confirmed: func() bool {
 				v := c.view.Load()
@@ -133,7 +133,7 @@
 		if !fresh {
 			p, err := c.store.Get(ctx, storage.Urgent, storage.LeaderKey)
 			if err != nil {
-				storage.Pause(ctx, c.times.Beat)
+				c.random.Pause(ctx, "watch leader", c.times.Beat)
 				continue
 			}
 			c.leaderKey(p.Value, p.Version)
@@ -142,7 +142,7 @@
 				pairs, r, err := c.store.List(ctx, storage.LeaderKey)
 				if err != nil {
 					fresh = false
-					storage.Pause(ctx, c.times.Beat)
+					c.random.Pause(ctx, "watch leader", c.times.Beat)
 					continue
 				}
 				rev = max(rev, r)
@@ -154,7 +154,7 @@
 		ev, err := c.store.Watch(ctx, storage.LeaderKey, rev, wait)
 		if err != nil {
 			fresh = !errors.Is(err, storage.ErrCompacted)
-			storage.Pause(ctx, c.times.Beat)
+			c.random.Pause(ctx, "watch leader", c.times.Beat)
 			continue
 		}
 		rev = max(rev, ev.Revision)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"pinebay/internal/config"
@@ -180,8 +182,8 @@
 	c.peersMu.Lock()
 	defer c.peersMu.Unlock()
 	best, latest := "", c.now()-c.times.Silent/2
-	for node, at := range c.renewers {
-		if at > latest {
+	for _, node := range slices.Sorted(maps.Keys(c.renewers)) {
+		if at := c.renewers[node]; at > latest {
 			best, latest = node, at
 		}
 	}
@@ -190,6 +192,11 @@
 
 // beat tells one peer regularly who leads, and hears what it knows.
 func (c *Controller) beat(ctx context.Context, peer string) {
+	// The election's own timer has had its turn when this one is due: what a heartbeat says is what
+	// that has just decided.
+	if !sleep(ctx, c.times.Beat/heartbeatPhase) {
+		return
+	}
 	interval := c.times.Beat
 	t := time.NewTicker(interval)
 	defer t.Stop()
@@ -215,6 +222,22 @@
 	}
 }
 
+// heartbeatPhase is the part of the interval, as its inverse, by which heartbeats are set off from the
+// election's timer.
+const heartbeatPhase = 16
+
+// sleep waits for a time, and says whether the context has not ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // followerPace is how many times as seldom a follower sends heartbeats as the leader. It
 // hears the leader's and answers those; its own only keep followers in contact, which
 // hear each other in both directions, and new intents don't wait for them.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -15,6 +15,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/simulation"
 	"pinebay/internal/storage"
 	"pinebay/internal/transport"
@@ -99,7 +100,7 @@
 	network := meteredNetwork{from: []byte{127, 0, 0, 1}, bytes: &r.meter.bytes[LinkUsers]}
 	r.users = &simulation.Users{Client: transport.NewClient(network, usersConnections, usersConnections, time.Minute), Ledger: r.ledger,
 		Now: r.now, Fault: r.fail, OnAnswer: r.userAnswered}
-	r.surroundings = &simulation.Surroundings{Lock: &r.mu, Now: r.now, Draw: r.draw, Interval: cfg.Report, Fault: r.fail}
+	r.surroundings = &simulation.Surroundings{Lock: &r.mu, Now: r.now, Random: random.New(cfg.Seed), Interval: cfg.Report, Fault: r.fail}
 	for node := range load.Controllers {
 		s := settingsFor(cfg, load, r.teams, node, cfg.stateAddr(), cfg.cloudAddr())
 		p, err := newController(cfg, dir, s)
@@ -146,7 +147,7 @@
 	r.cloud = simulation.NewCloud(&r.mu, r.now)
 	r.cloud.Types, r.cloud.Lag = r.types, config.Seconds(r.cfg.cloudLimits().ListLagS)
 	r.cloud.Capacity = func(protocol.Rental) int { return 0 }
-	r.cloud.Boot = func() time.Duration { return 0 }
+	r.cloud.Boot = func(string) time.Duration { return 0 }
 	r.cloud.Address = func(number int) string {
 		if process := number - r.load.Workers; process > 0 {
 			return fmt.Sprintf("%s:%d", processIP(process), r.cfg.processPort())
--- a/internal/scale/workerprocess.go
+++ b/internal/scale/workerprocess.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +18,7 @@
 	"time"
 
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/simulation"
 	"pinebay/internal/transport"
 )
@@ -48,12 +48,12 @@
 func RunWorker(ctx context.Context, cfg *WorkerConfig) error {
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
-	w := &workerProcess{cfg: cfg, began: time.Now(), rng: rand.New(rand.NewPCG(cfg.Seed, 7)), stop: stop,
+	w := &workerProcess{cfg: cfg, began: time.Now(), stop: stop,
 		client: &http.Client{Timeout: protocol.ReportPatience}}
 	w.world = simulation.NewWorld(0, fetch, cfg.RunTime)
 	w.world.Lookup = w.lookup
 	worker := w.world.Add(0, cfg.Name, cfg.Zone, false, &cfg.Type, cfg.Lease)
-	s := &simulation.Surroundings{Lock: &w.mu, Now: w.now, Draw: w.draw, Controllers: cfg.Controllers, Interval: cfg.Report, Fault: func(err error) { stop(err) }}
+	s := &simulation.Surroundings{Lock: &w.mu, Now: w.now, Random: random.New(cfg.Seed), Controllers: cfg.Controllers, Interval: cfg.Report, Fault: func(err error) { stop(err) }}
 	a := simulation.NewAgent(ctx, s, worker, cfg.Addr, transport.NewClient(transport.TCP{}, 1, 2, idleWorkerConnection))
 	a.OnTell = w.tell
 	l, err := net.Listen("tcp4", cfg.Addr)
@@ -79,16 +79,11 @@
 	stop   context.CancelCauseFunc
 
 	mu    sync.Mutex // guards what follows
-	rng   *rand.Rand
 	world *simulation.World
 }
 
 func (w *workerProcess) now() time.Duration { return time.Since(w.began) }
 
-func (w *workerProcess) draw(d time.Duration) time.Duration {
-	return time.Duration(w.rng.Float64() * float64(d))
-}
-
 // passTime lets time pass for the tasks. Starts are told at once.
 func (w *workerProcess) passTime(ctx context.Context, worker *simulation.Worker) {
 	ticker := time.NewTicker(tick)
--- a/internal/simulation/agent.go
+++ b/internal/simulation/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/transport"
 )
 
@@ -25,9 +26,9 @@
 
 // Surroundings is what the workers and users of a simulation share.
 type Surroundings struct {
-	Lock        sync.Locker // guards the world, and Draw
+	Lock        sync.Locker // guards the world
 	Now         func() time.Duration
-	Draw        func(upTo time.Duration) time.Duration
+	Random      *random.Source
 	Controllers []Controller
 	Interval    time.Duration // between two reports
 	// Fault is told of what no worker should ever see.
@@ -90,8 +91,8 @@
 }
 
 // awake waits until the machine does not hang, and returns with the lock held, or false
-// without it.
-func (a *Agent) awake() bool {
+// without it. What waits for that, for different purposes, goes on one after the other.
+func (a *Agent) awake(purpose string) bool {
 	for {
 		a.Lock.Lock()
 		if !a.Worker.Hung {
@@ -101,7 +102,7 @@
 		a.Lock.Unlock()
 		select {
 		case <-resume:
-			a.pause(resumePause)
+			a.pause(resumePause + a.Random.UpTo("resume "+a.Worker.Name+purpose, resumePause))
 		case <-a.ctx.Done():
 			return false
 		}
@@ -123,7 +124,7 @@
 // ServeHTTP takes direct commands.
 func (a *Agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	raw, err := io.ReadAll(r.Body)
-	if err != nil || !a.awake() {
+	if err != nil || !a.awake(r.URL.Path+string(raw)) {
 		return
 	}
 	status, body := a.command(r.URL.Path, raw)
@@ -170,10 +171,7 @@
 		redirected := true
 		for redirected && a.ctx.Err() == nil {
 			if at, redirected = a.send(at); redirected {
-				a.Lock.Lock()
-				pause := a.Draw(redirectPause)
-				a.Lock.Unlock()
-				a.pause(pause)
+				a.pause(a.Random.UpTo("redirect "+a.Worker.Name, redirectPause))
 			}
 		}
 	}
@@ -181,9 +179,7 @@
 
 // waitForReport waits until a report is due: by its time, or because something has changed.
 func (a *Agent) waitForReport() {
-	a.Lock.Lock()
-	due := a.Interval*3/4 + a.Draw(a.Interval/2)
-	a.Lock.Unlock()
+	due := a.Interval*3/4 + a.Random.UpTo("report "+a.Worker.Name, a.Interval/2)
 	timer := time.NewTimer(due)
 	defer timer.Stop()
 	if !a.pause(min(changePause, due)) {
@@ -210,7 +206,7 @@
 // whether that one was named by the answer: then the worker goes there without waiting
 // for its next report.
 func (a *Agent) send(at int) (next int, redirected bool) {
-	if !a.awake() {
+	if !a.awake("report") {
 		return at, false
 	}
 	report := a.report()
@@ -255,7 +251,7 @@
 		a.Fault(err)
 		return
 	}
-	if !a.awake() {
+	if !a.awake("answer") {
 		return
 	}
 	defer a.Lock.Unlock()
--- a/internal/simulation/cloud.go
+++ b/internal/simulation/cloud.go
@@ -19,8 +19,8 @@
 	Lag time.Duration
 	// Capacity is how many machines a rental gets.
 	Capacity func(protocol.Rental) int
-	// Boot is how long the next machine takes to come up.
-	Boot func() time.Duration
+	// Boot is how long a machine takes to come up.
+	Boot func(name string) time.Duration
 	// Address is where the worker of the machine with that number listens.
 	Address func(number int) string
 	// Up brings up a machine's worker, and Down ends it.
@@ -140,7 +140,7 @@
 	for range min(c.Capacity(q), q.Count) {
 		m := c.add(q.Type, q.Zone, q.Spot)
 		names = append(names, m.Name)
-		time.AfterFunc(c.Boot(), func() {
+		time.AfterFunc(c.Boot(m.Name), func() {
 			c.lock.Lock()
 			defer c.lock.Unlock()
 			c.bringUp(m)
--- a/internal/simulation/drawn_scenarios_test.go
+++ b/internal/simulation/drawn_scenarios_test.go
@@ -30,9 +30,10 @@
 	}
 }
 
-// playSteps has every step happen at its time from now.
+// playSteps has every step happen at its time from a moment from now at which no timer of the
+// controllers or the world is due: what happens first of two things at one moment is chance.
 func (l *live) playSteps(steps []step) {
-	from := l.now()
+	from := l.now() + l.upTo("begin", ms)
 	for _, st := range steps {
 		time.Sleep(from + st.at - l.now())
 		st.do(l)
--- a/internal/simulation/intents_test.go
+++ b/internal/simulation/intents_test.go
@@ -100,7 +100,7 @@
 		l.settle(12)
 		old := l.leader()
 		late := 8 * s
-		mend := writes(1, func(l *live) Fate { return Fate{Late: late} })(l)
+		mend := writes(1, func(*live, string) Fate { return Fate{Late: late} })(l)
 		ids := l.running()[:4]
 		for _, id := range ids {
 			l.go_(func() { l.request(l.others(old)[0], Cancels, id) })
--- a/internal/simulation/live_cloud_test.go
+++ b/internal/simulation/live_cloud_test.go
@@ -13,7 +13,7 @@
 func (l *live) newCloud() *Cloud {
 	c := NewCloud(&l.mu, l.now)
 	c.Types, c.Lag = l.types, config.Seconds(l.cfg.Cloud.ListLagS)
-	c.Boot = func() time.Duration { return l.boot() }
+	c.Boot = func(name string) time.Duration { return l.boot(name) }
 	c.Capacity = l.capacity
 	c.Address = func(number int) string { return fmt.Sprintf("10.1.0.%d:9000", number) }
 	c.Up, c.Down = l.up, l.down
--- a/internal/simulation/live_test.go
+++ b/internal/simulation/live_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
@@ -17,6 +16,7 @@
 	"pinebay/internal/config"
 	"pinebay/internal/daemon"
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/storage"
 	"pinebay/internal/transport"
 )
@@ -42,11 +42,11 @@
 	wg     sync.WaitGroup
 
 	mu       sync.Mutex // guards what follows
-	rng      *rand.Rand
+	random   *random.Source
 	world    *World
 	rigs     map[string]*rig
 	rented   *Cloud
-	boot     func() time.Duration
+	boot     func(machine string) time.Duration
 	reports  func(r *protocol.Report) // sees every report that is sent
 	cuts     map[string]int           // "from>to" to how often it is cut
 	jobs     []string
@@ -82,7 +82,7 @@
 
 func newLive(t *testing.T, seed uint64, controllers int, w config.Workers, options ...func(*live)) *live {
 	l := &live{
-		t: t, start: time.Now(), net: NewNetwork(seed), state: NewState(), rng: rand.New(rand.NewPCG(seed, 11)),
+		t: t, start: time.Now(), net: NewNetwork(seed), state: NewState(), random: random.New(seed),
 		cfg: config.Deployment{
 			Nodes: controllers, Zones: []string{"a", "b"}, ClockOffMS: 250,
 			Teams:   []config.Team{{Name: "red", GPUsMax: 40}, {Name: "blue", GPUs: 8, GPUsMax: 24}},
@@ -104,7 +104,7 @@
 	for _, team := range l.cfg.Teams {
 		l.world.Limits[team.Name] = [2]float64{team.CPUsMax, team.GPUsMax}
 	}
-	l.boot = func() time.Duration { return 4*time.Second + l.upTo(6*time.Second) }
+	l.boot = func(name string) time.Duration { return 4*time.Second + l.upTo("boot "+name, 6*time.Second) }
 	l.ledger = NewLedger(l.allDone, l.toldCancelled)
 	level := slog.LevelInfo
 	if os.Getenv("LOG_LEVEL") == "debug" {
@@ -135,6 +135,7 @@
 	}
 	for _, n := range l.nodes {
 		l.boots(n)
+		time.Sleep(ms) // whom it reaches must not depend on which of them listens first
 	}
 	l.go_(func() {
 		for l.ctx.Err() == nil {
@@ -173,15 +174,14 @@
 
 func (l *live) now() time.Duration { return time.Since(l.start) }
 
-// upTo and chance draw; l.mu is held.
-func (l *live) upTo(d time.Duration) time.Duration {
-	return time.Duration(l.rng.Float64() * float64(d))
-}
+// upTo, draw and chance draw for a purpose.
 
-func (l *live) draw(n int) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.rng.IntN(n)
+func (l *live) upTo(purpose string, d time.Duration) time.Duration { return l.random.UpTo(purpose, d) }
+
+func (l *live) draw(purpose string, n int) int { return l.random.For(purpose).IntN(n) }
+
+func (l *live) chance(purpose string, share float64) bool {
+	return l.random.For(purpose).Float64() < share
 }
 
 func (l *live) note(what string) {
@@ -216,7 +216,7 @@
 	n.stop, n.up = stop, true
 	host := n.host
 	l.go_(func() {
-		if err := daemon.New(host, &n.settings, n.features, l.log).Run(ctx); err != nil && ctx.Err() == nil {
+		if err := daemon.New(host, l.random.Named(fmt.Sprint(n.name, l.now())), &n.settings, n.features, l.log).Run(ctx); err != nil && ctx.Err() == nil {
 			l.t.Errorf("%s ended: %v", n.name, err)
 		}
 	})
@@ -231,7 +231,7 @@
 	n.up = false
 	n.stop() // before its listeners are gone, or it would say that it ended by itself
 	n.host.Kill()
-	time.AfterFunc(back, func() {
+	time.AfterFunc(back+l.upTo("back "+n.name, ms), func() {
 		if l.ctx.Err() == nil {
 			l.boots(n)
 		}
--- a/internal/simulation/live_user_test.go
+++ b/internal/simulation/live_user_test.go
@@ -48,18 +48,21 @@
 		for _, o := range l.nodes {
 			for i := range 3 {
 				l.go_(func() {
-					time.Sleep(time.Duration(i) * 3 * ms)
+					time.Sleep(time.Duration(i)*3*ms + l.upTo(fmt.Sprint("look ", i, o.name, id), ms))
 					l.request(o, Asks, id)
 				})
 			}
-			l.go_(func() { l.request(o, Submits, id) })
+			l.go_(func() {
+				time.Sleep(l.upTo("submit again "+o.name+id, ms))
+				l.request(o, Submits, id)
+			})
 		}
 	}
 	return status, st
 }
 
-// any returns a controller that a load balancer would choose.
-func (l *live) any() *controller { return l.nodes[l.draw(len(l.nodes))] }
+// any returns a controller that a load balancer would choose for a request about a job.
+func (l *live) any(id string) *controller { return l.nodes[l.draw("any "+id, len(l.nodes))] }
 
 // user submits a job, asks for it until it is over, and repeats what is refused.
 func (l *live) user(j protocol.Job) {
@@ -69,7 +72,7 @@
 	l.mu.Unlock()
 	l.go_(func() {
 		for l.ctx.Err() == nil {
-			if status, _ := l.call(l.any(), Submits, j.ID); status == 200 || status == 201 {
+			if status, _ := l.call(l.any(j.ID), Submits, j.ID); status == 200 || status == 201 {
 				break
 			}
 			time.Sleep(time.Second)
@@ -83,10 +86,10 @@
 
 func (l *live) poll(id string) {
 	for l.ctx.Err() == nil {
-		if status, st := l.call(l.any(), Asks, id); status == 200 && st.Standing.Final() {
+		if status, st := l.call(l.any(id), Asks, id); status == 200 && st.Standing.Final() {
 			return
 		}
-		time.Sleep(4*time.Second + time.Duration(l.draw(2000))*ms)
+		time.Sleep(4*time.Second + l.upTo("poll "+id, 2*time.Second))
 	}
 }
 
@@ -95,7 +98,7 @@
 func (l *live) cancel(id string, at []*controller, within time.Duration) bool {
 	end := l.now() + within
 	for l.ctx.Err() == nil && l.now() < end {
-		if status, st := l.call(at[l.draw(len(at))], Cancels, id); status == 200 && st.Standing.Final() {
+		if status, st := l.call(at[l.draw("cancel "+id, len(at))], Cancels, id); status == 200 && st.Standing.Final() {
 			return st.Standing == protocol.Cancelled
 		}
 		time.Sleep(300 * ms)
@@ -107,10 +110,11 @@
 func (l *live) job(shape protocol.Shape, tasks int, gpus float64) protocol.Job {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	id := fmt.Sprintf("j-%06d", len(l.jobs))
 	j := protocol.Job{
-		ID: fmt.Sprintf("j-%06d", len(l.jobs)), Class: string(shape), Team: []string{"red", "blue"}[l.rng.IntN(2)], Shape: shape,
+		ID: id, Class: string(shape), Team: []string{"red", "blue"}[l.draw("team "+id, 2)], Shape: shape,
 		Priority: "normal", Tasks: tasks, CPUs: 4, GPUs: gpus, MemoryGB: 16,
-		Image: fmt.Sprintf("img-%d", l.rng.IntN(3)), ImageGB: 4, EstimateS: 20, DeadlineS: 900,
+		Image: fmt.Sprintf("img-%d", l.draw("image "+id, 3)), ImageGB: 4, EstimateS: 20, DeadlineS: 900,
 	}
 	if shape == protocol.Service {
 		j.Priority, j.EstimateS = "critical", 0
--- a/internal/simulation/live_worker_test.go
+++ b/internal/simulation/live_worker_test.go
@@ -46,7 +46,7 @@
 	srv := &http.Server{Handler: r.Agent, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 	l.go_(func() { _ = srv.Serve(ln) })
 	context.AfterFunc(r.ctx, func() { srv.Close(); r.host.Kill() })
-	at := l.rng.IntN(len(l.nodes))
+	at := l.draw("first "+m.Name, len(l.nodes))
 	l.go_(func() { r.Run(at) })
 }
 
@@ -61,7 +61,7 @@
 
 // surroundings is what the workers share.
 func (l *live) surroundings() *Surroundings {
-	s := &Surroundings{Lock: &l.mu, Now: l.now, Draw: l.upTo, Interval: config.Seconds(l.cfg.Workers.ReportS), Fault: func(err error) { l.t.Error(err) }}
+	s := &Surroundings{Lock: &l.mu, Now: l.now, Random: l.random.Named("workers"), Interval: config.Seconds(l.cfg.Workers.ReportS), Fault: func(err error) { l.t.Error(err) }}
 	for _, n := range l.nodes {
 		s.Controllers = append(s.Controllers, Controller{Node: n.name, Addr: n.ip + ":8080"})
 	}
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -4,11 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
 	"time"
+
+	"pinebay/internal/random"
 )
 
 // Network is an in-memory network between hosts. It delays what it carries, and a
@@ -16,7 +17,7 @@
 // arrives then, in order, also when its sender has given up or ended meanwhile.
 type Network struct {
 	mu        sync.Mutex
-	rng       *rand.Rand
+	random    *random.Source
 	listeners map[string]*listener
 	cut       func(from, to string) bool
 	changed   chan struct{} // closed when cuts have changed
@@ -24,6 +25,7 @@
 	ports     int
 	slow      map[string]time.Duration // hosts that take so much longer for what they send and receive
 	packets   map[route]int
+	tap       func(from, to string, data []byte)
 }
 
 // route is a direction between two hosts.
@@ -31,7 +33,7 @@
 
 // NewNetwork returns a network without hosts.
 func NewNetwork(seed uint64) *Network {
-	return &Network{rng: rand.New(rand.NewPCG(seed, 3)), listeners: map[string]*listener{},
+	return &Network{random: random.New(seed).Named("network"), listeners: map[string]*listener{},
 		cut: func(string, string) bool { return false }, changed: make(chan struct{}), done: make(chan struct{}),
 		slow: map[string]time.Duration{}, packets: map[route]int{}}
 }
@@ -44,6 +46,21 @@
 	n.slow[host] = by
 }
 
+// Tap has a function see everything that arrives.
+func (n *Network) Tap(tap func(from, to string, data []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tap = tap
+}
+
+func (n *Network) arrived(from, to string, data []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.tap != nil {
+		n.tap(from, to, data)
+	}
+}
+
 // Packets returns how many packets one host has sent to the other so far.
 func (n *Network) Packets(from, to string) int {
 	n.mu.Lock()
@@ -78,32 +95,38 @@
 // Close ends everything that is under way.
 func (n *Network) Close() { close(n.done) }
 
-// passable waits until the host can send to the other; false means that the
-// network is closed or the time is up.
-func (n *Network) passable(from, to string, stop <-chan struct{}) bool {
-	for {
+// passable waits until the host can send to the other; ok is false when the network is closed or the
+// time is up, and held says that a cut was in the way.
+func (n *Network) passable(from, to string, stop <-chan struct{}) (held, ok bool) {
+	for ; ; held = true {
 		n.mu.Lock()
 		cut, changed := n.cut, n.changed
 		n.mu.Unlock()
 		// The cut is asked without the lock: it takes one of its own, whose holder may be
 		// waiting for this one.
 		if !cut(from, to) {
-			return true
+			return held, true
 		}
 		select {
 		case <-changed:
 		case <-stop:
-			return false
+			return held, false
 		case <-n.done:
-			return false
+			return held, false
 		}
 	}
 }
 
-func (n *Network) delay() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return time.Millisecond/2 + time.Duration(n.rng.IntN(1500))*time.Microsecond
+// The least time that something takes from one host to another, and by how much more it may.
+const (
+	leastDelay = time.Millisecond / 2
+	moreDelay  = 3 * time.Millisecond / 2
+)
+
+// delay is how long something takes from one host to another. It follows from what is sent and when,
+// so that it is the same in every run, whichever of several goroutines is first to send.
+func (n *Network) delay(from, to string, sent []byte) time.Duration {
+	return leastDelay + n.random.UpTo(from+">"+to+" "+string(sent), moreDelay)
 }
 
 // Host is one process's access to the network.
@@ -218,11 +241,11 @@
 	return host
 }
 
-// Dial connects to an address, once the hosts can send to each other.
+// Dial connects to an address, once the hosts can send to each other. It takes no time by itself, so
+// that it doesn't matter which of two requests finds the idle connection and which one opens another.
 func (h *Host) Dial(ctx context.Context, address string) (net.Conn, error) {
 	to := HostOf(address)
-	time.Sleep(h.net.delay())
-	if !h.net.passable(h.name, to, ctx.Done()) {
+	if _, ok := h.net.passable(h.name, to, ctx.Done()); !ok {
 		return nil, fmt.Errorf("dial %s: %w", address, context.DeadlineExceeded)
 	}
 	h.net.mu.Lock()
@@ -258,26 +281,39 @@
 	due  time.Time
 }
 
+// packetGap is the least time between two packets of a connection. What arrived at the same moment, a
+// request and the end of its connection, say, would be taken in in either order.
+const packetGap = 20 * time.Microsecond
+
 // carry moves what one end sends to the other, late and in order.
 func (n *Network) carry(in, out net.Conn, from, to string) {
 	queue := make(chan packet, 4096)
 	go func() {
 		defer out.Close()
+		var last time.Time // when the packet before arrived
 		for p := range queue {
 			time.Sleep(time.Until(p.due))
-			if !n.passable(from, to, nil) || p.data == nil {
+			time.Sleep(time.Until(last.Add(packetGap)))
+			held, ok := n.passable(from, to, nil)
+			if !ok || p.data == nil {
 				return
 			}
+			if held {
+				// What waited on many connections doesn't all arrive at once, not even what was sent twice.
+				time.Sleep(n.delay(from, to, append(p.due.AppendFormat(nil, time.RFC3339Nano), p.data...)))
+			}
+			n.arrived(from, to, p.data)
 			if _, err := out.Write(p.data); err != nil {
 				return
 			}
+			last = time.Now()
 		}
 	}()
 	defer close(queue)
 	buf := make([]byte, 64<<10)
 	for {
 		k, err := in.Read(buf)
-		p := packet{due: time.Now().Add(n.delay())}
+		p := packet{due: time.Now().Add(n.delay(from, to, buf[:k]))}
 		if k > 0 {
 			p.due = p.due.Add(n.count(from, to))
 			p.data = append([]byte{}, buf[:k]...)
--- /dev/null
+++ b/internal/simulation/repeat_test.go
@@ -0,0 +1,81 @@
+package simulation
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/testkit"
+)
+
+// arrival is a packet that has arrived: its content by its hash.
+type arrival struct {
+	at       time.Duration
+	from, to string
+	content  uint64
+}
+
+// arrivals plays steps for a while, and returns everything that arrived anywhere.
+func arrivals(t *testing.T, seed uint64, controllers int, w config.Workers, steps []step, options ...func(*live)) (all []arrival) {
+	play(t, seed, controllers, w, func(l *live) {
+		l.net.Tap(func(from, to string, data []byte) {
+			h := fnv.New64a()
+			_, _ = h.Write(data)
+			all = append(all, arrival{l.now(), from, to, h.Sum64()})
+		})
+		l.settle(9)
+		l.playSteps(steps)
+		time.Sleep(90 * s)
+		l.net.Tap(nil)
+	}, options...)
+	// What arrives at the very same moment arrives in no order.
+	slices.SortStableFunc(all, func(a, b arrival) int {
+		if a.at != b.at {
+			return int(a.at - b.at)
+		}
+		return slices.Compare([]string{a.from, a.to, fmt.Sprint(a.content)}, []string{b.from, b.to, fmt.Sprint(b.content)})
+	})
+	return all
+}
+
+// TestSameSeedSameRun: two runs of a seed are the same, packet by packet and to the nanosecond.
+// Scenarios that could not be repeated failed in one run of twelve, and nobody could look at why:
+// random numbers went by the order in which goroutines ran, and so did who got an idle connection,
+// what a full budget let through first, and what was taken in first of what arrived together.
+//
+// Two causes are left, and the scenarios here are without them: the HTTP library repeats a question by
+// itself, or does not, when the controller that it is on its way to ends; and an answer that a leader
+// gives in the very step that ends its term may go out or not.
+func TestSameSeedSameRun(t *testing.T) {
+	rng := rand.New(rand.NewPCG(testkit.Seed(), 9))
+	drawn, _ := drawScenario(rng)
+	for _, x := range []struct {
+		name        string
+		controllers int
+		w           config.Workers
+		steps       []step
+		options     []func(*live)
+	}{
+		{"zone lost and back", 3, brisk, []step{{0, moreLow(8)}, {8 * s, during(40*s, zoneSilent("b", 1))}}, []func(*live){zoneReturnOn(everywhere)}},
+		{"cancellations, hung machines and an outage", 5, brisk, []step{{0, crowd(12)}, {10 * s, cancels(4, 20*s)}, {10100 * ms, during(20*s, outage)}, {12 * s, cancels(2, 0)}}, nil},
+		{"drawn", 3, slow, drawn, nil},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			first := arrivals(t, 77, x.controllers, x.w, x.steps, x.options...)
+			again := arrivals(t, 77, x.controllers, x.w, x.steps, x.options...)
+			for i := range min(len(first), len(again)) {
+				if first[i] != again[i] {
+					t.Fatalf("packet %d of %d: %+v, and in another run %+v", i, len(first), first[i], again[i])
+				}
+			}
+			if len(first) != len(again) || len(first) < 1000 {
+				t.Errorf("%d packets, and in another run %d", len(first), len(again))
+			}
+		})
+	}
+}
--- a/internal/simulation/state.go
+++ b/internal/simulation/state.go
@@ -5,6 +5,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -184,8 +186,8 @@
 	if s.Down {
 		return
 	}
-	for id, l := range s.leases {
-		if now >= l.end {
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		if now >= s.leases[id].end {
 			s.end(id)
 		}
 	}
--- a/internal/simulation/trouble_test.go
+++ b/internal/simulation/trouble_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -182,16 +183,18 @@
 }
 
 // writes lets a share of the transactions meet a fate.
-func writes(share float64, fate func(l *live) Fate) trouble {
+func writes(share float64, fate func(l *live, transaction string) Fate) trouble {
 	return func(l *live) func() {
-		l.state.SetFate(func(_ string, _ *protocol.Txn) Fate {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			if l.rng.Float64() >= share {
+		l.state.SetFate(func(host string, txn *protocol.Txn) Fate {
+			name := host
+			for _, op := range txn.Then {
+				name += " " + op.Put + op.Delete
+			}
+			if !l.chance("fate "+name, share) {
 				return Fate{Answer: true}
 			}
-			l.happened["write"]++
-			return fate(l)
+			l.note("write")
+			return fate(l, name)
 		})
 		return func() { l.state.SetFate(nil) }
 	}
@@ -199,28 +202,31 @@
 
 // lateWrites are carried out late, after newer ones, and never answered.
 func lateWrites(share float64) trouble {
-	return writes(share, func(l *live) Fate { return Fate{Late: 2*time.Second + l.upTo(10*time.Second)} })
+	return writes(share, func(l *live, name string) Fate {
+		return Fate{Late: 2*time.Second + l.upTo("late "+name, 10*time.Second)}
+	})
 }
 
 // lostAnswers: the transaction is carried out at once, and only its answer is lost.
 func lostAnswers(share float64) trouble {
-	return writes(share, func(*live) Fate { return Fate{} })
+	return writes(share, func(*live, string) Fate { return Fate{} })
 }
 
 // slowWrites are answered late.
 func slowWrites(share float64, most time.Duration) trouble {
-	return writes(share, func(l *live) Fate { return Fate{Answer: true, Late: l.upTo(most)} })
+	return writes(share, func(l *live, name string) Fate { return Fate{Answer: true, Late: l.upTo("late "+name, most)} })
 }
 
 // lateReports: of a share of the reports a copy arrives again, up to long after.
 func lateReports(share float64) trouble {
 	return func(l *live) func() {
 		return l.tap(func(r *protocol.Report) {
-			if l.rng.Float64() >= share {
+			name := fmt.Sprint(r.Machine, r.Session, r.Seq)
+			if !l.chance("copy "+name, share) {
 				return
 			}
-			to := l.nodes[l.rng.IntN(len(l.nodes))]
-			time.AfterFunc(l.upTo(time.Duration(2.5*l.cfg.Workers.LeaseS*float64(time.Second))), func() { l.deliver(r, to) })
+			to := l.nodes[l.draw("copy to "+name, len(l.nodes))]
+			time.AfterFunc(l.upTo("late "+name, time.Duration(2.5*l.cfg.Workers.LeaseS*float64(time.Second))), func() { l.deliver(r, to) })
 		})
 	}
 }
@@ -250,7 +256,7 @@
 			}
 		})
 		return l.tap(func(r *protocol.Report) {
-			if l.rng.Float64() < share && len(kept) < 60 {
+			if l.chance(fmt.Sprint("keep ", r.Machine, r.Session, r.Seq), share) && len(kept) < 60 {
 				kept = append(kept, r)
 			}
 		})
@@ -287,7 +293,7 @@
 			l.mu.Lock()
 			rigs := l.on(id)
 			if hang > 0 && len(rigs) > 0 && !rigs[0].w.Hung {
-				time.AfterFunc(l.upTo(200*ms), func() {
+				time.AfterFunc(l.upTo("hang "+id, 200*ms), func() {
 					l.mu.Lock()
 					defer l.mu.Unlock()
 					if !rigs[0].w.Hung {
@@ -305,11 +311,12 @@
 func storm(d time.Duration) func(l *live) {
 	return func(l *live) {
 		l.go_(func() {
+			time.Sleep(l.upTo("storm", 50*ms)) // so that other steps don't submit at the same moments
 			for end := l.now() + d; l.now() < end; time.Sleep(250 * ms) {
 				j := l.job(protocol.Array, 1, 1)
 				l.mu.Lock()
-				l.world.RunTimes[j.ID] = 3*time.Second + l.upTo(4*time.Second)
-				off, wait := l.rng.IntN(4) == 0, l.upTo(8*time.Second)
+				l.world.RunTimes[j.ID] = 3*time.Second + l.upTo("run time "+j.ID, 4*time.Second)
+				off, wait := l.chance("call off "+j.ID, 0.25), l.upTo("call off after "+j.ID, 8*time.Second)
 				l.mu.Unlock()
 				l.user(j)
 				if off {
@@ -326,7 +333,7 @@
 		for i := range n {
 			j := l.job(protocol.Array, 2+i%2, 1)
 			l.mu.Lock()
-			l.world.RunTimes[j.ID] = 8*time.Second + l.upTo(10*time.Second)
+			l.world.RunTimes[j.ID] = 8*time.Second + l.upTo("run time "+j.ID, 10*time.Second)
 			l.mu.Unlock()
 			l.user(j)
 		}
@@ -346,11 +353,11 @@
 				for l.ctx.Err() == nil && !l.allDone(j.ID) {
 					time.Sleep(10 * ms)
 				}
-				time.Sleep(time.Duration(l.draw(600)) * ms)
+				time.Sleep(l.upTo("at end "+j.ID, 600*ms))
 				l.note("at end")
 				l.go_(func() { l.cancel(j.ID, l.nodes, time.Minute) })
-				l.request(l.any(), Submits, j.ID)
-				l.request(l.any(), Asks, j.ID)
+				l.request(l.any(j.ID), Submits, j.ID)
+				l.request(l.any(j.ID), Asks, j.ID)
 			})
 		}
 	}
@@ -392,6 +399,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old := l.boot
-	l.boot = func() time.Duration { return 500*ms + l.upTo(time.Second) }
+	l.boot = func(name string) time.Duration { return 500*ms + l.upTo("boot "+name, time.Second) }
 	return func() { l.mu.Lock(); l.boot = old; l.mu.Unlock() }
 }
--- a/internal/simulation/zone_test.go
+++ b/internal/simulation/zone_test.go
@@ -25,7 +25,7 @@
 			}
 			return daemon.Features{ZoneReturn: zones.DefaultOrder()}
 		}
-		l.boot = func() time.Duration { return 3*time.Second + l.upTo(3*time.Second) }
+		l.boot = func(name string) time.Duration { return 3*time.Second + l.upTo("boot "+name, 3*time.Second) }
 		l.zoneRoom = 6
 		l.cfg.Teams = []config.Team{{Name: "red"}, {Name: "blue", GPUs: 8}}
 	}
@@ -266,7 +266,7 @@
 	// is told as one is TestZoneStates' to show.
 	{"flaps twice in a minute", brisk, []step{{0, during(25*s, zoneSilent("b", 1))}, {5 * s, moreLow(4)}, {35 * s, during(20*s, zoneSilent("b", 1))}},
 		[]string{"is lost", "is returning"}},
-	{"back with half of its machines", brisk, []step{{0, during(50*s, zoneSilent("b", 0.5))}, {10 * s, moreLow(6)}}, []string{"is lost", "is returning"}},
+	{"back with half of its machines", brisk, []step{{0, during(50*s, zoneSilent("b", 0.5))}, {10 * s, moreLow(6)}}, []string{"is lost", "is returning", "returning and is available"}},
 	{"back while the leader changes", brisk, []step{{0, during(50*s, zoneSilent("b", 1))}, {10 * s, moreLow(4)}, {49 * s, crashLeader(5 * s)}, {52 * s, crashLeader(300 * ms)}},
 		[]string{"is lost", "crash", "is returning"}},
 	{"the leader ends before its loan is written", brisk, []step{{0, crashOnLoan(false)}, {0, moreLow(12)}, {8 * s, during(80*s, zoneSilent(ofGangs, 1))}},
@@ -282,7 +282,7 @@
 	{"hung machines with cancelled tasks in the lost zone", slow, []step{{0, cancels(4, 100*s)}, {100 * ms, hangZone("b", 100*s)}, {100 * ms, moreLow(4)}},
 		[]string{"hang", "cancelled"}},
 	{"a crowd of every rank", brisk, []step{{0, crowd(14)}, {10 * s, during(50*s, zoneSilent("b", 1))}, {20 * s, cancels(2, 0)}}, []string{"is lost"}},
-	{"slowly", slow, []step{{0, during(130*s, zoneSilent("b", 1))}, {5 * s, moreLow(6)}, {140 * s, cancels(3, 0)}}, []string{"is lost", "is returning"}},
+	{"slowly", slow, []step{{0, during(130*s, zoneSilent("b", 1))}, {5 * s, moreLow(6)}, {140 * s, cancels(3, 0)}}, []string{"is lost", "is returning", "returning and is available"}},
 	{"a controller is cut off with it", brisk, []step{{0, during(50*s, zoneCut)}, {5 * s, moreLow(4)}, {20 * s, cancels(2, 0)}}, []string{"zone", "cancelled"}},
 }
 
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -18,6 +17,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/transport"
 )
 
@@ -69,17 +69,20 @@
 	urgent  *transport.Client
 	watches *transport.Client
 	timeout time.Duration
+	random  *random.Source
 	reads   map[Use]*rate.Limiter
 	writes  map[Use]*rate.Limiter
 	// settleMu has one that has ended look at the budget at a time.
 	settleMu sync.Mutex
+	admitMu  sync.Mutex
+	admitted time.Time    // the last turn but for the budgets
 	lastOK   atomic.Int64 // steady time of the last answer, from start
 	start    time.Time
 }
 
 // NewClient returns a client. The limits of the service are shared between
 // the controllers; within a controller no use can starve one before it.
-func NewClient(network transport.Network, d *config.Deployment, addr string, timeout time.Duration) *Client {
+func NewClient(network transport.Network, source *random.Source, d *config.Deployment, addr string, timeout time.Duration) *Client {
 	// A read or write beyond a second's share waits; the service's own 429
 	// corrects where several controllers are busy at once.
 	share := func(limit, part float64) *rate.Limiter {
@@ -94,6 +97,7 @@
 		urgent:  transport.NewClient(network, 4, 4, config.Seconds(d.Workers.LeaseS)),
 		watches: transport.NewClient(network, 4, 4, config.Seconds(d.Workers.LeaseS)),
 		timeout: timeout,
+		random:  source,
 		reads: map[Use]*rate.Limiter{
 			Decide: share(d.State.RPS, 0.5), Accept: share(d.State.RPS, 1/n),
 			Consult: share(d.State.RPS, 0.6/n), Bulk: share(d.State.RPS, 0.1),
@@ -118,12 +122,12 @@
 // pause after which a user who was refused asks again.
 const Queue = time.Second
 
-// admit waits until the budgets allow a request. Users' requests that would wait
+// admit waits until the budgets allow a request, which its text tells from others. Users' requests that would wait
 // for too long are refused at once, so that a crowd is told to come back instead
 // of being held.
-func (c *Client) admit(ctx context.Context, use Use, writes int) error {
+func (c *Client) admit(ctx context.Context, use Use, request string, writes int) error {
 	if use == Settle {
-		return c.admitLeftover(ctx, writes)
+		return c.admitLeftover(ctx, request, writes)
 	}
 	if use == Accept || use == Consult {
 		var cancel context.CancelFunc
@@ -156,7 +160,7 @@
 
 // admitLeftover waits until the budget of the placements has something left. It reserves nothing
 // meanwhile, so that placements don't wait behind hundreds of these when many jobs end at once.
-func (c *Client) admitLeftover(ctx context.Context, writes int) error {
+func (c *Client) admitLeftover(ctx context.Context, request string, writes int) error {
 	l := c.writes[Decide]
 	n := min(writes, l.Burst())
 	began := time.Now()
@@ -164,12 +168,12 @@
 		if time.Since(began) > settlePatience && c.reserveSettle(n) {
 			break
 		}
-		Pause(ctx, time.Duration(float64(time.Second)/float64(l.Limit())))
+		c.random.Pause(ctx, request, time.Duration(float64(time.Second)/float64(l.Limit())))
 		if err := ctx.Err(); err != nil {
 			return fmt.Errorf("%w: %w", ErrCrowded, err)
 		}
 	}
-	return c.admit(ctx, Decide, 0)
+	return c.admit(ctx, Decide, request, 0)
 }
 
 // reserveSettle takes writes out of the placements' budget although they are promised to those,
@@ -197,7 +201,7 @@
 }
 
 func (c *Client) call(ctx context.Context, use Use, writes int, method, path string, body any) (int, []byte, error) {
-	if err := c.admit(ctx, use, writes); err != nil {
+	if err := c.admit(ctx, use, path, writes); err != nil {
 		return 0, nil, err
 	}
 	return c.send(ctx, use, method, path, body)
@@ -290,12 +294,88 @@
 
 // TxnFailed is Txn, and also returns the keys whose conditions failed.
 func (c *Client) TxnFailed(ctx context.Context, use Use, t protocol.Txn) (rev uint64, ok bool, failed []string, err error) {
-	if err := c.admit(ctx, use, len(t.Then)); err != nil {
+	if err := c.admit(ctx, use, nameOf(&t), len(t.Then)); err != nil {
 		return 0, false, nil, err
 	}
 	return c.try(ctx, use, t)
 }
 
+// Admission is a transaction's place within the budgets.
+type Admission struct {
+	use      Use
+	at       time.Time // when it is its turn
+	leftover bool      // it still has to wait for what placements leave
+}
+
+// admissionGap parts the turns of transactions that are admitted at one moment, so that they are sent
+// in order.
+const admissionGap = time.Microsecond
+
+// Admit takes the next place for a transaction, and does not wait. Whoever asks for several in a
+// certain order has them sent in that order, as far as the budgets are of one use.
+func (c *Client) Admit(use Use, t *protocol.Txn) Admission {
+	now := time.Now()
+	c.admitMu.Lock()
+	defer c.admitMu.Unlock()
+	a := Admission{use: use, at: now}
+	if earliest := c.admitted.Add(admissionGap); earliest.After(now) {
+		a.at = earliest
+	}
+	c.admitted = a.at
+	budget, writes := c.writes[use], len(t.Then)
+	if use == Settle {
+		budget = nil
+		if l := c.writes[Decide]; !l.AllowN(now, min(writes, l.Burst())) {
+			a.leftover = true
+			return a
+		}
+		use = Decide
+	}
+	if l := c.reads[use]; l != nil {
+		if at := now.Add(l.ReserveN(now, 1).DelayFrom(now)); at.After(a.at) {
+			a.at = at
+		}
+	}
+	if budget != nil && writes > 0 {
+		if at := now.Add(budget.ReserveN(now, min(writes, budget.Burst())).DelayFrom(now)); at.After(a.at) {
+			a.at = at
+		}
+	}
+	return a
+}
+
+// TxnAdmitted is TxnFailed for a transaction that has its place.
+func (c *Client) TxnAdmitted(ctx context.Context, a Admission, t protocol.Txn) (rev uint64, ok bool, failed []string, err error) {
+	if a.leftover {
+		err = c.admitLeftover(ctx, nameOf(&t), len(t.Then))
+	} else {
+		err = waitUntil(ctx, a.at)
+	}
+	if err != nil {
+		return 0, false, nil, err
+	}
+	return c.try(ctx, a.use, t)
+}
+
+func waitUntil(ctx context.Context, at time.Time) error {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrCrowded, ctx.Err())
+	}
+}
+
+// nameOf is what tells a transaction from others that are under way.
+func nameOf(t *protocol.Txn) string {
+	if len(t.Then) == 0 {
+		return ""
+	}
+	return t.Then[0].Put + t.Then[0].Delete
+}
+
 func (c *Client) try(ctx context.Context, use Use, t protocol.Txn) (rev uint64, ok bool, failed []string, err error) {
 	status, raw, err := c.send(ctx, use, http.MethodPost, "/multi", t)
 	if err != nil {
@@ -316,7 +396,7 @@
 // budget has room, and returns the first outcome that is certain. It must be harmless
 // to repeat: a failed condition may be the work of the other try.
 func (c *Client) TxnTwice(ctx context.Context, use Use, t protocol.Txn) (ok bool, err error) {
-	if err := c.admit(ctx, use, len(t.Then)); err != nil {
+	if err := c.admit(ctx, use, nameOf(&t), len(t.Then)); err != nil {
 		return false, err
 	}
 	type outcome struct {
@@ -409,13 +489,3 @@
 	}
 	return events(prefix, status, raw)
 }
-
-// Pause waits for about d, give or take a half, or until the context ends.
-func Pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d/2 + time.Duration(rand.Float64()*float64(d)))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -19,6 +19,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/simulation"
 	"pinebay/internal/storage"
 	"pinebay/internal/testkit"
@@ -32,7 +33,7 @@
 	t.Cleanup(srv.Close)
 	d := &config.Deployment{Nodes: 1, State: config.State{RPS: 1e6, WriteRPS: 1e6, TxnOps: 16},
 		Workers: config.Workers{LeaseS: 10}, Quota: config.Quota{MaxSockets: 500}}
-	return storage.NewClient(transport.TCP{}, d, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
+	return storage.NewClient(transport.TCP{}, random.New(1), d, strings.TrimPrefix(srv.URL, "http://"), time.Minute)
 }
 
 func encode(t *testing.T, v any) []byte {
@@ -275,7 +276,7 @@
 			n.Close()
 			time.Sleep(time.Minute) // what still waits for its time
 		}()
-		c := storage.NewClient(controller, d, "10.2.0.1:2379", time.Minute)
+		c := storage.NewClient(controller, random.New(1), d, "10.2.0.1:2379", time.Minute)
 		ctx, cancel := context.WithCancel(t.Context())
 		var ends atomic.Int64
 		write := func(use storage.Use, key string) error {
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,13 +80,9 @@
 	return m
 }
 
-// Peers returns the names of the other controllers.
+// Peers returns the names of the other controllers, in order.
 func (m *Mesh) Peers() []string {
-	var names []string
-	for n := range m.peers {
-		names = append(names, n)
-	}
-	return names
+	return slices.Sorted(maps.Keys(m.peers))
 }
 
 // Serve answers peers on the listener until the context ends.
