Rentals, returns and the list follow the cloud's rate; what was too long or too many goes on

Cause: several bounds stood below 4,000 machines whatever the settings said, or were never got past. - 50 machines rented and 100 returned a second, in the order of names: 4,000 machines took 80 s and 40 s, and machines with cancelled tasks that were overdue waited behind idle ones. Both follow from the cloud's rate now, in as many calls as it allows, the overdue ones first. - The list was read every half of its lag however many pages it had; from about 8,600 machines on nothing else was called. It takes half of the calls at the most. - Changes of more than 8 MB were refused and asked for again for ever; they count as no longer kept, so the keys are read page by page. - Machines asked about in one message were bounded by number, not by size, and each of two lists of machines was compared with the other. - A follower compared each new machine with all others; once a lease now. - Records of images were written in the order of their names since they no longer go by chance: each page has its turn.

--- a/internal/coordination/cancellation/cancellation_test.go
+++ b/internal/coordination/cancellation/cancellation_test.go
@@ -142,3 +142,40 @@
 		t.Errorf("%v are still held", jobs)
 	}
 }
+
+// TestMoreIntentsThanAMessageHolds: a peer that has nothing yet holds all intents after as many
+// messages as they fill, is complete only then, and only then counts as holding the last.
+func TestMoreIntentsThanAMessageHolds(t *testing.T) {
+	const intents = 5*protocol.MaxIntents + 1
+	a, b := New(random.New(1), []string{"b"}, keep, 0, 2*intents), New(random.New(2), []string{"a"}, keep, 0, 2*intents)
+	var last Own
+	for i := range intents {
+		own, err := a.Announce(0, 0, fmt.Sprintf("j-%06d", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		last = own
+	}
+	messages, complete := 0, false
+	for ; !complete && messages < 20; messages++ {
+		question, answer := protocol.MeshMessage{From: "b"}, protocol.MeshMessage{From: "a"}
+		b.Fill(0, "a", 0, &question)
+		a.Take(0, &question, false)
+		a.Fill(0, "b", question.Life, &answer)
+		complete = b.Take(0, &answer, true).Complete
+		if held, _ := a.Holders(last.Seq); held > 1 {
+			t.Fatalf("the last of %d intents counts as held after %d messages", intents, messages)
+		}
+	}
+	if messages != 6 || len(b.Jobs(0)) != intents {
+		t.Errorf("%d of %d intents after %d messages", len(b.Jobs(0)), intents, messages)
+	}
+	question, answer := protocol.MeshMessage{From: "a"}, protocol.MeshMessage{From: "b"}
+	a.Fill(0, "b", 0, &question)
+	b.Take(0, &question, false)
+	b.Fill(0, "a", question.Life, &answer)
+	a.Take(0, &answer, true)
+	if held, _ := a.Holders(last.Seq); held != 2 {
+		t.Errorf("%d hold the last intent", held)
+	}
+}
--- a/internal/coordination/fencing/fencing.go
+++ b/internal/coordination/fencing/fencing.go
@@ -198,14 +198,16 @@
 // false, when a peer that counts has missed the question: a live machine that only this
 // peer hears would be released. The next assessment asks again.
 func StillSilent(machines []string, answers []PeerAnswer) (silent []string, certain bool) {
-	silent = slices.Clone(machines)
+	heard := map[string]bool{}
 	for _, a := range answers {
 		if !a.Answered && a.Counted {
 			return nil, false
 		}
-		silent = slices.DeleteFunc(silent, func(name string) bool { return slices.Contains(a.Heard, name) })
+		for _, name := range a.Heard {
+			heard[name] = true
+		}
 	}
-	return silent, true
+	return slices.DeleteFunc(slices.Clone(machines), func(name string) bool { return heard[name] }), true
 }
 
 // forget drops what no longer matters, so that memory does not grow with every
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -205,9 +205,23 @@
 	}
 }
 
-// Plan compares what is wanted with what there is.
+// callShare is the part of the cloud's rate that rentals may take, and releases, and reading the
+// list, each for itself; the client queues what is too much at a time.
+const callShare = 0.5
+
+// callsPerPlan is how many calls of a kind one plan may ask for; there is a plan a second.
+func (f *Fleet) callsPerPlan() int { return max(1, int(f.cloud.RPS*callShare)) }
+
+// listPause is the time between two readings of the list: half its lag, or as long as its pages take
+// within their part of the rate.
+func (f *Fleet) listPause(machines int) time.Duration {
+	pages := 1 + machines/protocol.MaxListed
+	return config.Seconds(max(f.cloud.ListLagS/2, float64(pages)/(f.cloud.RPS*callShare)))
+}
+
+// Plan compares what is wanted with what there is. It is asked for once a second.
 func (f *Fleet) Plan(now time.Duration, p *partition.Partition, units []Unit) (effects []Effect) {
-	if !f.listing && now-f.listedAt >= config.Seconds(f.cloud.ListLagS/2) {
+	if !f.listing && now-f.listedAt >= f.listPause(p.Len()) {
 		f.listing, f.listedAt = true, now
 		effects = append(effects, List{})
 	}
--- /dev/null
+++ b/internal/coordination/fleet/limits_test.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/partition"
+	"pinebay/internal/protocol"
+)
+
+// manyMachines is more than any deployment has run with.
+const manyMachines = 4000
+
+// TestManyRentals: what one plan may rent follows from the cloud's rate, goes out in requests of a
+// size that the cloud takes, and the rest goes out with the next plans until everything is rented.
+func TestManyRentals(t *testing.T) {
+	for _, rps := range []float64{1, 2, 4, 24} {
+		f, p := setup()
+		f.cloud.RPS = rps
+		f.Listed(1*s, 0, p, nil)
+		units := []Unit{{Job: &protocol.Job{ID: "j-1", GPUs: 8}, Count: manyMachines}}
+		perPlan := protocol.MaxRental * max(1, int(rps/2))
+		total, plans, names := 0, 0, map[string]bool{}
+		for now := 2 * s; total < manyMachines && plans <= manyMachines; now += s {
+			got := rentals(f.Plan(now, p, units))
+			if n := count(got); n > perPlan || n < min(perPlan, manyMachines-total) {
+				t.Fatalf("%v calls a second: %d machines in one plan, want %d", rps, n, perPlan)
+			}
+			for _, r := range got {
+				if r.Count > protocol.MaxRental || names[r.Request] {
+					t.Fatalf("%+v", r)
+				}
+				names[r.Request] = true
+				total += r.Count
+			}
+			plans++
+		}
+		if total != manyMachines {
+			t.Errorf("%v calls a second: %d of %d rented after %d plans", rps, total, manyMachines, plans)
+		}
+	}
+}
+
+// TestManyReleases: machines on which cancelled tasks are overdue are returned before all others,
+// however many those are, and all of them are in the end, none twice.
+func TestManyReleases(t *testing.T) {
+	f, p := setup()
+	f.cloud.RPS = 4
+	f.Listed(1*s, 0, p, nil)
+	overdue := map[string]bool{}
+	for i := range manyMachines {
+		name := fmt.Sprintf("m%04d", i)
+		m, _, _ := p.Report(10*s, &protocol.Report{Machine: name, Addr: "x", Type: "g8", Zone: "a", Session: 1, Seq: 1})
+		if i >= manyMachines/2 {
+			overdue[name] = true
+			pl := &partition.Placement{Task: protocol.TaskID{Job: "j-1", Task: i}, Attempt: 1, Machine: name, Job: &protocol.Job{ID: "j-1"}}
+			if !p.Grant(10*s, []*partition.Placement{pl}) {
+				t.Fatal("no room")
+			}
+			pl.FenceAt = 11 * s
+		}
+		m.Condemned = true
+	}
+	perPlan := 2 * protocol.MaxRelease
+	returned := map[string]bool{}
+	for now := 12 * s; len(returned) < manyMachines && now < time.Hour; now += s {
+		for _, e := range f.Plan(now, p, nil) {
+			if r, ok := e.(Release); ok && len(r.Names) > protocol.MaxRelease {
+				t.Fatalf("%d names in a call", len(r.Names))
+			}
+		}
+		names := f.releasing
+		if len(names) > perPlan {
+			t.Fatalf("%d machines in one plan, want %d", len(names), perPlan)
+		}
+		for name := range names {
+			if returned[name] || !overdue[name] && len(returned) < len(overdue) {
+				t.Fatalf("%s is returned as number %d", name, len(returned))
+			}
+			returned[name] = true
+			p.Lost(now, name)
+			f.Released(now, []string{name}, true)
+		}
+	}
+	if len(returned) != manyMachines {
+		t.Errorf("%d of %d returned", len(returned), manyMachines)
+	}
+}
+
+// TestListPace: reading the list takes no more than its part of the cloud's calls, however many
+// pages it has: rentals and releases would have stood behind it.
+func TestListPace(t *testing.T) {
+	for _, x := range []struct {
+		rps      float64
+		machines int
+		want     time.Duration
+	}{
+		{2, 0, 2500 * time.Millisecond}, {2, 100, 2500 * time.Millisecond}, {2, manyMachines, 9 * s}, {4, manyMachines, 4500 * time.Millisecond},
+		{4, 10_000, 10500 * time.Millisecond}, {24, 10_000, 2500 * time.Millisecond},
+	} {
+		f := New(1, config.Cloud{RPS: x.rps, ListLagS: 5}, workers)
+		if got := f.listPause(x.machines); got != x.want {
+			t.Errorf("%d machines at %v calls a second: read every %v, want %v", x.machines, x.rps, got, x.want)
+		}
+	}
+}
--- a/internal/coordination/fleet/rent.go
+++ b/internal/coordination/fleet/rent.go
@@ -62,6 +62,7 @@
 	used     map[string]bool // machines that wanted tasks fit on
 	wanted   map[pool]int
 	total    int
+	most     int // may be rented in all
 	// full is up to where the rooms are known not to do for a kind, and denied says that none
 	// can be rented for it: rooms only get fuller while tasks are packed.
 	full   map[unitKind]int
@@ -87,7 +88,7 @@
 func (f *Fleet) newPacking(now time.Duration, p *partition.Partition) *packing {
 	return &packing{
 		fleet: f, now: now, machines: p, rooms: f.rooms[:0], perZone: map[string]int{}, used: map[string]bool{}, wanted: map[pool]int{},
-		full: map[unitKind]int{}, denied: map[unitKind]bool{},
+		most: protocol.MaxRental * f.callsPerPlan(), full: map[unitKind]int{}, denied: map[unitKind]bool{},
 	}
 }
 
@@ -210,7 +211,7 @@
 
 // order adds a room to be rented for a unit, or returns nil if there can be none.
 func (k *packing) order(u *Unit, kind unitKind) *room {
-	if k.denied[kind] || k.total >= protocol.MaxRental {
+	if k.denied[kind] || k.total >= k.most {
 		return nil
 	}
 	pl, ok := k.fleet.choose(k.now, k.machines, *u, k.perZone)
@@ -232,7 +233,7 @@
 	return &k.rooms[len(k.rooms)-1]
 }
 
-// rentals asks for the wanted machines.
+// rentals asks for the wanted machines, as many in a request as the cloud allows.
 func (f *Fleet) rentals(wanted map[pool]int) (effects []Effect) {
 	pools := make([]pool, 0, len(wanted))
 	for pl := range wanted {
@@ -240,15 +241,21 @@
 	}
 	sort.Slice(pools, func(i, j int) bool { return fmt.Sprint(pools[i]) < fmt.Sprint(pools[j]) })
 	for _, pl := range pools {
-		f.seq++
-		// The term makes the name unique across leaders and restarts.
-		req := fmt.Sprintf("r-%d-%d", f.term, f.seq)
-		f.pending[req], f.counts[req] = pl, wanted[pl]
-		effects = append(effects, Rent{protocol.Rental{Request: req, Type: pl.kind, Zone: pl.zone, Spot: pl.spot, Count: wanted[pl]}})
+		for left := wanted[pl]; left > 0; left -= protocol.MaxRental {
+			effects = append(effects, f.rental(pl, min(left, protocol.MaxRental)))
+		}
 	}
 	return effects
 }
 
+func (f *Fleet) rental(pl pool, count int) Effect {
+	f.seq++
+	// The term makes the name unique across leaders and restarts.
+	req := fmt.Sprintf("r-%d-%d", f.term, f.seq)
+	f.pending[req], f.counts[req] = pl, count
+	return Rent{protocol.Rental{Request: req, Type: pl.kind, Zone: pl.zone, Spot: pl.spot, Count: count}}
+}
+
 func tighter(a, b partition.Need) bool {
 	if a.GPUs != b.GPUs {
 		return a.GPUs < b.GPUs
--- /dev/null
+++ b/internal/coordination/partition/limits_test.go
@@ -0,0 +1,46 @@
+package partition
+
+import (
+	"testing"
+	"time"
+
+	"pinebay/internal/protocol"
+)
+
+// TestMoreOrdersThanAnAnswerHolds: a machine with more to be told than fits one answer is told the
+// rest with the next ones, each command once.
+func TestMoreOrdersThanAnAnswerHolds(t *testing.T) {
+	const tasks = 1500
+	p := newPart(1)
+	small := kind
+	small.GPUs = tasks
+	p.SetTypes([]protocol.MachineType{small})
+	m, _, _ := p.Report(0, report(1, 1, 0))
+	for i := range tasks {
+		pl := placement(i, 1)
+		if !p.Grant(0, []*Placement{pl}) {
+			t.Fatalf("no room for task %d", i)
+		}
+		pl.Recorded = true
+		p.Start(pl)
+	}
+	told := map[string]bool{}
+	var states []protocol.TaskReport
+	for round := uint64(2); len(told) < tasks && round < 20; round++ {
+		orders := p.Orders(time.Duration(round)*time.Second, m)
+		if raw, err := protocol.Encode(protocol.ReportAnswer{Token: 1, Commands: orders}); err != nil || len(raw) > protocol.MaxBody {
+			t.Fatalf("%d commands in %d bytes: %v", len(orders), len(raw), err)
+		}
+		for _, o := range orders {
+			if o.Verb != protocol.Run || told[o.Name] {
+				t.Fatalf("%+v", o)
+			}
+			told[o.Name] = true
+			states = append(states, protocol.TaskReport{Name: o.Name, Attempt: o.Attempt, State: protocol.Fetching})
+		}
+		p.Report(time.Duration(round)*time.Second, report(1, round, 0, states...))
+	}
+	if len(told) != tasks {
+		t.Errorf("%d of %d tasks were started", len(told), tasks)
+	}
+}
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -79,6 +79,7 @@
 	prior     map[string]float64         // what the last leader counted
 	warm      map[string]string          // images records as written
 	warming   bool
+	warmFrom  string // the key of the last page of them that was written
 	inspector inspector
 	lastWarm  time.Duration
 	wallMS    int64       // time of day when the term began
--- a/internal/coordination/scheduler/images.go
+++ b/internal/coordination/scheduler/images.go
@@ -85,11 +85,12 @@
 			changed = append(changed, key)
 		}
 	}
-	for _, key := range slices.Sorted(maps.Keys(pages)) {
+	for _, key := range inTurnFrom(c.warmFrom, slices.Sorted(maps.Keys(pages))) {
 		raw := pages[key]
 		if c.warm[key] != string(raw) && len(t.Then) < c.cfg.State.TxnOps/2 {
 			t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
 			changed = append(changed, key)
+			c.warmFrom = key
 		}
 	}
 	if len(changed) == 0 {
@@ -110,5 +111,15 @@
 	c.emit(Write{ID: id, Txn: t, For: Upkeep, Verify: storage.TermKey, Name: "-"})
 }
 
+// inTurnFrom lists keys that are in order from the one after the given key on, and then those before: a
+// transaction takes a few, and all must have their turn.
+func inTurnFrom(last string, keys []string) []string {
+	i, found := slices.BinarySearch(keys, last)
+	if found {
+		i++
+	}
+	return slices.Concat(keys[i:], keys[:i])
+}
+
 // warmPause is the time between two writes of the images.
 const warmPause = 10 * Cycle
--- a/internal/daemon/fence.go
+++ b/internal/daemon/fence.go
@@ -96,7 +96,7 @@
 
 func (c *Controller) askPeer(ctx context.Context, peer string, machines []string) fencing.PeerAnswer {
 	a := fencing.PeerAnswer{Answered: true, Counted: c.heardLately(peer)}
-	for asked := range slices.Chunk(machines, protocol.MaxMeshMachines) {
+	for _, asked := range protocol.MeshMachines(machines) {
 		r, err := c.mesh.Call(ctx, peer, protocol.MeshMessage{Kind: protocol.MeshHeard, Machines: asked})
 		if err != nil {
 			a.Answered = false
--- a/internal/daemon/turned.go
+++ b/internal/daemon/turned.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -14,6 +15,7 @@
 	lease  time.Duration
 	leader string
 	seen   map[string]visit
+	swept  time.Duration // when those that are too old were last dropped
 }
 
 // visit is when a machine last came and since when its reports are passed on;
@@ -51,12 +53,16 @@
 	}
 	v.last = now
 	t.seen[machine] = v
-	if !known {
-		for m, o := range t.seen {
-			if now-o.last > keepLeases*t.lease {
-				delete(t.seen, m)
-			}
-		}
-	}
+	t.sweep(now)
 	return v.since > 0
 }
+
+// sweep drops the machines that have not come for long, once in a lease: had each new machine been
+// compared with all others, thousands that come at once would have been millions of looks.
+func (t *Turned) sweep(now time.Duration) {
+	if now-t.swept < t.lease {
+		return
+	}
+	t.swept = now
+	maps.DeleteFunc(t.seen, func(_ string, v visit) bool { return now-v.last > keepLeases*t.lease })
+}
--- a/internal/protocol/mesh.go
+++ b/internal/protocol/mesh.go
@@ -66,6 +66,8 @@
 const (
 	MaxIntents      = 256
 	MaxMeshMachines = 500
+	// maxMeshNames bounds the bytes of the names in one message, so that it fits a frame.
+	maxMeshNames = MaxBody / 2
 )
 
 // EncodeMesh returns the message as CBOR.
@@ -105,3 +107,18 @@
 	}
 	return &m, nil
 }
+
+// MeshMachines parts names of machines into lists that each fit one message.
+func MeshMachines(names []string) (lists [][]string) {
+	bytes, from := 0, 0
+	for i, name := range names {
+		if i > from && (i-from >= MaxMeshMachines || bytes+len(name) > maxMeshNames) {
+			lists, bytes, from = append(lists, names[from:i]), 0, i
+		}
+		bytes += len(name)
+	}
+	if from < len(names) {
+		lists = append(lists, names[from:])
+	}
+	return lists
+}
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -456,10 +456,14 @@
 	return err
 }
 
-// Changes returns what has changed after rev of keys with the prefix.
+// Changes returns what has changed after rev of keys with the prefix. Changes that are too long to be
+// taken in are as good as no longer kept: the keys have to be read again, which goes page by page.
 func (c *Client) Changes(ctx context.Context, use Use, prefix string, rev uint64) (*protocol.Events, error) {
 	path := fmt.Sprintf("/changes?prefix=%s&from=%d&block_ms=0", url.QueryEscape(prefix), rev)
 	status, raw, err := c.call(ctx, use, 0, http.MethodGet, path, nil)
+	if errors.Is(err, transport.ErrTooLong) {
+		return nil, fmt.Errorf("%w: %w", ErrCompacted, err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -477,10 +481,13 @@
 	return &e, nil
 }
 
-// Watch waits up to wait for changes after rev to keys with the prefix.
+// Watch waits up to wait for changes after rev to keys with the prefix; see Changes for those that are too long.
 func (c *Client) Watch(ctx context.Context, prefix string, rev uint64, wait time.Duration) (*protocol.Events, error) {
 	path := fmt.Sprintf("%s/changes?prefix=%s&from=%d&block_ms=%d", c.base, url.QueryEscape(prefix), rev, wait.Milliseconds())
 	status, raw, err := c.watches.Do(ctx, wait+2*c.timeout, http.MethodGet, path, nil)
+	if errors.Is(err, transport.ErrTooLong) {
+		return nil, fmt.Errorf("%w: %w", ErrCompacted, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUncertain, err)
 	}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -317,3 +317,22 @@
 		wg.Wait()
 	})
 }
+
+// TestChangesThatAreTooLong: whoever has fallen so far behind that the changes are more than a process
+// takes in is told to read the keys again. Asked for once more, the same answer would have come for
+// ever, and a leader would never have heard of another job.
+func TestChangesThatAreTooLong(t *testing.T) {
+	value := encode(t, map[string]string{"x": strings.Repeat("x", 8000)})
+	var events []protocol.Event
+	for i := range 1200 {
+		events = append(events, protocol.Event{Put: fmt.Sprintf("live/j-%06d", i), Value: value, Version: uint64(i + 1)})
+	}
+	raw := encode(t, protocol.Events{Revision: uint64(len(events)), Events: events})
+	c := client(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(raw) }))
+	if _, err := c.Changes(t.Context(), storage.Consult, storage.LivePrefix, 0); !errors.Is(err, storage.ErrCompacted) {
+		t.Errorf("changes: %v", err)
+	}
+	if _, err := c.Watch(t.Context(), storage.LivePrefix, 0, time.Second); !errors.Is(err, storage.ErrCompacted) {
+		t.Errorf("watch: %v", err)
+	}
+}
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -156,6 +156,9 @@
 // maxReply bounds answers from the state service and the cloud in memory.
 const maxReply = 8 << 20
 
+// ErrTooLong says that a response came and was longer than is taken in.
+var ErrTooLong = fmt.Errorf("%w: answer too long", protocol.ErrMalformed)
+
 // Client calls one service or many workers.
 type Client struct {
 	http  *http.Client
@@ -220,7 +223,7 @@
 		return 0, nil, fmt.Errorf("%s %s: %w", method, url, err)
 	}
 	if len(raw) > maxReply {
-		return 0, nil, fmt.Errorf("%s %s: %w: answer too long", method, url, protocol.ErrMalformed)
+		return 0, nil, fmt.Errorf("%s %s: %w", method, url, ErrTooLong)
 	}
 	return res.StatusCode, raw, nil
 }
