--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -213,7 +213,7 @@
 		j.places[t] = pl
 		j.touch(t, now)
 		j.granted = append(j.granted, pl)
-		j.queues.addPlaced(now, j)
+		j.queues.addPlaced(j)
 		if m := c.machines.Machine(pl.Machine); m.Reserved == j.spec.ID {
 			m.Reserved = ""
 		}
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -50,7 +50,7 @@
 	// tried again after it was found not to be what the books say, and how often it was.
 	recordQueued bool
 	recordTurn   uint64
-	recordSince  time.Duration
+	recordNumber uint64
 	recordAfter  time.Duration
 	recordTries  int
 	stopping     bool          // gang: being stopped as a whole
--- a/internal/coordination/scheduler/jobqueues.go
+++ b/internal/coordination/scheduler/jobqueues.go
@@ -39,13 +39,13 @@
 }
 
 // addPlaced enters a job of which tasks were placed.
-func (q *jobQueues) addPlaced(now time.Duration, j *job) {
+func (q *jobQueues) addPlaced(j *job) {
 	if q == nil {
 		return
 	}
 	q.fetchingJobs.Set(j)
 	if len(j.granted) > 0 {
-		q.starts.add(now, j)
+		q.starts.add(j)
 	}
 }
 
--- a/internal/coordination/scheduler/recording.go
+++ b/internal/coordination/scheduler/recording.go
@@ -272,7 +272,7 @@
 	case j.counts[done] == len(j.tasks):
 		c.finish(now, j)
 	case len(j.granted) > 0:
-		c.queues.starts.add(now, j)
+		c.queues.starts.add(j)
 	default:
 		c.queues.addEnded(now, j)
 	}
--- a/internal/coordination/scheduler/records.go
+++ b/internal/coordination/scheduler/records.go
@@ -52,7 +52,7 @@
 		}
 		c.machines.Adopt(now, np)
 	}
-	j.queues.addPlaced(now, j)
+	j.queues.addPlaced(j)
 }
 
 // finish records that all tasks are done. The job's end moves it from its
--- a/internal/coordination/scheduler/startqueue.go
+++ b/internal/coordination/scheduler/startqueue.go
@@ -15,7 +15,8 @@
 	byTurn *btree.BTreeG[*job]
 	byWait *btree.BTreeG[*job]
 	ranks  map[int]*rankTurns
-	handed uint64 // jobs that were taken so far
+	added  uint64 // jobs that were entered so far
+	handed uint64 // and taken
 }
 
 // longestWaiting is of how many jobs that are taken one is the one that has waited for longest.
@@ -37,15 +38,15 @@
 }
 
 func turnBefore(a, b *job) bool {
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.recordTurn, b.recordTurn), cmp.Compare(a.recordSince, b.recordSince), cmp.Compare(a.spec.ID, b.spec.ID)) < 0
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.recordTurn, b.recordTurn), cmp.Compare(a.recordNumber, b.recordNumber)) < 0
 }
 
 func waitsLonger(a, b *job) bool {
-	return cmp.Or(cmp.Compare(a.recordSince, b.recordSince), cmp.Compare(a.rank, b.rank), cmp.Compare(a.spec.ID, b.spec.ID)) < 0
+	return a.recordNumber < b.recordNumber
 }
 
 // add enters a job that has just got placements to be recorded, unless it waits already.
-func (q *startQueue) add(now time.Duration, j *job) {
+func (q *startQueue) add(j *job) {
 	if q == nil || j.recordQueued {
 		return
 	}
@@ -54,7 +55,8 @@
 		turns = &rankTurns{teams: map[string]uint64{}}
 		q.ranks[j.rank] = turns
 	}
-	j.recordSince = now
+	q.added++
+	j.recordNumber = q.added
 	j.recordTurn = max(turns.now, turns.teams[j.spec.Team]) + 1
 	turns.teams[j.spec.Team] = j.recordTurn
 	q.putBack(j)
--- a/internal/simulation/state.go
+++ b/internal/simulation/state.go
@@ -127,8 +127,9 @@
 
 // Fate is what becomes of a transaction.
 type Fate struct {
-	Late   time.Duration // so much later it is answered or, without an answer, carried out
-	Answer bool
+	Late      time.Duration // so much later it is answered or, without an answer, carried out
+	Answer    bool
+	Malformed bool // it is refused for its form
 }
 
 type lease struct{ ttl, end time.Duration }
--- a/internal/simulation/state_http.go
+++ b/internal/simulation/state_http.go
@@ -90,6 +90,10 @@
 	if decide != nil {
 		fate = decide(host, &t)
 	}
+	if fate.Malformed {
+		writeAnswer(w, http.StatusBadRequest, protocol.Problem{Error: "malformed"})
+		return
+	}
 	if !fate.Answer {
 		if fate.Late > 0 {
 			time.AfterFunc(fate.Late, func() { s.Txn(t) })
