--- a/internal/coordination/election/confirmation.go
+++ b/internal/coordination/election/confirmation.go
@@ -10,12 +10,12 @@
 // peers.
 func Majority(n, peers int) bool { return 2*n > peers+1 }
 
-// confirmed is until when the leadership counts as confirmed, by sight of the state
+// confirmed is until when the leadership counts as confirmed, by knowing the state
 // service or by a majority that follows. That its lease is renewed does not count: the
 // key may be ours while a cancellation that another controller confirmed has not
 // reached us.
 func (m *Machine) confirmed(now time.Duration) time.Duration {
-	return max(m.won, m.sight, m.majority(now, m.acks)) + m.times.Hold
+	return max(m.won, m.freshAt, m.majority(now, m.acks)) + m.times.Hold
 }
 
 // aware is up to when we surely know of every cancellation that users were told
@@ -24,10 +24,10 @@
 // its intents: a cancellation is not committed before a majority holds its intent,
 // and two majorities meet.
 func (m *Machine) aware(now time.Duration) time.Duration {
-	if now < m.began+m.times.Amnesia && !m.outlived(m.began) {
-		return m.sight // our own part of a majority may be forgotten
+	if now < m.began+m.times.Recovery && !m.outlived(m.began) {
+		return m.freshAt // our own part of a majority may be forgotten
 	}
-	return max(m.sight, m.majority(now, m.full))
+	return max(m.freshAt, m.majority(now, m.full))
 }
 
 // majority is the latest time since which a majority, with us, has spoken.
@@ -46,5 +46,5 @@
 // began at the given time may have forgotten: intents that it held before have
 // been committed since, or never will be by their own.
 func (m *Machine) outlived(began time.Duration) bool {
-	return m.sight >= began+m.times.Confirm+m.times.Silent
+	return m.freshAt >= began+m.times.Confirm+m.times.Silent
 }
--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -30,11 +30,11 @@
 	// Confirm is within what time of its intent a cancellation is confirmed, or
 	// else not without another intent.
 	Confirm time.Duration
-	// Amnesia is how long after its start a controller may have forgotten intents
+	// Recovery is how long after its start a controller may have forgotten intents
 	// that matter: until every task has ended whose lease was last renewed by
 	// somebody who did not know them.
-	Amnesia time.Duration
-	Step    time.Duration // between candidates that wake at the same time
+	Recovery time.Duration
+	Step     time.Duration // between candidates that wake at the same time
 }
 
 // Machine is the state machine of one controller.
@@ -43,27 +43,27 @@
 	peers []string
 	times Times
 
-	role    Role
-	term    uint64 // highest known
-	leader  string // of that term, as far as known
-	heard   time.Duration
-	company time.Duration // since when a majority has been heard; 0: it is not
-	missed  time.Duration // when the leader's connection last ended
-	keyTerm uint64
-	keyGone bool
-	claimAt time.Duration            // 0: none intended
-	shy     time.Duration            // until then others should lead
-	peerAt  map[string]time.Duration // when each peer was last heard; not there once its connection has ended
+	role          Role
+	term          uint64 // highest known
+	leader        string // of that term, as far as known
+	heard         time.Duration
+	majoritySince time.Duration // since when a majority has been heard; 0: it is not
+	missed        time.Duration // when the leader's connection last ended
+	keyTerm       uint64
+	keyGone       bool
+	claimAt       time.Duration            // 0: none intended
+	deferUntil    time.Duration            // until then others should lead
+	peerAt        map[string]time.Duration // when each peer was last heard; not there once its connection has ended
 
-	lease  uint64
-	asked  time.Duration
-	asking bool
-	began  time.Duration
-	won    time.Duration            // when the claim of our term was sent
-	sight  time.Duration            // up to when we know the state service's changes; 0: not at all
-	acks   map[string]time.Duration // when the last beat was sent that was acknowledged
-	full   map[string]time.Duration // and with all intents
-	out    []Effect
+	lease   uint64
+	asked   time.Duration
+	asking  bool
+	began   time.Duration
+	won     time.Duration            // when the claim of our term was sent
+	freshAt time.Duration            // up to when we know the state service's changes; 0: not at all
+	acks    map[string]time.Duration // when the last beat was sent that was acknowledged
+	full    map[string]time.Duration // and with all intents
+	out     []Effect
 }
 
 // New returns a follower that knows nothing.
@@ -120,9 +120,9 @@
 		m.claimed(now, e)
 	case Renewed:
 		m.renewal(now, e)
-	case Sight:
+	case Fresh:
 		if m.role == Leading && e.Term == m.term {
-			m.sight = max(m.sight, e.At)
+			m.freshAt = max(m.freshAt, e.At)
 		}
 	case Higher:
 		m.higher(now, e.Term, "")
@@ -131,7 +131,7 @@
 			m.yield(now)
 			m.leader = ""
 			if e.Away {
-				m.shy = now + 2*m.times.TTL
+				m.deferUntil = now + 2*m.times.TTL
 			} else {
 				m.intend(now + m.times.Beat)
 			}
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -191,8 +191,8 @@
 		want  time.Duration
 	}{
 		{"renewed only", Renewed{Term: 1}, -time.Hour, 0},
-		{"saw the changes", Sight{Term: 1, At: 11 * time.Second}, -time.Hour, 15 * time.Second},
-		{"saw them in another term", Sight{Term: 2, At: 11 * time.Second}, -time.Hour, 0},
+		{"saw the changes", Fresh{Term: 1, At: 11 * time.Second}, -time.Hour, 15 * time.Second},
+		{"saw them in another term", Fresh{Term: 2, At: 11 * time.Second}, -time.Hour, 0},
 		{"a majority's intents", beat(true, true, 0, 11*time.Second), -time.Hour, 15 * time.Second},
 		{"not all intents", beat(true, false, 0, 11*time.Second), -time.Hour, 0},
 		{"a peer that forgot", beat(false, true, 9*time.Second, 11*time.Second), -time.Hour, 0},
@@ -210,14 +210,14 @@
 		}
 	}
 	m := lead()
-	m.Step(at, Sight{Term: 1, At: 11 * time.Second}) // two seconds after the peer began anew
+	m.Step(at, Fresh{Term: 1, At: 11 * time.Second}) // two seconds after the peer began anew
 	m.Step(at, beat(false, true, 9*time.Second, at))
 	if v := m.View(at); v.Aware != at+times.Horizon {
 		t.Errorf("a peer whose loss the service has made good: %+v", v)
 	}
 	// A majority that follows but has forgotten keeps the leadership, and no more.
 	m = lead()
-	m.Step(at, Sight{Term: 1, At: 11 * time.Second})
+	m.Step(at, Fresh{Term: 1, At: 11 * time.Second})
 	for now := at; now < 20*time.Second; now += times.Beat {
 		m.Step(now, beat(false, true, at, now))
 		m.Step(now, Tick{})
--- a/internal/coordination/election/events.go
+++ b/internal/coordination/election/events.go
@@ -45,9 +45,9 @@
 		NoLease bool
 		Term    uint64
 	}
-	// Sight says that the leader of the term knows every change of the accepted
+	// Fresh says that the leader of the term knows every change of the accepted
 	// jobs up to At.
-	Sight struct {
+	Fresh struct {
 		Term uint64
 		At   time.Duration
 	}
@@ -82,7 +82,7 @@
 func (Lost) event()    {}
 func (Claimed) event() {}
 func (Renewed) event() {}
-func (Sight) event()   {}
+func (Fresh) event()   {}
 func (Higher) event()  {}
 func (Resign) event()  {}
 
--- a/internal/coordination/election/group_test.go
+++ b/internal/coordination/election/group_test.go
@@ -16,7 +16,7 @@
 
 var times = Times{Beat: 100 * ms, Silent: time.Second, TTL: 1500 * ms, Hold: 2 * time.Second, Step: 100 * ms,
 
-	Confirm: time.Second, Horizon: 4 * time.Second, Amnesia: 7 * time.Second}
+	Confirm: time.Second, Horizon: 4 * time.Second, Recovery: 7 * time.Second}
 
 // group is a set of controllers with a model of the leader's key.
 type group struct {
@@ -105,7 +105,7 @@
 	for _, n := range g.names {
 		if !g.down[n] {
 			g.step(n, Key{Present: g.present, Node: g.node, Term: g.term})
-			g.step(n, Sight{Term: g.nodes[n].term, At: g.now})
+			g.step(n, Fresh{Term: g.nodes[n].term, At: g.now})
 		}
 		g.step(n, Tick{})
 		for _, o := range g.names {
@@ -116,7 +116,7 @@
 			g.step(o, Beat{From: n, Term: v.Term, Leader: v.Leader})
 			w := g.nodes[o].View(g.now)
 			g.step(n, Beat{From: o, Term: w.Term, Leader: w.Leader, Reply: true, Sent: g.now,
-				Complete: true, Whole: g.now >= g.began[o]+times.Amnesia, LifeAt: g.began[o]})
+				Complete: true, Whole: g.now >= g.began[o]+times.Recovery, LifeAt: g.began[o]})
 		}
 	}
 }
--- a/internal/coordination/election/peers.go
+++ b/internal/coordination/election/peers.go
@@ -67,7 +67,7 @@
 		return // a later leader is known already
 	}
 	m.role, m.term, m.leader = Leading, e.Term, m.self
-	m.lease, m.won, m.sight, m.asked, m.asking = e.Lease, e.Sent, 0, now, false
+	m.lease, m.won, m.freshAt, m.asked, m.asking = e.Lease, e.Sent, 0, now, false
 	m.keyGone, m.keyTerm = false, e.Term
 	m.claimAt = 0
 	clear(m.acks)
--- a/internal/coordination/election/ticks.go
+++ b/internal/coordination/election/ticks.go
@@ -26,14 +26,14 @@
 		// When connections come back, the leader's may be the last to.
 		switch {
 		case !m.heardMost(now, 0):
-			m.company = 0
-		case m.company == 0:
-			m.company = now
+			m.majoritySince = 0
+		case m.majoritySince == 0:
+			m.majoritySince = now
 		}
 		if m.claimAt == 0 && (now-m.heard > m.times.Silent || m.keyGone) {
 			m.intend(now)
 		}
-		if m.claimAt != 0 && now >= max(m.claimAt, m.shy) && m.mayReplace(now) {
+		if m.claimAt != 0 && now >= max(m.claimAt, m.deferUntil) && m.mayReplace(now) {
 			m.claimAt = 0
 			m.role = Claiming
 			m.out = append(m.out, Claim{Over: m.term})
@@ -54,7 +54,7 @@
 }
 
 // mayReplace says whether the silence of a leader whose key is there may be
-// taken for its end: only in the company of a majority. A controller that hears
+// taken for its end: only while a majority is heard. A controller that hears
 // hardly anybody is more likely to be cut off from the others itself, or they
 // all are from each other, while the leader serves the workers and keeps its
 // key. Without this the leadership went round from one to the next for as long
@@ -64,7 +64,7 @@
 	if m.keyGone || m.leader == "" || m.leader == m.self {
 		return true
 	}
-	return m.company != 0 && now-m.company >= 3*m.times.Beat && m.heardMost(now, m.missed+m.times.Beat/2)
+	return m.majoritySince != 0 && now-m.majoritySince >= 3*m.times.Beat && m.heardMost(now, m.missed+m.times.Beat/2)
 }
 
 // heardMost says whether a majority, with this controller, was heard lately and
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -264,7 +264,7 @@
 		f.Listed(2*s, 1*s, p, nil)
 		p.Report(2*s, &protocol.Report{Machine: "m1", Addr: "a", Type: "g8", Zone: "a", Session: 1, Seq: 1})
 		low := &protocol.Job{ID: "j-1", Shape: x.shape, Priority: "normal", GPUs: 8, CheckpointS: x.checkpoint}
-		pl := &partition.Placement{Task: protocol.TaskID{Job: "j-1"}, Attempt: 1, Machine: "m1", Need: partition.NeedOf(low), Rank: low.Priority.Rank(), Job: low}
+		pl := &partition.Placement{Task: protocol.TaskID{Job: "j-1"}, Attempt: 1, Machine: "m1", Need: partition.NeedOf(low), Level: low.Priority.Level(), Job: low}
 		if !p.Grant(2*s, []*partition.Placement{pl}) {
 			t.Fatal("no room")
 		}
--- a/internal/coordination/fleet/reference_test.go
+++ b/internal/coordination/fleet/reference_test.go
@@ -47,7 +47,7 @@
 			m := p.Ensure(0, fmt.Sprintf("m%02d", i))
 			m.Type, m.Zone, m.Spot = "g8", rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), rapid.Bool().Draw(t, "spot")
 			job := &protocol.Job{ID: fmt.Sprintf("j-%d", i), Shape: protocol.Array, CheckpointS: float64(rapid.IntRange(0, 1).Draw(t, "saves"))}
-			p.Adopt(0, &partition.Placement{Task: protocol.TaskID{Job: job.ID}, Attempt: 1, Machine: m.Name, Job: job, Rank: rapid.IntRange(0, 3).Draw(t, "rank"),
+			p.Adopt(0, &partition.Placement{Task: protocol.TaskID{Job: job.ID}, Attempt: 1, Machine: m.Name, Job: job, Level: rapid.IntRange(0, 3).Draw(t, "level"),
 				Need: partition.Need{GPUs: float64(rapid.IntRange(0, 8).Draw(t, "used")), CPUs: float64(rapid.IntRange(0, 64).Draw(t, "cpus"))}})
 		}
 		var units []Unit
--- a/internal/coordination/fleet/rent.go
+++ b/internal/coordination/fleet/rent.go
@@ -23,8 +23,8 @@
 	machine *partition.Machine
 }
 
-// Ranks is the number of priorities.
-const Ranks = partition.Ranks
+// Levels is the number of priorities.
+const Levels = partition.Levels
 
 // open is the room for a unit. What work takes that can save, and is of lower priority, is room
 // that a job to come could have at once, and so as good as free.
@@ -32,7 +32,7 @@
 	if !u.Spare || u.Quick || r.machine == nil {
 		return r.free
 	}
-	return r.free.Plus(r.machine.Savable(max(0, u.Job.Priority.Rank()) + 1))
+	return r.free.Plus(r.machine.Savable(max(0, u.Job.Priority.Level()) + 1))
 }
 
 // unitKind is what it depends on whether a room will do for a unit that avoids no machine.
@@ -40,14 +40,14 @@
 	need          partition.Need
 	types         string
 	zone, jobZone string
-	rank          int
+	level         int
 	spot, saves   bool
 	spare, quick  bool
 }
 
 func kindOf(u *Unit) unitKind {
 	return unitKind{
-		need: partition.NeedOf(u.Job), types: strings.Join(u.Job.Types, " "), zone: u.Zone, jobZone: u.Job.Zone, rank: u.Job.Priority.Rank(),
+		need: partition.NeedOf(u.Job), types: strings.Join(u.Job.Types, " "), zone: u.Zone, jobZone: u.Job.Zone, level: u.Job.Priority.Level(),
 		spot: u.Job.Spot, saves: u.Job.CheckpointS > 0, spare: u.Spare, quick: u.Quick,
 	}
 }
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -33,9 +33,9 @@
 	// Confirmed says whether the leadership is, at this moment.
 	Confirmed func() bool
 	// Watch is how long a look at the state service's changes may wait for one, and
-	// Sighted is told up to when all of them are known.
-	Watch   time.Duration
-	Sighted func(term uint64, at time.Duration)
+	// Fresh is told up to when all of them are known.
+	Watch time.Duration
+	Fresh func(term uint64, at time.Duration)
 	// Withdrawals returns the jobs of which an intent of cancellation is held, and when
 	// the newest came; IsWithdrawn says it of one. Without another, a cancellation is
 	// confirmed within Confirm of its intent or not at all.
@@ -182,7 +182,7 @@
 			e.Tag = nil // it has its answer
 			early.add(e)
 		case loaded:
-			records := scheduler.Records{Types: e.types, Live: e.live, Pages: e.pages, Warm: e.warm, ZonePages: e.zones}
+			records := scheduler.Records{Types: e.types, Live: e.live, Pages: e.pages, Images: e.images, ZonePages: e.zones}
 			term := scheduler.Term{Number: l.term, Stamp: l.stamp}
 			core = scheduler.New(now, l.Cfg, l.Log, term, records, time.Now().UnixMilli(), l.ZoneReturn)
 			l.Log.Info("records read", "jobs", len(e.live), "pages", len(e.pages), "took", now-began)
@@ -199,7 +199,7 @@
 				l.do(core.Step(now, r))
 			}
 			go l.refreshTypes()
-		case scheduler.JobSet, scheduler.JobDropped, scheduler.Sighted:
+		case scheduler.JobSet, scheduler.JobDropped, scheduler.Fresh:
 			changes = append(changes, e.(scheduler.Event))
 		}
 	}
--- a/internal/coordination/leader/leader_test.go
+++ b/internal/coordination/leader/leader_test.go
@@ -46,7 +46,7 @@
 		Now: func() time.Duration { return time.Since(start) }, Types: func([]protocol.MachineType) {},
 		Confirmed: func() bool { return !stale.Load() },
 		Deposed:   func(_ uint64, d scheduler.Depose) { deposed <- d },
-		Sighted:   func(uint64, time.Duration) {}, Watch: time.Second,
+		Fresh:     func(uint64, time.Duration) {}, Watch: time.Second,
 		Withdrawals: func(time.Duration) map[string]time.Duration { return nil },
 		IsWithdrawn: func(string) bool { return false },
 	}, 3, 1)
--- a/internal/coordination/leader/recovery.go
+++ b/internal/coordination/leader/recovery.go
@@ -12,9 +12,9 @@
 
 // loaded is what recovery read.
 type loaded struct {
-	types       []protocol.MachineType
-	live, pages []protocol.Pair
-	warm, zones []protocol.Pair
+	types         []protocol.MachineType
+	live, pages   []protocol.Pair
+	images, zones []protocol.Pair
 }
 
 // recover reads the records, trying until it can. The jobs come first and are watched from
@@ -29,7 +29,7 @@
 			asked := l.Now()
 			if got.live, rev, err = l.Store.List(l.ctx, storage.LivePrefix); err == nil {
 				watching = true
-				l.sighted(asked)
+				l.fresh(asked)
 				go l.watch(rev)
 			}
 		}
@@ -51,7 +51,7 @@
 	if got.pages, _, err = l.Store.List(l.ctx, storage.PlacePrefix); err != nil {
 		return err
 	}
-	if got.warm, _, err = l.Store.List(l.ctx, storage.WarmPrefix); err != nil {
+	if got.images, _, err = l.Store.List(l.ctx, storage.ImagesPrefix); err != nil {
 		return err
 	}
 	if l.ZoneReturn != nil {
@@ -63,11 +63,11 @@
 	return err
 }
 
-// sighted notes that all changes up to the given time have been taken in or wait
+// fresh notes that all changes up to the given time have been taken in or wait
 // in the mailbox.
-func (l *Leader) sighted(at time.Duration) {
-	l.box.Send(scheduler.Sighted{At: at})
-	l.Sighted(l.term, at)
+func (l *Leader) fresh(at time.Duration) {
+	l.box.Send(scheduler.Fresh{At: at})
+	l.Fresh(l.term, at)
 }
 
 // watch follows the accepted jobs. It looks often, for only an answer shows that
@@ -97,7 +97,7 @@
 			}
 			l.box.Send(scheduler.JobSet{Record: rec, Stamp: e.Version})
 		}
-		l.sighted(asked)
+		l.fresh(asked)
 	}
 }
 
--- a/internal/coordination/partition/commands.go
+++ b/internal/coordination/partition/commands.go
@@ -23,7 +23,7 @@
 // are on their way. maxOrders keeps an answer inside the protocol's limit.
 func (p *Partition) Orders(now time.Duration, m *Machine) []protocol.Command {
 	const maxOrders = 400
-	p.turn(now, m)
+	p.raiseEpoch(now, m)
 	m.fresh = false
 	var out []protocol.Command
 	run := func(pl *Placement) {
@@ -90,11 +90,11 @@
 // Token is what commands to the machine carry now.
 func (p *Partition) Token(m *Machine) uint64 { return protocol.Token(p.term, m.epoch) }
 
-// turn raises the machine's epoch when exited entries wait for it, so that
+// raiseEpoch raises the machine's epoch when exited entries wait for it, so that
 // late copies of their runs are refused and the entries can be forgotten, or
 // when a start without an answer is to be withdrawn. It waits for commands and
 // starts under way, which the change would only delay.
-func (p *Partition) turn(now time.Duration, m *Machine) {
+func (p *Partition) raiseEpoch(now time.Duration, m *Machine) {
 	pause := config.Seconds(p.workers.LeaseS / 2)
 	if m.Busy || m.epoch >= protocol.MaxEpoch {
 		return
@@ -110,7 +110,7 @@
 		}
 	}
 	settled := false
-	if !starting && now-m.turned >= pause {
+	if !starting && now-m.epochRaised >= pause {
 		for _, e := range m.exits {
 			if e.settled && e.runToken >= p.Token(m) && now-e.at > pause {
 				settled = true
@@ -120,7 +120,7 @@
 	}
 	if settled || withdraw {
 		m.epoch++
-		m.turned = now
+		m.epochRaised = now
 	}
 }
 
@@ -134,9 +134,9 @@
 // which something is due: this is asked with every message.
 func (p *Partition) Urgent(now time.Duration) []*Machine {
 	var out []*Machine
-	for name, m := range p.owed {
+	for name, m := range p.commandsDue {
 		if p.machines[name] != m {
-			delete(p.owed, name)
+			delete(p.commandsDue, name)
 			continue
 		}
 		any, here := false, false
@@ -147,7 +147,7 @@
 		}
 		switch {
 		case !any:
-			delete(p.owed, name)
+			delete(p.commandsDue, name)
 		case here && m.Up && !m.Busy && !m.Relayed && m.Addr != "" && now >= m.RetryAt:
 			out = append(out, m)
 		}
--- a/internal/coordination/partition/images.go
+++ b/internal/coordination/partition/images.go
@@ -61,13 +61,13 @@
 // down. It is no more than a hint: a wrong one costs a fetch.
 func (p *Partition) Hint(name string, copies []Copy) { p.hints[name] = copies }
 
-// Warm estimates how long a machine needs until it has the job's image.
-func (p *Partition) Warm(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
-	return p.WarmWithout(now, m, j, nil)
+// FetchTime estimates how long a machine needs until it has the job's image.
+func (p *Partition) FetchTime(now time.Duration, m *Machine, j *protocol.Job) time.Duration {
+	return p.FetchTimeWithout(now, m, j, nil)
 }
 
-// WarmWithout is Warm if those tasks left that the function names.
-func (p *Partition) WarmWithout(now time.Duration, m *Machine, j *protocol.Job, leave func(*Placement) bool) time.Duration {
+// FetchTimeWithout is FetchTime if those tasks left that the function names.
+func (p *Partition) FetchTimeWithout(now time.Duration, m *Machine, j *protocol.Job, leave func(*Placement) bool) time.Duration {
 	if im := m.images[j.Image]; im != nil {
 		return im.left(now)
 	}
@@ -120,7 +120,7 @@
 func (p *Partition) useImage(now time.Duration, m *Machine, j *protocol.Job) {
 	im := m.images[j.Image]
 	if im == nil {
-		whole := p.Warm(now, m, j)
+		whole := p.FetchTime(now, m, j)
 		im = &image{sizeGB: j.ImageGB, ready: now + whole, latest: now + time.Duration(float64(whole)*SlowFetch)}
 		p.setImage(m, j.Image, im)
 	}
--- a/internal/coordination/partition/machine.go
+++ b/internal/coordination/partition/machine.go
@@ -24,8 +24,8 @@
 	RetryAt                time.Duration
 	fresh                  bool // something new is due since the command on its way left
 
-	epoch  uint64        // of the commands to it, within our term
-	turned time.Duration // when the epoch was raised
+	epoch       uint64        // of the commands to it, within our term
+	epochRaised time.Duration // when the epoch was raised
 
 	// View is what the scheduler knows of the machine beyond this; the partition does not look at it.
 	View any
@@ -40,11 +40,11 @@
 	stray      map[protocol.TaskID]uint64
 	images     map[string]*image
 
-	lost     bool           // it is proven gone
-	touched  bool           // see Partition.Changed
-	byRank   [Ranks]rankUse // what placements of each priority take
-	stopping rankUse        // what those take that are to end
-	savable  [Ranks]rankUse // what those of each priority take that can save
+	lost     bool            // it is proven gone
+	touched  bool            // see Partition.Changed
+	byRank   [Levels]rankUse // what placements of each priority take
+	stopping rankUse         // what those take that are to end
+	savable  [Levels]rankUse // what those of each priority take that can save
 }
 
 // rankUse is what some placements on a machine take.
@@ -53,26 +53,26 @@
 	need  Need
 }
 
-// Ranks is the number of priorities.
-const Ranks = 4
+// Levels is the number of priorities.
+const Levels = 4
 
 // Lost says whether the machine is proven gone.
 func (m *Machine) Lost() bool { return m.lost }
 
-// Givable is at most the room that work of at least the given rank would leave, with what is
+// Givable is at most the room that work of at least the given level would leave, with what is
 // about to leave anyhow.
-func (m *Machine) Givable(rank int) Need {
+func (m *Machine) Givable(level int) Need {
 	n := m.stopping.need
-	for r := max(0, rank); r < Ranks; r++ {
+	for r := max(0, level); r < Levels; r++ {
 		n = n.Plus(m.byRank[r].need)
 	}
 	return n
 }
 
-// Savable is the room that work of at least the given rank takes that can save, but for services.
-func (m *Machine) Savable(rank int) Need {
+// Savable is the room that work of at least the given level takes that can save, but for services.
+func (m *Machine) Savable(level int) Need {
 	var n Need
-	for r := max(0, rank); r < Ranks; r++ {
+	for r := max(0, level); r < Levels; r++ {
 		n = n.Plus(m.savable[r].need)
 	}
 	return n
--- a/internal/coordination/partition/partition.go
+++ b/internal/coordination/partition/partition.go
@@ -23,7 +23,7 @@
 	Zone    string
 	Need    Need
 	Team    string
-	Rank    int // of the job's priority
+	Level   int // of the job's priority
 	Job     *protocol.Job
 
 	Granted  time.Duration
@@ -48,15 +48,15 @@
 
 // Partition is the set of machines that a controller owns.
 type Partition struct {
-	term     uint64
-	workers  config.Workers
-	types    map[string]*protocol.MachineType
-	machines map[string]*Machine
-	ordered  []*Machine // by name, for the same decisions every time
-	usage    map[string]Need
-	owed     map[string]*Machine // those on which a placement may need a command
-	hints    map[string][]Copy   // images that machines had in an earlier term
-	views    views
+	term        uint64
+	workers     config.Workers
+	types       map[string]*protocol.MachineType
+	machines    map[string]*Machine
+	ordered     []*Machine // by name, for the same decisions every time
+	usage       map[string]Need
+	commandsDue map[string]*Machine // those on which a placement may need a command
+	hints       map[string][]Copy   // images that machines had in an earlier term
+	views       views
 }
 
 // New returns an empty part of the given term.
@@ -64,7 +64,7 @@
 	return &Partition{
 		term: term, workers: w,
 		types: map[string]*protocol.MachineType{}, machines: map[string]*Machine{}, usage: map[string]Need{},
-		hints: map[string][]Copy{}, owed: map[string]*Machine{}, views: newViews(),
+		hints: map[string][]Copy{}, commandsDue: map[string]*Machine{}, views: newViews(),
 	}
 }
 
@@ -181,7 +181,7 @@
 	}
 	pl.Written, pl.sent, pl.Granted = true, true, now
 	pl.runToken = protocol.Token(p.term, 0) - 1 // whatever an earlier leader sent
-	p.owed[m.Name] = m
+	p.commandsDue[m.Name] = m
 	p.add(m, pl)
 }
 
@@ -230,7 +230,7 @@
 func (p *Partition) expedite(pl *Placement) {
 	if m := p.machines[pl.Machine]; m != nil {
 		m.RetryAt, m.fresh = 0, true
-		p.owed[m.Name] = m
+		p.commandsDue[m.Name] = m
 	}
 }
 
--- a/internal/coordination/partition/partition_test.go
+++ b/internal/coordination/partition/partition_test.go
@@ -243,7 +243,7 @@
 		say(now, protocol.TaskReport{Name: task(n).String(), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseDone})
 	}
 	warm := func(now time.Duration, image string) bool {
-		return p.Warm(now, p.Machine("m1"), &protocol.Job{Image: image, ImageGB: 1}) == 0
+		return p.FetchTime(now, p.Machine("m1"), &protocol.Job{Image: image, ImageGB: 1}) == 0
 	}
 	use(0, 1, "old", 4) // runs on
 	use(10*time.Second, 2, "short", 4)
--- a/internal/coordination/partition/views.go
+++ b/internal/coordination/partition/views.go
@@ -13,7 +13,7 @@
 	teams    map[string]bool // whose usage has changed
 	images   map[string]*MachineSet
 	fetching map[string]*MachineSet // those of them of which it is not certain that they have it
-	ranks    [Ranks]*MachineSet
+	levels   [Levels]*MachineSet
 	stopping *MachineSet
 	noticed  *MachineSet
 }
@@ -27,8 +27,8 @@
 
 func newViews() views {
 	v := views{teams: map[string]bool{}, images: map[string]*MachineSet{}, fetching: map[string]*MachineSet{}, stopping: newMachineSet(), noticed: newMachineSet()}
-	for rank := range v.ranks {
-		v.ranks[rank] = newMachineSet()
+	for level := range v.levels {
+		v.levels[level] = newMachineSet()
 	}
 	return v
 }
@@ -73,8 +73,8 @@
 // fetch, or nil. It must not be changed.
 func (p *Partition) Fetching(image string) *MachineSet { return p.views.fetching[image] }
 
-// WithRank returns the machines with placements of a rank. It must not be changed.
-func (p *Partition) WithRank(rank int) *MachineSet { return p.views.ranks[rank] }
+// AtLevel returns the machines with placements of a level. It must not be changed.
+func (p *Partition) AtLevel(level int) *MachineSet { return p.views.levels[level] }
 
 // WithStopping returns the machines with placements that are to end. It must not be changed.
 func (p *Partition) WithStopping() *MachineSet { return p.views.stopping }
@@ -124,8 +124,8 @@
 	}
 }
 
-// rankOf is the rank by which a placement is counted.
-func rankOf(pl *Placement) int { return min(max(pl.Rank, 0), Ranks-1) }
+// levelOf is the level by which a placement is counted.
+func levelOf(pl *Placement) int { return min(max(pl.Level, 0), Levels-1) }
 
 func (u *rankUse) add(n Need) {
 	u.count++
@@ -147,11 +147,11 @@
 
 // enter counts a placement that is new on a machine.
 func (p *Partition) enter(m *Machine, pl *Placement) {
-	rank := rankOf(pl)
-	m.byRank[rank].add(pl.Need)
-	p.views.ranks[rank].Set(m)
+	level := levelOf(pl)
+	m.byRank[level].add(pl.Need)
+	p.views.levels[level].Set(m)
 	if savable(pl) {
-		m.savable[rank].add(pl.Need)
+		m.savable[level].add(pl.Need)
 	}
 	if pl.Stopping {
 		m.stopping.add(pl.Need)
@@ -162,12 +162,12 @@
 
 // leave takes a placement off the counts of its machine.
 func (p *Partition) leave(m *Machine, pl *Placement) {
-	rank := rankOf(pl)
-	if m.byRank[rank].remove(pl.Need); m.byRank[rank].count == 0 {
-		p.views.ranks[rank].Delete(m)
+	level := levelOf(pl)
+	if m.byRank[level].remove(pl.Need); m.byRank[level].count == 0 {
+		p.views.levels[level].Delete(m)
 	}
 	if savable(pl) {
-		m.savable[rank].remove(pl.Need)
+		m.savable[level].remove(pl.Need)
 	}
 	if pl.Stopping {
 		if m.stopping.remove(pl.Need); m.stopping.count == 0 {
@@ -193,8 +193,8 @@
 	for name := range m.images {
 		p.deleteImage(m, name)
 	}
-	for rank := range p.views.ranks {
-		p.views.ranks[rank].Delete(m)
+	for level := range p.views.levels {
+		p.views.levels[level].Delete(m)
 	}
 	p.views.stopping.Delete(m)
 	p.views.noticed.Delete(m)
--- a/internal/coordination/scheduler/allocate.go
+++ b/internal/coordination/scheduler/allocate.go
@@ -44,7 +44,7 @@
 		}
 	}
 	c.endPreemption()
-	c.rewarmAll(now)
+	c.refetchAll(now)
 	// Last, with the room that is left: what waits still could not use it.
 	c.consolidate(now)
 }
@@ -140,7 +140,7 @@
 		got := c.allocate(now, j, zl, j.spec.Tasks)
 		s := 0.0
 		for _, g := range got {
-			s = max(s, c.machines.Warm(now, g.x.m, &j.spec).Seconds())
+			s = max(s, c.machines.FetchTime(now, g.x.m, &j.spec).Seconds())
 		}
 		return got, zl, s
 	}
@@ -198,7 +198,7 @@
 		}
 		ps = append(ps, &partition.Placement{
 			Task: protocol.TaskID{Job: j.spec.ID, Task: t}, Attempt: a, Machine: x.m.Name,
-			Need: j.need, Team: j.spec.Team, Rank: j.rank, Job: &j.spec,
+			Need: j.need, Team: j.spec.Team, Level: j.level, Job: &j.spec,
 		})
 		p := j.pageOf(t)
 		p.attempts = max(p.attempts, a)
--- a/internal/coordination/scheduler/cancel.go
+++ b/internal/coordination/scheduler/cancel.go
@@ -43,9 +43,9 @@
 	}
 }
 
-// sighted lets jobs run again that live although the time is over in which their
+// fresh lets jobs run again that live although the time is over in which their
 // cancellation could have been confirmed.
-func (c *Core) sighted(at time.Duration) {
+func (c *Core) fresh(at time.Duration) {
 	for id, until := range c.withdrawn {
 		if at > until {
 			delete(c.withdrawn, id)
--- a/internal/coordination/scheduler/cancel_test.go
+++ b/internal/coordination/scheduler/cancel_test.go
@@ -39,13 +39,13 @@
 			b.machine("m1", "a", false)
 			b.cycle()
 		}
-		b.do(Sighted{At: until}) // it may just have been confirmed
+		b.do(Fresh{At: until}) // it may just have been confirmed
 		b.cycle()
 		if len(b.runs) > 0 {
 			t.Fatalf("%s: %v started while users may be told that it is cancelled", shape, b.runs)
 		}
 		b.do(JobDropped{ID: "j-2"})
-		b.do(Sighted{At: until + 1})
+		b.do(Fresh{At: until + 1})
 		b.machine("m2", "a", false) // the first still has its exited entries
 		b.cycle()
 		if b.started("j-1") != 2 || b.started("j-2") != 0 {
--- a/internal/coordination/scheduler/candidates.go
+++ b/internal/coordination/scheduler/candidates.go
@@ -24,21 +24,21 @@
 	dirty bool // something of the cycle must be undone when it is over
 }
 
-// kept is room for jobs to come of a class, against work of the given rank that
-// can wait for longer. Of the class's own rank, it could not be preempted for them.
+// kept is room for jobs to come of a class, against work of the given level that
+// can wait for longer. Of the class's own level, it could not be preempted for them.
 type kept struct {
-	rank     int
+	level    int
 	aim      float64 // the class's on waiting, in seconds
 	position int     // the class's in the order of return, while that is in force
 	need     partition.Need
 }
 
-// less is what is left of the free room for work of the rank with that aim on
+// less is what is left of the free room for work of the level with that aim on
 // waiting, and that position in the order of return.
-func (x *candidate) less(rank int, aim float64, position int) partition.Need {
+func (x *candidate) less(level int, aim float64, position int) partition.Need {
 	n := x.free
 	for _, k := range x.kept {
-		if k.rank == rank && k.aim < aim && k.position <= position {
+		if k.level == level && k.aim < aim && k.position <= position {
 			n = n.Minus(k.need)
 		}
 	}
@@ -216,7 +216,7 @@
 	if len(x.kept) == 0 {
 		return x.free
 	}
-	return x.less(j.rank, c.waitAim(j.spec.Class), c.returnPosition(&j.spec))
+	return x.less(j.level, c.waitAim(j.spec.Class), c.returnPosition(&j.spec))
 }
 
 // keep sets aside the room that classes with an aim on waiting are likely to
@@ -227,10 +227,10 @@
 	none := &limits{}
 	recovering := c.recovering()
 	for _, u := range c.spareNow {
-		j := &job{spec: *u.Job, need: partition.NeedOf(u.Job), rank: u.Job.Priority.Rank()}
+		j := &job{spec: *u.Job, need: partition.NeedOf(u.Job), level: u.Job.Priority.Level()}
 		aim, position := c.waitAim(u.Job.Class), c.returnPosition(u.Job)
 		allowed := func(x *candidate) bool {
-			return (u.Zone == "" || u.Zone == x.m.Zone) && j.need.Fits(x.less(j.rank, math.Inf(1), math.MaxInt)) &&
+			return (u.Zone == "" || u.Zone == x.m.Zone) && j.need.Fits(x.less(j.level, math.Inf(1), math.MaxInt)) &&
 				(!x.m.Spot || j.spec.Spot) && x.kind.Allows(&j.spec)
 		}
 		for range u.Count {
@@ -239,8 +239,8 @@
 				break
 			}
 			c.mark(best)
-			for rank := j.rank; rank == j.rank || (u.Quick || recovering) && rank < fleet.Ranks; rank++ {
-				best.kept = append(best.kept, kept{rank, aim, position, j.need})
+			for level := j.level; level == j.level || (u.Quick || recovering) && level < fleet.Levels; level++ {
+				best.kept = append(best.kept, kept{level, aim, position, j.need})
 			}
 		}
 	}
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -63,28 +63,28 @@
 	// state service tells, by when one must have been told.
 	withdrawn map[string]time.Duration
 
-	out       []Effect
-	writes    map[uint64]func(now time.Duration, w Written)
-	seq       uint64
-	due       bool // something relevant has arrived since the last cycle
-	cycles    uint64
-	lastCycle time.Duration
-	lastPlan  time.Duration // when the fleet was last planned
-	lastMove  time.Duration
-	began     time.Duration
-	arrivals  map[string][]time.Duration // by class, newest last
-	sample    map[string]*protocol.Job   // the newest job of each class
-	sizes     map[string]float64         // mean tasks of a job
-	spareNow  []fleet.Unit               // room wanted for jobs to come
-	counted   map[string]float64         // jobs in the memory of arrivals, by class
-	prior     map[string]float64         // what the last leader counted
-	warm      map[string]string          // images records as written
-	warming   bool
-	warmFrom  string // the key of the last page of them that was written
-	inspector inspector
-	lastWarm  time.Duration
-	wallMS    int64       // time of day when the term began
-	returning *zoneReturn // nil unless it is on
+	out           []Effect
+	writes        map[uint64]func(now time.Duration, w Written)
+	seq           uint64
+	due           bool // something relevant has arrived since the last cycle
+	cycles        uint64
+	lastCycle     time.Duration
+	lastPlan      time.Duration // when the fleet was last planned
+	lastMove      time.Duration
+	began         time.Duration
+	arrivals      map[string][]time.Duration // by class, newest last
+	sample        map[string]*protocol.Job   // the newest job of each class
+	sizes         map[string]float64         // mean tasks of a job
+	spareNow      []fleet.Unit               // room wanted for jobs to come
+	counted       map[string]float64         // jobs in the memory of arrivals, by class
+	prior         map[string]float64         // what the last leader counted
+	imagePages    map[string]string          // images records as written
+	imagesWriting bool
+	imagesFrom    string // the key of the last page of them that was written
+	inspector     inspector
+	imagesWritten time.Duration
+	wallMS        int64       // time of day when the term began
+	returning     *zoneReturn // nil unless it is on
 }
 
 // Term is the term that a core leads: its number, and the version of its record.
@@ -92,8 +92,8 @@
 
 // Records is what a new leader reads.
 type Records struct {
-	Types                        []protocol.MachineType
-	Live, Pages, Warm, ZonePages []protocol.Pair
+	Types                          []protocol.MachineType
+	Live, Pages, Images, ZonePages []protocol.Pair
 }
 
 // New returns the core of a term that has read the records, at the given time of day. order
@@ -105,7 +105,7 @@
 		writes: map[uint64]func(time.Duration, Written){}, due: true, began: now,
 		lastCycle: now - Cycle, lastPlan: now - Cycle,
 		arrivals: map[string][]time.Duration{}, sample: map[string]*protocol.Job{}, sizes: map[string]float64{},
-		counted: map[string]float64{}, prior: map[string]float64{}, warm: map[string]string{}, lastWarm: now,
+		counted: map[string]float64{}, prior: map[string]float64{}, imagePages: map[string]string{}, imagesWritten: now,
 	}
 	c.queues, c.roster, c.find, c.preemptionRound = newJobQueues(), newRoster(), indexFinder{c}, 1
 	c.searchLooks, c.preemptionLooks = maxLooks, preemptionLooks
@@ -114,7 +114,7 @@
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
 	c.machines.SetTypes(rec.Types)
-	c.recoverWarm(rec.Warm)
+	c.recoverImages(rec.Images)
 	for _, p := range rec.Live {
 		var rec storage.LiveRecord
 		if err := protocol.Decode(p.Value, &rec); err != nil {
@@ -162,8 +162,8 @@
 		c.dropped(now, e.ID)
 	case Withdrawn:
 		c.withdraw(now, e)
-	case Sighted:
-		c.sighted(e.At)
+	case Fresh:
+		c.fresh(e.At)
 	case Written:
 		if f := c.writes[e.Write]; f != nil {
 			delete(c.writes, e.Write)
@@ -237,8 +237,8 @@
 		list = append(list, j)
 	}
 	sort.Slice(list, func(a, b int) bool {
-		if list[a].rank != list[b].rank {
-			return list[a].rank < list[b].rank
+		if list[a].level != list[b].level {
+			return list[a].level < list[b].level
 		}
 		if list[a].atMS != list[b].atMS {
 			return list[a].atMS < list[b].atMS
@@ -282,7 +282,7 @@
 	}
 	c.logFleet(now, units)
 	c.checkReach(now)
-	c.writeWarm(now)
+	c.writeImages(now)
 }
 
 // writeAll writes the records that starts wait for, and what has ended as far as there is room.
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -36,8 +36,8 @@
 		ID    string
 		Until time.Duration
 	}
-	// Sighted says that all changes of the accepted jobs up to At have been told.
-	Sighted struct{ At time.Duration }
+	// Fresh says that all changes of the accepted jobs up to At have been told.
+	Fresh struct{ At time.Duration }
 	// Written is the outcome of a Write. Failed names the conditions that did
 	// not hold. Refused says that a shared one was refused for its form.
 	Written struct {
@@ -132,7 +132,7 @@
 func (JobSet) event()     {}
 func (JobDropped) event() {}
 func (Withdrawn) event()  {}
-func (Sighted) event()    {}
+func (Fresh) event()      {}
 func (Written) event()    {}
 func (OrdersDone) event() {}
 func (Inspected) event()  {}
--- a/internal/coordination/scheduler/images.go
+++ b/internal/coordination/scheduler/images.go
@@ -12,10 +12,10 @@
 	"pinebay/internal/storage"
 )
 
-// recoverWarm takes over what earlier leaders knew of the machines' images.
-func (c *Core) recoverWarm(pairs []protocol.Pair) {
+// recoverImages takes over what earlier leaders knew of the machines' images.
+func (c *Core) recoverImages(pairs []protocol.Pair) {
 	for _, p := range pairs {
-		var rec storage.WarmRecord
+		var rec storage.ImagesRecord
 		if err := protocol.Decode(p.Value, &rec); err != nil || len(rec.Images) != len(rec.SizesGB) {
 			c.log.Error("images record out of form", "key", p.Key, "err", err)
 			continue
@@ -32,26 +32,26 @@
 		for _, a := range rec.Arrivals {
 			c.prior[a.Class], c.sizes[a.Class] = a.Jobs, a.Tasks
 		}
-		c.warm[p.Key] = "" // to be written anew, or else dropped
+		c.imagePages[p.Key] = "" // to be written anew, or else dropped
 	}
 }
 
-// writeWarm writes down the machines' images, a page at a time and not often:
+// writeImages writes down the machines' images, a page at a time and not often:
 // it is a help for the next leader, and must not stand in anybody's way.
-func (c *Core) writeWarm(now time.Duration) {
-	if c.warming || now-c.lastWarm < warmPause {
+func (c *Core) writeImages(now time.Duration) {
+	if c.imagesWriting || now-c.imagesWritten < imagesPause {
 		return
 	}
-	c.lastWarm = now
+	c.imagesWritten = now
 	copies := c.machines.Copies()
 	names := slices.Sorted(maps.Keys(copies))
-	per := storage.WarmMachines(c.cfg.State.ValueKB)
+	per := storage.ImagesPerRecord(c.cfg.State.ValueKB)
 	pages := map[string][]byte{}
 	for page := 0; page*per < len(names); page++ {
-		var rec storage.WarmRecord
+		var rec storage.ImagesRecord
 		index := map[string]int{}
 		for _, n := range names[page*per : min((page+1)*per, len(names))] {
-			m := storage.WarmMachine{Name: n}
+			m := storage.MachineImages{Name: n}
 			for _, cp := range copies[n] {
 				i, ok := index[cp.Image]
 				if !ok {
@@ -75,36 +75,36 @@
 		if err != nil || float64(len(raw)) > c.cfg.State.ValueKB*1024/2 {
 			continue // too many names for a hint
 		}
-		pages[storage.WarmKey(page)] = raw
+		pages[storage.ImagesKey(page)] = raw
 	}
 	t := protocol.Txn{If: []protocol.Cond{{Key: storage.TermKey, Version: c.termStamp}}}
 	var changed []string
-	for _, key := range slices.Sorted(maps.Keys(c.warm)) {
+	for _, key := range slices.Sorted(maps.Keys(c.imagePages)) {
 		if pages[key] == nil {
 			t.Then = append(t.Then, protocol.Op{Delete: key})
 			changed = append(changed, key)
 		}
 	}
-	for _, key := range inTurnFrom(c.warmFrom, slices.Sorted(maps.Keys(pages))) {
+	for _, key := range inTurnFrom(c.imagesFrom, slices.Sorted(maps.Keys(pages))) {
 		raw := pages[key]
-		if c.warm[key] != string(raw) && len(t.Then) < c.cfg.State.TxnOps/2 {
+		if c.imagePages[key] != string(raw) && len(t.Then) < c.cfg.State.TxnOps/2 {
 			t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
 			changed = append(changed, key)
-			c.warmFrom = key
+			c.imagesFrom = key
 		}
 	}
 	if len(changed) == 0 {
 		return
 	}
-	c.warming = true
+	c.imagesWriting = true
 	id, _ := c.name()
 	c.writes[id] = func(_ time.Duration, w Written) {
-		c.warming = false
+		c.imagesWriting = false
 		for _, key := range changed {
 			if pages[key] == nil {
-				delete(c.warm, key)
+				delete(c.imagePages, key)
 			} else {
-				c.warm[key] = string(pages[key])
+				c.imagePages[key] = string(pages[key])
 			}
 		}
 	}
@@ -121,5 +121,5 @@
 	return slices.Concat(keys[i:], keys[:i])
 }
 
-// warmPause is the time between two writes of the images.
-const warmPause = 10 * Cycle
+// imagesPause is the time between two writes of the images.
+const imagesPause = 10 * Cycle
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -28,7 +28,7 @@
 type job struct {
 	spec  protocol.Job
 	need  partition.Need
-	rank  int
+	level int
 	types string // the allowed types, in one word
 	stamp uint64 // version of its live record; 0 once it is over
 	atMS  int64
@@ -89,7 +89,7 @@
 
 func newJob(spec protocol.Job, stamp uint64, atMS int64, now time.Duration, perPage int) *job {
 	return &job{
-		spec: spec, need: partition.NeedOf(&spec), rank: spec.Priority.Rank(), types: strings.Join(spec.Types, " "), stamp: stamp, atMS: atMS, known: now,
+		spec: spec, need: partition.NeedOf(&spec), level: spec.Priority.Level(), types: strings.Join(spec.Types, " "), stamp: stamp, atMS: atMS, known: now,
 		tasks: make([]taskState, spec.Tasks), counts: [3]int{spec.Tasks, 0, 0},
 		places: map[int]*partition.Placement{}, ran: map[int]bool{}, pages: map[int]*page{}, perPage: perPage, failedOn: map[string]bool{},
 	}
--- a/internal/coordination/scheduler/jobqueues.go
+++ b/internal/coordination/scheduler/jobqueues.go
@@ -23,7 +23,7 @@
 
 // goesBefore orders jobs by priority, then age.
 func goesBefore(a, b *job) bool {
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.atMS, b.atMS), cmp.Compare(a.spec.ID, b.spec.ID)) < 0
+	return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.atMS, b.atMS), cmp.Compare(a.spec.ID, b.spec.ID)) < 0
 }
 
 // update enters a job that has tasks to place, or takes it out. Queues that are nil hold nothing.
--- a/internal/coordination/scheduler/market.go
+++ b/internal/coordination/scheduler/market.go
@@ -61,7 +61,7 @@
 // nor what has been lent already.
 func (c *Core) lendable(pl *partition.Placement) bool {
 	j := c.jobs[pl.Task.Job]
-	return pl.Rank > 0 && j != nil && !j.over && !c.returning.ledger.Lent(lentTask(pl))
+	return pl.Level > 0 && j != nil && !j.over && !c.returning.ledger.Lent(lentTask(pl))
 }
 
 func lentTask(pl *partition.Placement) zones.LentTask {
@@ -78,7 +78,7 @@
 		}
 		offers = append(offers, zones.Offer{
 			Machine: x.m.Name, Zone: x.m.Zone, Free: room.free, Lenders: k.lendersFor(j, room),
-			Cost: k.core.machines.Warm(k.now, x.m, &j.spec).Seconds(),
+			Cost: k.core.machines.FetchTime(k.now, x.m, &j.spec).Seconds(),
 		})
 	}
 	return zones.ChooseLenders(request, offers)
@@ -89,7 +89,7 @@
 func (k *market) lendersFor(j *job, room *marketRoom) (lenders []zones.Lender) {
 	capacity := partition.CapacityOf(room.x.kind)
 	for _, pl := range room.lenders {
-		if pl.Rank <= j.rank || k.core.returnsBefore(pl, j) || k.leaves[lentTask(pl)] || k.protected(pl) {
+		if pl.Level <= j.level || k.core.returnsBefore(pl, j) || k.leaves[lentTask(pl)] || k.protected(pl) {
 			continue
 		}
 		gang := pl.Job != nil && pl.Job.Shape == protocol.Gang
--- a/internal/coordination/scheduler/move.go
+++ b/internal/coordination/scheduler/move.go
@@ -117,7 +117,7 @@
 		}
 		y := c.candidateOf(now, m)
 		if y == nil || y == x || m.Zone != x.m.Zone || m.Spot || !y.kind.Allows(pl.Job) || c.usedShare(y) < c.usedShare(x) || m.Count() == 0 ||
-			m.HasAttempt(pl.Task) || len(m.Errors) > 0 || c.machines.Warm(now, m, pl.Job) > 0 ||
+			m.HasAttempt(pl.Task) || len(m.Errors) > 0 || c.machines.FetchTime(now, m, pl.Job) > 0 ||
 			c.reserved(now, m, "") || !pl.Need.Fits(y.free.Minus(taken[y])) {
 			return true
 		}
@@ -129,14 +129,14 @@
 	return best
 }
 
-// rewarmAll has a look at the jobs of which tasks may still fetch their image.
-func (c *Core) rewarmAll(now time.Duration) {
+// refetchAll has a look at the jobs of which tasks may still fetch their image.
+func (c *Core) refetchAll(now time.Duration) {
 	for _, j := range c.inTurn(c.queues.fetchingJobs) {
 		if !c.mayRewarm(j) || !fetches(j) {
 			c.queues.fetchingJobs.Delete(j)
 			continue
 		}
-		c.rewarm(now, j)
+		c.refetch(now, j)
 	}
 }
 
@@ -156,18 +156,18 @@
 	return false
 }
 
-// rewarm moves tasks that still fetch their image to a machine that has it and
+// refetch moves tasks that still fetch their image to a machine that has it and
 // has come free meanwhile. Fetches take up to a third longer than the type
 // says, and for large images that is longer than some aims on waiting; a task
 // that has not started loses nothing by the move.
-func (c *Core) rewarm(now time.Duration, j *job) {
+func (c *Core) refetch(now time.Duration, j *job) {
 	if c.held(j) || j.writing || j.counts[pending] > 0 {
 		return
 	}
 	for _, pl := range placements(j) {
 		m := c.machines.Machine(pl.Machine)
 		if m == nil || !pl.Seen || pl.Stopping || pl.State != protocol.Fetching ||
-			c.machines.Warm(now, m, &j.spec) < config.Seconds(3*c.cfg.Workers.ReportS) {
+			c.machines.FetchTime(now, m, &j.spec) < config.Seconds(3*c.cfg.Workers.ReportS) {
 			continue
 		}
 		l := c.limits(j)
--- a/internal/coordination/scheduler/preempt.go
+++ b/internal/coordination/scheduler/preempt.go
@@ -24,7 +24,7 @@
 	if left <= 0 && j.ran[task] {
 		left = config.Seconds(within) // a replica that was lost should be back as soon
 	}
-	if left <= 0 || c.machines.WarmWithout(now, x.m, &j.spec, c.fetchesYield(j)) <= left {
+	if left <= 0 || c.machines.FetchTimeWithout(now, x.m, &j.spec, c.fetchesYield(j)) <= left {
 		return false
 	}
 	for _, y := range c.reservedFor(now, j) {
@@ -36,7 +36,7 @@
 			return true
 		}
 	}
-	return c.clear(now, j, l, left, j.rank+2)
+	return c.clear(now, j, l, left, j.level+2)
 }
 
 // preempt stops work of lower priority to make room for up to n tasks, on the
@@ -49,7 +49,7 @@
 		return
 	}
 	n -= len(c.reservedFor(now, j)) // cleared already, and not yet free
-	for ; n > 0 && c.clear(now, j, l, math.MaxInt64, j.rank+1); n-- {
+	for ; n > 0 && c.clear(now, j, l, math.MaxInt64, j.level+1); n-- {
 	}
 }
 
@@ -84,14 +84,14 @@
 
 // clear makes room for one task on the machine where that costs least, among
 // those where the task could run within the given time, and reserves it. Only
-// work of at least the given rank leaves.
-func (c *Core) clear(now time.Duration, j *job, l *limits, within time.Duration, rank int) bool {
+// work of at least the given level leaves.
+func (c *Core) clear(now time.Duration, j *job, l *limits, within time.Duration, level int) bool {
 	k := j.kind()
-	k.victims = rank
+	k.victims = level
 	if !c.maySearchVictims(j, k) {
 		return false
 	}
-	best, victims := c.find.cheapest(now, j, l, within, rank)
+	best, victims := c.find.cheapest(now, j, l, within, level)
 	if best == nil {
 		if within == math.MaxInt64 && len(j.avoids()) == 0 && len(j.reserved) == 0 && !c.recovering() {
 			c.noVictims[k] = c.roomEvents
@@ -99,7 +99,7 @@
 		return false
 	}
 	wait := 0.0
-	patience := c.patience(now, j, c.machines.Warm(now, best.m, &j.spec))
+	patience := c.patience(now, j, c.machines.FetchTime(now, best.m, &j.spec))
 	for _, v := range victims {
 		if !v.Stopping {
 			c.stopFor(now, v, j.spec.ID, patience)
@@ -135,7 +135,7 @@
 
 // victims chooses the work that would have to leave a machine. Its cost is in
 // seconds of work lost or moved.
-func (c *Core) victims(now time.Duration, j *job, x *candidate, rank int) (out []*partition.Placement, cost float64, ok bool) {
+func (c *Core) victims(now time.Duration, j *job, x *candidate, level int) (out []*partition.Placement, cost float64, ok bool) {
 	room := x.free // less what this cycle has given away already
 	var lower []*partition.Placement
 	x.m.Placements(func(pl *partition.Placement) {
@@ -143,13 +143,13 @@
 		case pl.Stopping:
 			room = room.Plus(pl.Need)
 			out = append(out, pl)
-		case c.mayPreempt(j, pl, rank):
+		case c.mayPreempt(j, pl, level):
 			lower = append(lower, pl)
 		}
 	})
 	sort.Slice(lower, func(a, b int) bool {
-		if lower[a].Rank != lower[b].Rank {
-			return lower[a].Rank > lower[b].Rank
+		if lower[a].Level != lower[b].Level {
+			return lower[a].Level > lower[b].Level
 		}
 		if ja, jb := c.age(now, lower[a]), c.age(now, lower[b]); ja != jb {
 			return ja < jb
@@ -181,18 +181,18 @@
 }
 
 // mayPreempt says whether a placement may be stopped to make room for a job: work of at
-// least the given rank, and work of any rank that another team runs beyond its
+// least the given level, and work of any level that another team runs beyond its
 // guarantee, for a team within its own. What a team runs within its guarantee need not
 // yield to another team. Lower work of other teams had been spared altogether: a guest's
 // idle-time batch then kept whole machines while urgent gangs waited for minutes.
-func (c *Core) mayPreempt(j *job, pl *partition.Placement, rank int) bool {
+func (c *Core) mayPreempt(j *job, pl *partition.Placement, level int) bool {
 	if c.returnsBefore(pl, j) {
 		return false
 	}
 	if pl.Team == j.spec.Team {
-		return pl.Rank >= rank
+		return pl.Level >= level
 	}
-	return c.borrows(pl) && (pl.Rank >= rank || c.owed(j))
+	return c.borrows(pl) && (pl.Level >= level || c.guaranteed(j))
 }
 
 // age is how long the job of a placement has been known.
--- a/internal/coordination/scheduler/preempt_test.go
+++ b/internal/coordination/scheduler/preempt_test.go
@@ -319,7 +319,7 @@
 	}
 }
 
-// TestRoomIsKeptForWaitAims: arrays of the same rank, which could not be
+// TestRoomIsKeptForWaitAims: arrays of the same level, which could not be
 // preempted for it, leave the room that a class with a wait aim is likely to
 // want, also if they have a looser one; the class itself may use it.
 func TestRoomIsKeptForWaitAims(t *testing.T) {
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -17,15 +17,15 @@
 type kind struct {
 	team, image, zone, types string
 	need                     partition.Need
-	rank, placed             int
+	level, placed            int
 	same, spread, spot       bool
-	victims                  int // rank of the work that may leave, for searches for that
+	victims                  int // level of the work that may leave, for searches for that
 }
 
 func (j *job) kind() kind {
 	return kind{
 		team: j.spec.Team, image: j.spec.Image, zone: j.spec.Zone, types: j.types, need: j.need,
-		rank: j.rank, placed: len(j.places), same: j.spec.SameZone, spread: j.spec.Spread, spot: j.spec.Spot,
+		level: j.level, placed: len(j.places), same: j.spec.SameZone, spread: j.spec.Spread, spot: j.spec.Spot,
 	}
 }
 
@@ -36,12 +36,12 @@
 func (c *Core) byDeadline(now time.Duration, waiting []*job) {
 	type queue struct {
 		class, team string
-		rank        int
+		level       int
 	}
 	slots := map[queue][]int{}
 	for i, j := range waiting {
 		if j.spec.Shape == protocol.Gang {
-			q := queue{j.spec.Class, j.spec.Team, j.rank}
+			q := queue{j.spec.Class, j.spec.Team, j.level}
 			slots[q] = append(slots[q], i)
 		}
 	}
--- a/internal/coordination/scheduler/recording_test.go
+++ b/internal/coordination/scheduler/recording_test.go
@@ -287,7 +287,7 @@
 			now += time.Duration(rapid.IntRange(0, 3).Draw(t, "pause")) * time.Second
 			for range rapid.IntRange(0, 2).Draw(t, "new") {
 				made++
-				j := newJob(spec(fmt.Sprintf("j-%06d", made), protocol.Array, rapid.SampledFrom([]protocol.Priority{"urgent", "urgent", "normal", "best_effort"}).Draw(t, "rank"), 1, 1), 1, 0, 0, 10)
+				j := newJob(spec(fmt.Sprintf("j-%06d", made), protocol.Array, rapid.SampledFrom([]protocol.Priority{"urgent", "urgent", "normal", "best_effort"}).Draw(t, "level"), 1, 1), 1, 0, 0, 10)
 				j.spec.Team = rapid.SampledFrom([]string{"red", "blue", "green"}).Draw(t, "team")
 				j.granted = []*partition.Placement{{}}
 				q.add(j)
@@ -305,11 +305,11 @@
 			delete(waiting, j)
 			for o, left := range waiting {
 				if left == 0 {
-					t.Fatalf("%s of rank %d is passed over for ever", o.spec.ID, o.rank)
+					t.Fatalf("%s of level %d is passed over for ever", o.spec.ID, o.level)
 				}
 				waiting[o] = left - 1
-				if !byWait && o.rank < j.rank {
-					t.Fatalf("rank %d before rank %d", j.rank, o.rank)
+				if !byWait && o.level < j.level {
+					t.Fatalf("level %d before level %d", j.level, o.level)
 				}
 			}
 		}
--- a/internal/coordination/scheduler/records.go
+++ b/internal/coordination/scheduler/records.go
@@ -44,7 +44,7 @@
 		}
 		np := &partition.Placement{
 			Task: protocol.TaskID{Job: id, Task: pl.Task}, Attempt: pl.Attempt, Machine: pl.Machine, Session: pl.Session,
-			Zone: rec.Zones[pl.Zone], Need: j.need, Team: j.spec.Team, Rank: j.rank, Job: &j.spec,
+			Zone: rec.Zones[pl.Zone], Need: j.need, Team: j.spec.Team, Level: j.level, Job: &j.spec,
 		}
 		j.places[pl.Task] = np
 		if j.tasks[pl.Task] != done {
--- a/internal/coordination/scheduler/reference_test.go
+++ b/internal/coordination/scheduler/reference_test.go
@@ -34,20 +34,20 @@
 }
 
 func (f fullScan) withImage(now time.Duration, j *job, l *limits, allowed func(*candidate) bool) *candidate {
-	return f.best(now, j, l, func(x *candidate) bool { return f.c.machines.Warm(now, x.m, &j.spec) == 0 && allowed(x) })
+	return f.best(now, j, l, func(x *candidate) bool { return f.c.machines.FetchTime(now, x.m, &j.spec) == 0 && allowed(x) })
 }
 
-func (f fullScan) cheapest(now time.Duration, j *job, l *limits, within time.Duration, rank int) (best *candidate, bestVictims []*partition.Placement) {
+func (f fullScan) cheapest(now time.Duration, j *job, l *limits, within time.Duration, level int) (best *candidate, bestVictims []*partition.Placement) {
 	bestCost := math.Inf(1)
 	for _, x := range f.c.candidates(now) {
 		if !f.c.fits(now, j, x, l) || x.m.ReservedFor(now, j.spec.ID) || !j.need.Fits(partition.CapacityOf(x.kind)) {
 			continue
 		}
-		warm := f.c.machines.Warm(now, x.m, &j.spec)
+		warm := f.c.machines.FetchTime(now, x.m, &j.spec)
 		if warm > within {
 			continue
 		}
-		victims, cost, ok := f.c.victims(now, j, x, rank)
+		victims, cost, ok := f.c.victims(now, j, x, level)
 		cost += warm.Seconds()
 		if ok && cost < bestCost {
 			best, bestVictims, bestCost = x, victims, cost
--- a/internal/coordination/scheduler/returnorder.go
+++ b/internal/coordination/scheduler/returnorder.go
@@ -12,9 +12,9 @@
 
 // returnKey is what jobs are sorted by while the order of return is in force.
 type returnKey struct {
-	position, rank int
-	debt           float64
-	aim            float64
+	position, level int
+	debt            float64
+	aim             float64
 }
 
 // sortForReturn puts jobs into the order of return: by the stated order, priority, what
@@ -31,11 +31,11 @@
 	}
 	keys := make(map[*job]returnKey, len(jobs))
 	for _, j := range jobs {
-		keys[j] = returnKey{z.order.Position(j.spec.Class, j.spec.Team), j.rank, debts[j.spec.ID], c.waitAim(j.spec.Class)}
+		keys[j] = returnKey{z.order.Position(j.spec.Class, j.spec.Team), j.level, debts[j.spec.ID], c.waitAim(j.spec.Class)}
 	}
 	slices.SortStableFunc(jobs, func(a, b *job) int {
 		x, y := keys[a], keys[b]
-		return cmp.Or(cmp.Compare(x.position, y.position), cmp.Compare(x.rank, y.rank), cmp.Compare(y.debt, x.debt), cmp.Compare(x.aim, y.aim))
+		return cmp.Or(cmp.Compare(x.position, y.position), cmp.Compare(x.level, y.level), cmp.Compare(y.debt, x.debt), cmp.Compare(x.aim, y.aim))
 	})
 }
 
@@ -97,7 +97,7 @@
 // distrust is what a start of a critical replica costs more, in seconds, in a zone that may
 // be lost again at any time.
 func (c *Core) distrust(j *job, zone string) float64 {
-	if c.returning == nil || j.rank > 0 || j.spec.Shape != protocol.Service || c.returning.monitor.State(zone) == zones.Available {
+	if c.returning == nil || j.level > 0 || j.spec.Shape != protocol.Service || c.returning.monitor.State(zone) == zones.Available {
 		return 0
 	}
 	return c.cfg.Workers.LeaseS
--- a/internal/coordination/scheduler/score.go
+++ b/internal/coordination/scheduler/score.go
@@ -61,7 +61,7 @@
 // the image, then what packs tightly.
 func (c *Core) score(now time.Duration, j *job, x *candidate, l *limits) float64 {
 	yields := c.fetchesYield(j)
-	warm := c.machines.WarmWithout(now, x.m, &j.spec, yields)
+	warm := c.machines.FetchTimeWithout(now, x.m, &j.spec, yields)
 	s := warm.Seconds() + c.machines.SlowsWithout(now, x.m, &j.spec, yields).Seconds()
 	cap := partition.CapacityOf(x.kind)
 	if aim := c.waitAim(j.spec.Class); math.IsInf(aim, 1) || warm > config.Seconds(max(aim, x.kind.BootS)) {
@@ -119,7 +119,7 @@
 		return nil
 	}
 	return func(pl *partition.Placement) bool {
-		return pl.Rank >= j.rank+2 && pl.Job != nil && pl.Job.Shape == protocol.Array && pl.Job.Image != j.spec.Image &&
+		return pl.Level >= j.level+2 && pl.Job != nil && pl.Job.Shape == protocol.Array && pl.Job.Image != j.spec.Image &&
 			(!pl.Written || pl.State == protocol.Fetching) // one from an earlier term may run unseen
 	}
 }
@@ -127,7 +127,7 @@
 // stopCompetingFetches stops the fetches that yield to a task's.
 func (c *Core) stopCompetingFetches(now time.Duration, j *job, x *candidate) {
 	yields := c.fetchesYield(j)
-	if yields == nil || c.machines.Warm(now, x.m, &j.spec) == c.machines.WarmWithout(now, x.m, &j.spec, yields) {
+	if yields == nil || c.machines.FetchTime(now, x.m, &j.spec) == c.machines.FetchTimeWithout(now, x.m, &j.spec, yields) {
 		return
 	}
 	for _, pl := range c.placementsOn(x.m) {
--- a/internal/coordination/scheduler/search.go
+++ b/internal/coordination/scheduler/search.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"pinebay/internal/config"
 	"pinebay/internal/coordination/machineindex"
 	"pinebay/internal/coordination/partition"
 )
@@ -18,8 +17,8 @@
 	// withImage is best among those that have the job's image.
 	withImage(now time.Duration, j *job, l *limits, allowed func(*candidate) bool) *candidate
 	// cheapest returns the candidate on which it costs least to make room for a task of the
-	// job, by stopping work of at least the given rank, and what would have to leave.
-	cheapest(now time.Duration, j *job, l *limits, within time.Duration, rank int) (*candidate, []*partition.Placement)
+	// job, by stopping work of at least the given level, and what would have to leave.
+	cheapest(now time.Duration, j *job, l *limits, within time.Duration, level int) (*candidate, []*partition.Placement)
 	// nearest returns the candidate with most free room of those that the job allows and that
 	// could hold a task of it, but for those taken.
 	nearest(now time.Duration, j *job, l *limits, taken map[*candidate]bool) *candidate
@@ -106,7 +105,7 @@
 		return true
 	}
 	has := func(x *candidate) (float64, bool) {
-		if !x.m.HasImage(j.spec.Image) || f.c.machines.Warm(now, x.m, &j.spec) > 0 {
+		if !x.m.HasImage(j.spec.Image) || f.c.machines.FetchTime(now, x.m, &j.spec) > 0 {
 			return 0, false
 		}
 		return judge(x)
@@ -126,7 +125,7 @@
 func (f indexFinder) lookAtFetching(now time.Duration, j *job, judge judgement, best *machineindex.Best[*candidate]) {
 	if set := f.c.machines.Fetching(j.spec.Image); set != nil {
 		f.lookAtSet(set, j, math.Inf(-1), func(x *candidate) (float64, bool) {
-			if f.c.machines.Warm(now, x.m, &j.spec) == 0 {
+			if f.c.machines.FetchTime(now, x.m, &j.spec) == 0 {
 				return 0, false // it was looked at already
 			}
 			return judge(x)
@@ -215,54 +214,6 @@
 	}
 }
 
-// aimless says whether no aim on waiting is stated for a job's class.
-func (c *Core) aimless(j *job) bool { return math.IsInf(c.waitAim(j.spec.Class), 1) }
-
-// prefersRoom says whether the score of machines without the job's image falls with their room.
-func (c *Core) prefersRoom(j *job) bool {
-	aim := c.waitAim(j.spec.Class)
-	if c.aimless(j) {
-		return true
-	}
-	for name, t := range c.machines.Types() {
-		if fetch := c.fetchS(j, name); fetch > max(aim, t.BootS) || fetch*partition.SlowFetch > aim {
-			return true
-		}
-	}
-	return false
-}
-
-// poolAllows says whether machines of a pool may do for a job.
-func (c *Core) poolAllows(j *job, l *limits, p machineindex.Pool) bool {
-	t := c.machines.Type(p.Type)
-	return t != nil && (!p.Spot || j.spec.Spot) && t.Allows(&j.spec) && (l.perZone == nil || l.allow(p.Zone))
-}
-
-// poolScore is what every machine of a pool adds to a score.
-func (c *Core) poolScore(j *job, l *limits, p machineindex.Pool) float64 {
-	s := c.distrust(j, p.Zone)
-	if j.spec.Spread && l.perZone != nil {
-		s += float64(l.perZone[p.Zone]) / float64(j.spec.Tasks)
-	}
-	switch {
-	case !p.Spot:
-	case j.spec.CheckpointS > 0:
-		s--
-	default:
-		s += c.machines.Type(p.Type).BootS
-	}
-	return s
-}
-
-// fetchS is how long a type of machines takes for the job's image, in seconds.
-func (c *Core) fetchS(j *job, kind string) float64 {
-	t := c.machines.Type(kind)
-	if t == nil || t.FetchGBPerS <= 0 {
-		return 0
-	}
-	return config.Seconds(j.spec.ImageGB / t.FetchGBPerS).Seconds()
-}
-
 // nearest looks at the machines with most room first.
 func (f indexFinder) nearest(now time.Duration, j *job, l *limits, taken map[*candidate]bool) *candidate {
 	var best machineindex.Best[*candidate]
@@ -286,95 +237,3 @@
 	f.c.removeClosed(now)
 	return found(&best)
 }
-
-// preemptionLooks bounds what searches for work to stop may cost in a cycle, in machines looked
-// at; one whose work must be chosen counts as several.
-const (
-	preemptionLooks = 1 << 18
-	choiceLooks     = 8
-)
-
-// cheapest looks at the machines that have work which may have to leave: of at least the rank,
-// or about to leave anyhow, or any if the job's team is within its guarantee.
-func (f indexFinder) cheapest(now time.Duration, j *job, l *limits, within time.Duration, rank int) (*candidate, []*partition.Placement) {
-	lowest := rank
-	if f.c.owed(j) {
-		lowest = 0
-	}
-	sets := []*partition.MachineSet{f.c.machines.WithStopping()}
-	for r := lowest; r < partition.Ranks; r++ {
-		sets = append(sets, f.c.machines.WithRank(r))
-	}
-	total := 0
-	for _, set := range sets {
-		total += set.Len()
-	}
-	from := ""
-	if total > maxLooks {
-		from = f.c.preemptFrom
-	}
-	s := preemptionSearch{c: f.c, now: now, j: j, l: l, within: within, rank: rank, lowest: lowest, cost: math.Inf(1), left: maxLooks}
-	for _, set := range sets {
-		s.scan(set, from)
-	}
-	if total > maxLooks {
-		f.c.preemptFrom = s.last
-	}
-	return s.best, s.victims
-}
-
-// preemptionSearch is a search for work to stop.
-type preemptionSearch struct {
-	c      *Core
-	now    time.Duration
-	j      *job
-	l      *limits
-	within time.Duration
-	rank   int // work of at least it leaves
-	lowest int // rank of work that may leave for whatever reason
-	left   int // machines that may still be looked at
-	last   string
-
-	best    *candidate
-	victims []*partition.Placement
-	cost    float64
-}
-
-// scan looks at the machines of a set from a name on, and then at those before it.
-func (s *preemptionSearch) scan(set *partition.MachineSet, from string) {
-	look := func(m *partition.Machine) bool {
-		if s.left--; s.left < 0 {
-			return false
-		}
-		s.last = m.Name
-		s.look(m)
-		return true
-	}
-	set.Ascend(&partition.Machine{Name: from}, look)
-	if from == "" || s.left < 0 {
-		return
-	}
-	set.Scan(func(m *partition.Machine) bool { return m.Name < from && look(m) })
-}
-
-// look takes a machine into account.
-func (s *preemptionSearch) look(m *partition.Machine) {
-	c, j := s.c, s.j
-	c.preemptionLeft--
-	c.looks++
-	x := c.candidateOf(s.now, m)
-	if x == nil || !j.need.Fits(x.free.Plus(m.Givable(s.lowest))) || !j.need.Fits(partition.CapacityOf(x.kind)) ||
-		!c.fits(s.now, j, x, s.l) || m.ReservedFor(s.now, j.spec.ID) {
-		return
-	}
-	warm := c.machines.Warm(s.now, m, &j.spec)
-	if warm > s.within {
-		return
-	}
-	c.preemptionLeft -= choiceLooks
-	victims, cost, ok := c.victims(s.now, j, x, s.rank)
-	cost += warm.Seconds()
-	if ok && (cost < s.cost || cost == s.cost && s.best != nil && m.Name < s.best.m.Name) {
-		s.best, s.victims, s.cost = x, victims, cost
-	}
-}
--- a/internal/coordination/scheduler/startqueue.go
+++ b/internal/coordination/scheduler/startqueue.go
@@ -14,7 +14,7 @@
 type startQueue struct {
 	byTurn *btree.BTreeG[*job]
 	byWait *btree.BTreeG[*job]
-	ranks  map[int]*rankTurns
+	levels map[int]*levelTurns
 	added  uint64 // jobs that were entered so far
 	handed uint64 // and taken
 }
@@ -22,9 +22,9 @@
 // longestWaiting is of how many jobs that are taken one is the one that has waited for longest.
 const longestWaiting = 4
 
-// rankTurns deals out the turns of the teams within a priority: a team's next job comes one turn after
+// levelTurns deals out the turns of the teams within a priority: a team's next job comes one turn after
 // its last one, or after the one that is being served now.
-type rankTurns struct {
+type levelTurns struct {
 	now   uint64
 	teams map[string]uint64
 }
@@ -33,12 +33,12 @@
 	return &startQueue{
 		byTurn: btree.NewBTreeGOptions(turnBefore, btree.Options{NoLocks: true}),
 		byWait: btree.NewBTreeGOptions(waitsLonger, btree.Options{NoLocks: true}),
-		ranks:  map[int]*rankTurns{},
+		levels: map[int]*levelTurns{},
 	}
 }
 
 func turnBefore(a, b *job) bool {
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.recordTurn, b.recordTurn), cmp.Compare(a.recordNumber, b.recordNumber)) < 0
+	return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.recordTurn, b.recordTurn), cmp.Compare(a.recordNumber, b.recordNumber)) < 0
 }
 
 func waitsLonger(a, b *job) bool {
@@ -50,10 +50,10 @@
 	if q == nil || j.recordQueued {
 		return
 	}
-	turns := q.ranks[j.rank]
+	turns := q.levels[j.level]
 	if turns == nil {
-		turns = &rankTurns{teams: map[string]uint64{}}
-		q.ranks[j.rank] = turns
+		turns = &levelTurns{teams: map[string]uint64{}}
+		q.levels[j.level] = turns
 	}
 	q.added++
 	j.recordNumber = q.added
@@ -85,7 +85,7 @@
 // take takes the job out whose turn it is.
 func (q *startQueue) take(j *job) {
 	q.remove(j)
-	if turns := q.ranks[j.rank]; turns != nil && !q.byWaitNext() {
+	if turns := q.levels[j.level]; turns != nil && !q.byWaitNext() {
 		turns.now = max(turns.now, j.recordTurn)
 	}
 	q.handed++
--- a/internal/coordination/scheduler/takeover_test.go
+++ b/internal/coordination/scheduler/takeover_test.go
@@ -27,7 +27,7 @@
 	var warm []protocol.Pair
 	for _, txn := range b.last {
 		for _, op := range txn.Then {
-			if op.Put == storage.WarmKey(0) {
+			if op.Put == storage.ImagesKey(0) {
 				warm = []protocol.Pair{{Key: op.Put, Value: op.Value, Version: 1}}
 			}
 		}
@@ -36,7 +36,7 @@
 		t.Fatal("nothing was written down")
 	}
 	next := newBench([]config.Team{{Name: "red"}}, "a")
-	next.c = New(0, next.c.cfg, next.c.log, Term{6, 2}, Records{Types: []protocol.MachineType{*b.c.machines.Type("g8")}, Warm: warm}, 0, nil)
+	next.c = New(0, next.c.cfg, next.c.log, Term{6, 2}, Records{Types: []protocol.MachineType{*b.c.machines.Type("g8")}, Images: warm}, 0, nil)
 	for _, m := range []string{"m1", "m2", "m3"} {
 		next.machine(m, "a", false)
 	}
@@ -145,14 +145,14 @@
 	var warm []protocol.Pair
 	for _, txn := range b.last {
 		for _, op := range txn.Then {
-			if op.Put == storage.WarmKey(0) {
+			if op.Put == storage.ImagesKey(0) {
 				warm = []protocol.Pair{{Key: op.Put, Value: op.Value, Version: 1}}
 			}
 		}
 	}
 	boot := 30 * time.Second
 	want := b.c.expected(b.now, "quick", boot)
-	next := New(0, b.c.cfg, b.c.log, Term{6, 2}, Records{Types: []protocol.MachineType{*b.c.machines.Type("g8")}, Live: live, Warm: warm}, b.now.Milliseconds(), nil)
+	next := New(0, b.c.cfg, b.c.log, Term{6, 2}, Records{Types: []protocol.MachineType{*b.c.machines.Type("g8")}, Live: live, Images: warm}, b.now.Milliseconds(), nil)
 	got := next.expected(0, "quick", boot)
 	if want == 0 || got < want/3 || got > want*1.2 {
 		t.Errorf("expects %v jobs after the take-over, %v before", got, want)
--- a/internal/coordination/scheduler/teams.go
+++ b/internal/coordination/scheduler/teams.go
@@ -42,15 +42,15 @@
 	return !withinGuarantee(c.team(pl.Team), c.machines.Usage(pl.Team))
 }
 
-// owed says whether a job's team is still within its guarantee with one more
+// guaranteed says whether a job's team is still within its guarantee with one more
 // of its tasks.
-func (c *Core) owed(j *job) bool {
+func (c *Core) guaranteed(j *job) bool {
 	return withinGuarantee(c.team(j.spec.Team), c.machines.Usage(j.spec.Team).Plus(j.need))
 }
 
 // tasksWithinGuarantee is how many more of a job's tasks its team can run within its guarantee.
 func (c *Core) tasksWithinGuarantee(j *job) int {
-	if !c.owed(j) {
+	if !c.guaranteed(j) {
 		return 0
 	}
 	t, used := c.team(j.spec.Team), c.machines.Usage(j.spec.Team)
--- a/internal/coordination/scheduler/turns.go
+++ b/internal/coordination/scheduler/turns.go
@@ -18,11 +18,11 @@
 
 // teamQueue is a team's waiting jobs.
 type teamQueue struct {
-	jobs     []*job
-	place    []int // where the jobs stand in the order of all
-	owed     bool  // the job at the head is within the team's guarantee
-	share    float64
-	position int // in the heap, -1 when it is out
+	jobs       []*job
+	place      []int // where the jobs stand in the order of all
+	guaranteed bool  // the job at the head is within the team's guarantee
+	share      float64
+	position   int // in the heap, -1 when it is out
 }
 
 // newTurns returns the turns of jobs that are in order.
@@ -52,7 +52,7 @@
 // judge computes by what a team is ordered.
 func (t *turns) judge(q *teamQueue) {
 	head := q.jobs[0]
-	q.owed, q.share = t.core.owed(head), t.core.teamShare(head.spec.Team)
+	q.guaranteed, q.share = t.core.guaranteed(head), t.core.teamShare(head.spec.Team)
 }
 
 // next returns the job whose turn it is, or nil.
@@ -89,10 +89,10 @@
 
 func (t *turns) Less(i, k int) bool {
 	a, b := t.teams[i], t.teams[k]
-	if a.owed != b.owed {
-		return a.owed
+	if a.guaranteed != b.guaranteed {
+		return a.guaranteed
 	}
-	return cmp.Or(cmp.Compare(a.jobs[0].rank, b.jobs[0].rank), cmp.Compare(a.share, b.share), cmp.Compare(a.place[0], b.place[0])) < 0
+	return cmp.Or(cmp.Compare(a.jobs[0].level, b.jobs[0].level), cmp.Compare(a.share, b.share), cmp.Compare(a.place[0], b.place[0])) < 0
 }
 
 func (t *turns) Swap(i, k int) {
--- a/internal/coordination/scheduler/turns_test.go
+++ b/internal/coordination/scheduler/turns_test.go
@@ -58,7 +58,7 @@
 // place puts a task of a job on a machine, so that its team uses more.
 func place(b *bench, j *job) {
 	b.c.machines.Adopt(0, &partition.Placement{Task: protocol.TaskID{Job: j.spec.ID}, Attempt: 1, Machine: "m-" + j.spec.ID, Need: j.need,
-		Team: j.spec.Team, Rank: j.rank, Job: &j.spec})
+		Team: j.spec.Team, Level: j.level, Job: &j.spec})
 }
 
 // referenceNext walks all heads of queues.
@@ -78,10 +78,10 @@
 }
 
 func less(c *Core, a, b *job) bool {
-	if c.owed(a) != c.owed(b) {
-		return c.owed(a)
+	if c.guaranteed(a) != c.guaranteed(b) {
+		return c.guaranteed(a)
 	}
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(c.teamShare(a.spec.Team), c.teamShare(b.spec.Team))) < 0
+	return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(c.teamShare(a.spec.Team), c.teamShare(b.spec.Team))) < 0
 }
 
 // TestEachTeamIsServed: while room for one task after the other comes up, teams that wait are
--- a/internal/coordination/scheduler/zonebench_test.go
+++ b/internal/coordination/scheduler/zonebench_test.go
@@ -135,7 +135,7 @@
 // lenderFacts tells of a loan's lender, from the core's books when the loan was made.
 func (b *zoneBench) lenderFacts(row storage.LoanRow) simulation.LenderFacts {
 	lender, borrower := b.c.jobs[row.Lender], b.c.jobs[row.Borrower]
-	return simulation.LenderFacts{LenderRank: lender.rank, BorrowerRank: borrower.rank,
+	return simulation.LenderFacts{LenderLevel: lender.level, BorrowerLevel: borrower.level,
 		Protected: withinGuarantee(b.c.cfg.Team(lender.spec.Team), b.c.machines.Usage(lender.spec.Team))}
 }
 
@@ -251,7 +251,7 @@
 }
 
 func (b *zoneBench) returnJob(j *job) simulation.ReturnJob {
-	r := simulation.ReturnJob{ID: j.spec.ID, Position: b.order.Position(j.spec.Class, j.spec.Team), Rank: j.rank, Need: j.need, Tasks: 1, PerZone: map[string]int{}}
+	r := simulation.ReturnJob{ID: j.spec.ID, Position: b.order.Position(j.spec.Class, j.spec.Team), Level: j.level, Need: j.need, Tasks: 1, PerZone: map[string]int{}}
 	if j.spec.Shape == protocol.Gang {
 		r.Tasks, r.SameZone = j.spec.Tasks, j.spec.SameZone
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,7 +63,7 @@
 	peersMu   sync.Mutex
 	peers     map[string]election.Peer // what each last answered of itself
 	renewers  map[string]time.Duration // peers that renew leases without a leader, and when they last said so
-	turned    *Turned
+	redirects *RedirectTracker
 	peersOK   atomic.Int64 // steady time when a peer last had the state service
 	peerHeard atomic.Int64 // steady time when a peer was last heard
 }
@@ -80,7 +80,7 @@
 	// Whoever does not know of a cancellation renews a lease for the last time within
 	// the Horizon of its confirmation, and the task must be gone within the cancel time.
 	t.Horizon = max(t.Hold, cancel-cancel/8-lease)
-	t.Amnesia = lease + t.Horizon + t.Silent
+	t.Recovery = lease + t.Horizon + t.Silent
 	return t
 }
 
@@ -98,7 +98,7 @@
 	d := &cfg.Deploy
 	c := &Controller{network: network, random: source, cfg: cfg, features: features, log: log.With("node", cfg.Node), start: time.Now(), times: Times(d), box: actor.NewMailbox[election.Event](),
 		fenceBox: actor.NewMailbox[fencing.Event](), fencing: fencing.New(fenceTimes(d)),
-		peers: map[string]election.Peer{}, renewers: map[string]time.Duration{}, wakes: map[string]chan struct{}{}, turned: NewTurned(config.Seconds(d.Workers.LeaseS))}
+		peers: map[string]election.Peer{}, renewers: map[string]time.Duration{}, wakes: map[string]chan struct{}{}, redirects: NewRedirectTracker(config.Seconds(d.Workers.LeaseS))}
 	c.store = storage.NewClient(network, source, d, cfg.Outside.State, config.Seconds(min(d.Workers.LeaseS/5, d.Workers.GangPeerS/2)))
 	c.cloud = leader.NewCloud(network, cfg.Outside.Cloud, d.Cloud)
 	c.workers = transport.NewClient(network, 1, max(1, int(float64(d.Quota.MaxSockets)*socketsCommands)), config.Seconds(d.Workers.LeaseS))
@@ -115,7 +115,7 @@
 	}
 	keep := keepIntents(d, c.times)
 	// The state service's writes bound how many cancellations there can be.
-	c.intents = cancellation.New(source, names, keep, c.now()+c.times.Amnesia, int(max(1, d.State.WriteRPS*keep.Seconds())))
+	c.intents = cancellation.New(source, names, keep, c.now()+c.times.Recovery, int(max(1, d.State.WriteRPS*keep.Seconds())))
 	c.mesh = transport.NewMesh(network, cfg.Node, peers, c.times.Silent/2, c.log, c.answerPeer,
 		func(node string) { c.box.Send(election.Lost{Peer: node}) })
 	c.elect = election.New(c.now(), cfg.Node, names, c.times)
--- a/internal/daemon/lead.go
+++ b/internal/daemon/lead.go
@@ -47,7 +47,7 @@
 				return v.Leading && v.Term == e.Term && c.now() < v.Until
 			},
 			Watch: c.times.Silent / 2, Confirm: c.times.Confirm, Withdrawals: c.intents.Jobs, IsWithdrawn: c.withdrawn,
-			Sighted: func(term uint64, at time.Duration) { c.box.Send(election.Sight{Term: term, At: at}) },
+			Fresh: func(term uint64, at time.Duration) { c.box.Send(election.Fresh{Term: term, At: at}) },
 			Deposed: func(term uint64, d scheduler.Depose) {
 				if d.Term > term {
 					c.box.Send(election.Higher{Term: d.Term})
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -18,7 +18,7 @@
 // keepIntents is how long intents are kept: until their tasks must be gone, and
 // for longer than a controller may have forgotten some.
 func keepIntents(d *config.Deployment, t election.Times) time.Duration {
-	return config.Seconds(d.Workers.CancelS) + t.Amnesia
+	return config.Seconds(d.Workers.CancelS) + t.Recovery
 }
 
 func (c *Controller) mayRenewOnStandby() bool {
@@ -39,7 +39,7 @@
 // the intent was made.
 func (c *Controller) announce(ctx context.Context, job string) (time.Time, error) {
 	now := c.now()
-	if !c.inCompany(now) {
+	if !c.hearsMajority(now) {
 		return time.Time{}, errUnsafe // the user is told at once when to come back
 	}
 	own, err := c.intents.Announce(now, api.Confirm/4, job)
@@ -70,9 +70,9 @@
 	}
 }
 
-// inCompany says whether a majority of the controllers, with this one, has answered
+// hearsMajority says whether a majority of the controllers, with this one, has answered
 // lately.
-func (c *Controller) inCompany(now time.Duration) bool {
+func (c *Controller) hearsMajority(now time.Duration) bool {
 	c.peersMu.Lock()
 	defer c.peersMu.Unlock()
 	n := 1
--- a/internal/daemon/turned.go
+++ b/internal/daemon/redirects.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// Turned remembers which machines were sent to the leader. One that comes from
+// RedirectTracker remembers which machines were sent to the leader. One that comes from
 // there cannot reach it, although we can: its reports are passed on, or its
 // lease would run out while it goes round in a circle. After a lease it is sent
 // to the leader once more, for commands reach it sooner there.
-type Turned struct {
+type RedirectTracker struct {
 	mu     sync.Mutex
 	lease  time.Duration
 	leader string
@@ -25,15 +25,15 @@
 // keepLeases is how long a machine that was sent away is remembered.
 const keepLeases = 3
 
-// NewTurned returns an empty memory.
-func NewTurned(lease time.Duration) *Turned {
-	return &Turned{lease: lease, seen: map[string]visit{}}
+// NewRedirectTracker returns an empty memory.
+func NewRedirectTracker(lease time.Duration) *RedirectTracker {
+	return &RedirectTracker{lease: lease, seen: map[string]visit{}}
 }
 
 // Relay notes that a machine is here although the named node leads, and says
 // whether its report should be passed on. met says that it has had the leader's
 // word, and so would be there if it could.
-func (t *Turned) Relay(machine, leader string, met bool, now time.Duration) bool {
+func (t *RedirectTracker) Relay(machine, leader string, met bool, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if leader != t.leader {
@@ -59,7 +59,7 @@
 
 // sweep drops the machines that have not come for long, once in a lease: had each new machine been
 // compared with all others, thousands that come at once would have been millions of looks.
-func (t *Turned) sweep(now time.Duration) {
+func (t *RedirectTracker) sweep(now time.Duration) {
 	if now-t.swept < t.lease {
 		return
 	}
--- a/internal/daemon/turned_test.go
+++ b/internal/daemon/redirects_test.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// TestTurned guards machines that a follower can hear and the leader cannot:
+// TestRedirectTracker guards machines that a follower can hear and the leader cannot:
 // they are sent to the leader once, and when they come back they are served; one
 // that has had the leader's word is served at once, for with long leases left a
 // second way round had cost half of a large fleet its tasks. From time to time
 // they try the leader again, and a new leader gets its chance.
-func TestTurned(t *testing.T) {
-	tr := NewTurned(10 * time.Second)
+func TestRedirectTracker(t *testing.T) {
+	tr := NewRedirectTracker(10 * time.Second)
 	for i, x := range []struct {
 		machine, leader string
 		met             bool
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	if l == nil {
 		met := protocol.TermOf(rep.Token) == view.Term
-		if c.turned.Relay(rep.Machine, leader, met, c.now()) {
+		if c.redirects.Relay(rep.Machine, leader, met, c.now()) {
 			c.relay(ctx, w, leader, raw)
 		} else {
 			c.redirect(w, leader)
--- a/internal/daemon/times_test.go
+++ b/internal/daemon/times_test.go
@@ -28,9 +28,9 @@
 			t.Errorf("horizon %v and lease %v in %v", x.Horizon, lease, cancel)
 		case x.Hold > x.Horizon, x.Hold < 4*x.Beat-time.Millisecond:
 			t.Errorf("hold %v, horizon %v, beat %v", x.Hold, x.Horizon, x.Beat)
-		case x.Amnesia < lease+x.Horizon+x.Silent:
-			t.Errorf("amnesia %v", x.Amnesia)
-		case keepIntents(&d, x) < cancel+x.Amnesia:
+		case x.Recovery < lease+x.Horizon+x.Silent:
+			t.Errorf("recovery time %v", x.Recovery)
+		case keepIntents(&d, x) < cancel+x.Recovery:
 			t.Errorf("intents are kept for %v", keepIntents(&d, x))
 		}
 	})
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -19,8 +19,8 @@
 // Priority orders jobs.
 type Priority string
 
-// Rank returns 0 for the highest priority, and -1 for an unknown word.
-func (p Priority) Rank() int {
+// Level returns 0 for the highest priority, and -1 for an unknown word.
+func (p Priority) Level() int {
 	switch p {
 	case "critical":
 		return 0
@@ -137,7 +137,7 @@
 	default:
 		return nil, bad("shape", "unknown")
 	}
-	if Priority(*s.Priority).Rank() < 0 {
+	if Priority(*s.Priority).Level() < 0 {
 		return nil, bad("urgency", "unknown")
 	}
 	if s.Tasks == nil || *s.Tasks < 1 || *s.Tasks > MaxTasks {
--- a/internal/simulation/system_test.go
+++ b/internal/simulation/system_test.go
@@ -125,11 +125,11 @@
 	}
 	live, liveRev := s.state.List(storage.LivePrefix)
 	pages, _ := s.state.List(storage.PlacePrefix)
-	warm, _ := s.state.List(storage.WarmPrefix)
+	warm, _ := s.state.List(storage.ImagesPrefix)
 	l := &leading{rev: liveRev}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	l.core = scheduler.New(s.now, s.cfg, log, scheduler.Term{Number: s.term, Stamp: rev},
-		scheduler.Records{Types: s.types, Live: live, Pages: pages, Warm: warm}, s.now.Milliseconds(), nil)
+		scheduler.Records{Types: s.types, Live: live, Pages: pages, Images: warm}, s.now.Milliseconds(), nil)
 	s.leaders = append(s.leaders, l)
 	s.tickLeader(l)
 }
--- a/internal/simulation/trouble_test.go
+++ b/internal/simulation/trouble_test.go
@@ -363,7 +363,7 @@
 	}
 }
 
-// crowd asks for more than there is room for, of every rank and for single zones.
+// crowd asks for more than there is room for, of every level and for single zones.
 func crowd(n int) func(l *live) {
 	return func(l *live) {
 		for i := range n {
--- a/internal/simulation/zone_oracle.go
+++ b/internal/simulation/zone_oracle.go
@@ -15,9 +15,9 @@
 
 // ReturnJob is a job in the order of return.
 type ReturnJob struct {
-	ID             string
-	Position, Rank int
-	Need           partition.Need
+	ID              string
+	Position, Level int
+	Need            partition.Need
 	// Tasks must be placed together; 1 for a job whose tasks start one by one.
 	Tasks int
 	// SameZone says that they must be in one zone.
@@ -33,7 +33,7 @@
 	if j.Position != o.Position {
 		return j.Position < o.Position
 	}
-	return j.Rank < o.Rank
+	return j.Level < o.Level
 }
 
 // ReturnStart is a task that was placed.
@@ -92,7 +92,7 @@
 
 // LenderFacts is what the rules on lending ask of a lender, when a loan of it is first seen.
 type LenderFacts struct {
-	LenderRank, BorrowerRank int
+	LenderLevel, BorrowerLevel int
 	// Protected: its team runs the lender's task within its guarantee.
 	Protected bool
 }
@@ -137,7 +137,7 @@
 		o.ever[task] = number
 		o.Seen++
 		o.LostS += row.LostS
-		if f := facts(row); f.LenderRank <= f.BorrowerRank || f.LenderRank == 0 || f.Protected {
+		if f := facts(row); f.LenderLevel <= f.BorrowerLevel || f.LenderLevel == 0 || f.Protected {
 			o.broken("a protected lender: %+v, %+v", row, f)
 		}
 	}
--- a/internal/simulation/zone_oracle_test.go
+++ b/internal/simulation/zone_oracle_test.go
@@ -11,8 +11,8 @@
 // TestOrderOracle: the oracle sees a start that takes an earlier job's room, and no other.
 func TestOrderOracle(t *testing.T) {
 	need := func(n float64) partition.Need { return partition.Need{GPUs: n} }
-	job := func(id string, position, rank, tasks int, n float64) ReturnJob {
-		return ReturnJob{ID: id, Position: position, Rank: rank, Tasks: tasks, Need: need(n), PerZone: map[string]int{"b": 2}}
+	job := func(id string, position, level, tasks int, n float64) ReturnJob {
+		return ReturnJob{ID: id, Position: position, Level: level, Tasks: tasks, Need: need(n), PerZone: map[string]int{"b": 2}}
 	}
 	rooms := map[string]ReturnRoom{"m1": {"b", need(1)}, "m2": {"b", need(0)}, "m3": {"c", need(0)}}
 	late := job("late", 1, 0, 1, 4)
@@ -50,7 +50,7 @@
 	}
 	later := row(1, 1)
 	later.Term = 2
-	fair := LenderFacts{LenderRank: 2, BorrowerRank: 0}
+	fair := LenderFacts{LenderLevel: 2, BorrowerLevel: 0}
 	for _, x := range []struct {
 		name  string
 		facts LenderFacts
@@ -62,9 +62,9 @@
 		{"twice", fair, [][]storage.LoanRow{{row(1, 1)}, {row(2, 1)}, {}}, "lent twice"},
 		{"twice, as the first leader ended too soon", fair, [][]storage.LoanRow{{row(1, 1)}, {later}, {}}, ""},
 		{"again after its end", fair, [][]storage.LoanRow{{row(1, 1)}, {}, {row(1, 1)}, {}}, "again"},
-		{"of the same priority", LenderFacts{LenderRank: 2, BorrowerRank: 2}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
-		{"critical", LenderFacts{LenderRank: 0, BorrowerRank: -1}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
-		{"within its guarantee", LenderFacts{LenderRank: 2, Protected: true}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
+		{"of the same priority", LenderFacts{LenderLevel: 2, BorrowerLevel: 2}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
+		{"critical", LenderFacts{LenderLevel: 0, BorrowerLevel: -1}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
+		{"within its guarantee", LenderFacts{LenderLevel: 2, Protected: true}, [][]storage.LoanRow{{row(1, 1)}, {}}, "protected"},
 		{"never closed", fair, [][]storage.LoanRow{{row(1, 1)}}, "never closed"},
 	} {
 		o := NewLoanOracle()
--- a/internal/simulation/zone_test.go
+++ b/internal/simulation/zone_test.go
@@ -212,7 +212,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o.Records(rows, func(row storage.LoanRow) LenderFacts {
-		return LenderFacts{LenderRank: l.world.Jobs[row.Lender].Priority.Rank(), BorrowerRank: l.world.Jobs[row.Borrower].Priority.Rank()}
+		return LenderFacts{LenderLevel: l.world.Jobs[row.Lender].Priority.Level(), BorrowerLevel: l.world.Jobs[row.Borrower].Priority.Level()}
 	})
 	l.happened["loan"] = o.Seen
 }
@@ -281,7 +281,7 @@
 		[]string{"is lost", "cancelled"}},
 	{"hung machines with cancelled tasks in the lost zone", slow, []step{{0, cancels(4, 100*s)}, {100 * ms, hangZone("b", 100*s)}, {100 * ms, moreLow(4)}},
 		[]string{"hang", "cancelled"}},
-	{"a crowd of every rank", brisk, []step{{0, crowd(14)}, {10 * s, during(50*s, zoneSilent("b", 1))}, {20 * s, cancels(2, 0)}}, []string{"is lost"}},
+	{"a crowd of every level", brisk, []step{{0, crowd(14)}, {10 * s, during(50*s, zoneSilent("b", 1))}, {20 * s, cancels(2, 0)}}, []string{"is lost"}},
 	{"slowly", slow, []step{{0, during(130*s, zoneSilent("b", 1))}, {5 * s, moreLow(6)}, {140 * s, cancels(3, 0)}}, []string{"is lost", "is returning", "returning and is available"}},
 	{"a controller is cut off with it", brisk, []step{{0, during(50*s, zoneCut)}, {5 * s, moreLow(4)}, {20 * s, cancels(2, 0)}}, []string{"zone", "cancelled"}},
 }
--- /dev/null
+++ b/internal/storage/leases.go
@@ -0,0 +1,39 @@
+package storage
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pinebay/internal/protocol"
+)
+
+// Lease asks for a lease.
+func (c *Client) Lease(ctx context.Context, ttl time.Duration) (uint64, error) {
+	_, raw, err := c.call(ctx, Urgent, 0, http.MethodPost, "/grants", protocol.LeaseRequest{TTLMS: ttl.Milliseconds()})
+	if err != nil {
+		return 0, err
+	}
+	var r protocol.LeaseResult
+	if err := protocol.Decode(raw, &r); err != nil {
+		return 0, fmt.Errorf("lease: %w", err)
+	}
+	return r.Lease, nil
+}
+
+// Renew renews a lease.
+func (c *Client) Renew(ctx context.Context, lease uint64) error {
+	status, _, err := c.call(ctx, Urgent, 0, http.MethodPost, "/grants/"+strconv.FormatUint(lease, 10)+"/extend", struct{}{})
+	if err == nil && status == http.StatusNotFound {
+		return ErrNoLease
+	}
+	return err
+}
+
+// EndLease ends a lease at once, and removes the keys attached to it.
+func (c *Client) EndLease(ctx context.Context, lease uint64) error {
+	_, _, err := c.call(ctx, Urgent, 0, http.MethodDelete, "/grants/"+strconv.FormatUint(lease, 10), nil)
+	return err
+}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -10,13 +10,13 @@
 
 // Keys of the state service.
 const (
-	LeaderKey   = "leader"
-	TermKey     = "term"
-	TypesKey    = "types"
-	LivePrefix  = "live/"
-	EndedPrefix = "ended/"
-	PlacePrefix = "place/"
-	WarmPrefix  = "warm/"
+	LeaderKey    = "leader"
+	TermKey      = "term"
+	TypesKey     = "types"
+	LivePrefix   = "live/"
+	EndedPrefix  = "ended/"
+	PlacePrefix  = "place/"
+	ImagesPrefix = "warm/"
 )
 
 // LiveKey is where an accepted job lives until it ends.
@@ -139,12 +139,12 @@
 	return id, page, rec, nil
 }
 
-// WarmRecord tells which images machines have, so that a new leader does not
+// ImagesRecord tells which images machines have, so that a new leader does not
 // send tasks to fetch what lies ready elsewhere. It is a hint, not a fact.
-type WarmRecord struct {
-	Images   []string      `msgpack:"i"`
-	SizesGB  []float64     `msgpack:"s"`
-	Machines []WarmMachine `msgpack:"m"`
+type ImagesRecord struct {
+	Images   []string        `msgpack:"i"`
+	SizesGB  []float64       `msgpack:"s"`
+	Machines []MachineImages `msgpack:"m"`
 	// Arrivals holds, by class, how many jobs the fading memory counts. Only
 	// the first page has them.
 	Arrivals []ClassArrivals `msgpack:"a,omitempty"`
@@ -159,17 +159,17 @@
 	Tasks    float64 // of a job, in the mean
 }
 
-// WarmMachine is a machine with its images, as indices.
-type WarmMachine struct {
+// MachineImages is a machine with its images, as indices.
+type MachineImages struct {
 	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
 	Images   []int
 }
 
-// WarmMachines is how many machines one such record covers; a machine takes
+// ImagesPerRecord is how many machines one such record covers; a machine takes
 // little more room in it than a placement in a page.
-func WarmMachines(valueKB float64) int { return max(1, PageTasks(valueKB)/2) }
+func ImagesPerRecord(valueKB float64) int { return max(1, PageTasks(valueKB)/2) }
 
-// WarmKey is where a page of the images lies.
-func WarmKey(page int) string { return fmt.Sprintf("%s%04d", WarmPrefix, page) }
+// ImagesKey is where a page of the images lies.
+func ImagesKey(page int) string { return fmt.Sprintf("%s%04d", ImagesPrefix, page) }
