The ledger of zone return is written a transaction of changed pages at a time

A loan stays on the page that it was first written on, so a change concerns few pages; changed pages go a transaction at a time, those first that lenders wait for, and the lenders of one job are stopped together once all are recorded. The bound is forty loans for each megabyte of the quota. TestLedgerOfManyLoans plays 1,000 loans, a take-over and their end; the scenarios of zone return pass.

--- a/internal/coordination/scheduler/limits_test.go
+++ b/internal/coordination/scheduler/limits_test.go
@@ -8,6 +8,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/fleet"
+	"pinebay/internal/coordination/zones"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 )
@@ -122,3 +123,103 @@
 		}
 	}
 }
+
+// TestLedgerOfManyLoans: far more loans than fit one transaction are recorded a transaction at a time,
+// each of a size that the state service takes; what lends to one job is taken together, and only when
+// all of it is recorded; the next leader finds every one; and when all have ended, all pages but the
+// first are gone. Beyond one transaction loans had been refused.
+func TestLedgerOfManyLoans(t *testing.T) {
+	const loans, perBorrower = 1000, 7
+	b := newZoneBench(zones.DefaultOrder(), config.Team{Name: "red"})
+	b.c.cfg.Quota.RAMMB = 49
+	b.takeOver(6)
+	z := b.c.returning
+	if most := b.c.mostLoans(); most < loans {
+		t.Fatalf("%d loans may be open, want %d", most, loans)
+	}
+	borrower := func(i int) string { return fmt.Sprintf("j-%06d", 900_000+i/perBorrower) }
+	lender := func(i int) zones.LentTask { return zones.LentTask{Job: fmt.Sprintf("j-%06d", i), Attempt: 1} }
+	for i := range loans {
+		loan := zones.Loan{Term: 6, Number: uint64(i + 1), Lender: lender(i), Borrower: borrower(i), Machine: "m", Zone: "a"}
+		if err := z.ledger.Open(loan); err != nil {
+			t.Fatal(err)
+		}
+		z.untaken[loan.Lender] = true
+		z.records.add(loan.Lender, b.c.loansPerPage())
+	}
+	recorded := map[string]protocol.Pair{}
+	rev := uint64(1000)
+	write := func() bool {
+		b.c.out = nil
+		b.c.writeZoneReturn(b.now)
+		for _, e := range b.c.out {
+			w, ok := e.(Write)
+			if !ok {
+				continue
+			}
+			if len(w.Txn.Then) > b.c.pagesPerTransaction() {
+				t.Fatalf("%d pages in a transaction", len(w.Txn.Then))
+			}
+			rev++
+			for _, op := range w.Txn.Then {
+				delete(recorded, op.Delete)
+				if op.Put != "" {
+					recorded[op.Put] = protocol.Pair{Key: op.Put, Value: op.Value, Version: rev}
+				}
+			}
+			b.c.Step(b.now, Written{Write: w.ID, OK: true, Rev: rev})
+			return true
+		}
+		return false
+	}
+	held := func() map[zones.LentTask]bool {
+		tasks := map[zones.LentTask]bool{}
+		for _, p := range recorded {
+			rec, err := storage.DecodeZoneReturn(p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, row := range rec.Loans {
+				tasks[loanOf(row).Lender] = true
+			}
+		}
+		return tasks
+	}
+	transactions := 0
+	for write() {
+		transactions++
+		onRecord, open := held(), map[string]bool{}
+		for i := range loans {
+			if z.untaken[lender(i)] {
+				open[borrower(i)] = true
+			} else if !onRecord[lender(i)] {
+				t.Fatalf("loan %d is taken and not recorded", i)
+			}
+		}
+		for i := range loans {
+			if open[borrower(i)] && !z.untaken[lender(i)] {
+				t.Fatalf("loan %d is taken before others to the same job", i)
+			}
+		}
+	}
+	if len(z.untaken) > 0 || transactions < 2 {
+		t.Errorf("%d loans are not taken after %d transactions", len(z.untaken), transactions)
+	}
+	b.records = recorded
+	b.takeOver(7)
+	if got := b.c.returning.ledger.Len(); got != loans {
+		t.Errorf("the next leader knows of %d loans, want %d", got, loans)
+	}
+	z = b.c.returning
+	for i := range loans {
+		z.ledger.Close(lender(i))
+		z.records.remove(lender(i))
+	}
+	for range loans {
+		b.now += Cycle
+		write()
+	}
+	if len(recorded) != 1 {
+		t.Errorf("%d pages are left", len(recorded))
+	}
+}
--- a/internal/coordination/scheduler/loans.go
+++ b/internal/coordination/scheduler/loans.go
@@ -26,9 +26,9 @@
 	for _, loan := range loans {
 		z.untaken[loan.Lender] = true
 		z.lentBy[loan.Lender.Job]++
+		z.records.add(loan.Lender, c.loansPerPage())
 		c.decide(zones.LoanMade{Loan: loan})
 	}
-	z.records.dirty = z.records.dirty || len(loans) > 0
 	return nil
 }
 
@@ -61,7 +61,7 @@
 		}
 		z.ledger.Close(loan.Lender)
 		delete(z.untaken, loan.Lender)
-		z.records.dirty = true
+		z.records.remove(loan.Lender)
 		c.decide(zones.LoanEnded{Loan: loan, End: end})
 	}
 }
--- a/internal/coordination/scheduler/zonerecords.go
+++ b/internal/coordination/scheduler/zonerecords.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -13,19 +14,62 @@
 	"pinebay/internal/storage"
 )
 
-// zoneRecords are the pages of zone return as they are in the state service. They fit into
-// one transaction; borrowing beyond that is refused.
+// zoneRecords are the pages of zone return as they are in the state service. A loan stays on the page
+// that it was first written on, so that a change concerns few pages; those that changed are written a
+// transaction at a time.
 type zoneRecords struct {
-	dirty   bool
 	writing bool
 	at      time.Duration  // of the last write
 	stamps  map[int]uint64 // versions of the pages
 	written map[int]string // their contents
 	foreign map[int]bool   // pages that cannot be used, and are left alone
+	dirty   map[int]bool   // pages that have changed since they were last written
+	pageOf  map[zones.LentTask]int
+	loans   map[int]int // on each page
 }
 
 func newZoneRecords() zoneRecords {
-	return zoneRecords{stamps: map[int]uint64{}, written: map[int]string{}, foreign: map[int]bool{}}
+	return zoneRecords{stamps: map[int]uint64{}, written: map[int]string{}, foreign: map[int]bool{}, dirty: map[int]bool{},
+		pageOf: map[zones.LentTask]int{}, loans: map[int]int{}}
+}
+
+// first is the page that the zones stand on.
+func (r *zoneRecords) first() int { return r.nextOwn(0) }
+
+// add enters a loan on the first page that has room for it.
+func (r *zoneRecords) add(task zones.LentTask, perPage int) {
+	number := r.first()
+	for r.loans[number] >= perPage {
+		number = r.nextOwn(number + 1)
+	}
+	r.put(task, number)
+	r.dirty[number] = true
+}
+
+// put notes on which page a loan is.
+func (r *zoneRecords) put(task zones.LentTask, number int) {
+	r.pageOf[task] = number
+	r.loans[number]++
+}
+
+// remove takes a loan that has ended off its page.
+func (r *zoneRecords) remove(task zones.LentTask) {
+	number, ok := r.pageOf[task]
+	if !ok {
+		return
+	}
+	delete(r.pageOf, task)
+	r.loans[number]--
+	r.dirty[number] = true
+}
+
+// loansPerMB is how many open loans are kept for each megabyte of memory: with their rows and pages
+// they take a tenth of it.
+const loansPerMB = 40
+
+// mostLoans is how many loans may be open at a time.
+func (c *Core) mostLoans() int {
+	return max(c.pagesPerTransaction()*c.loansPerPage(), int(c.cfg.Quota.RAMMB*loansPerMB))
 }
 
 // loansPerPage is how many loans one page holds.
@@ -54,12 +98,18 @@
 			z.monitor.Restore(zones.Zone{Name: row.Name, State: zones.State(row.State), Since: since, Flaps: row.Flaps})
 		}
 		for _, row := range rec.Loans {
-			if err := z.ledger.Open(loanOf(row)); err != nil {
+			loan := loanOf(row)
+			if err := z.ledger.Open(loan); err != nil {
 				c.decide(zones.RecordLeftAlone{Key: p.Key, Reason: fmt.Sprintf("loan of %s/%d: %v", row.Lender, row.Task, err)})
+				continue
 			}
+			z.records.put(loan.Lender, number)
 		}
+		z.records.dirty[number] = true
+	}
+	if len(pages) > 0 {
+		z.records.dirty[z.records.first()] = true
 	}
-	z.records.dirty = len(pages) > 0
 }
 
 func loanOf(r storage.LoanRow) zones.Loan {
@@ -76,28 +126,65 @@
 	}
 }
 
-// zonePages returns the pages as they should be, by number: the zones on the first, and the
-// loans dealt out to as many as they need.
-func (c *Core) zonePages(now time.Duration) map[int]*storage.ZoneReturnRecord {
+// zonePages returns some of the pages as they should be; nil for one that nothing is on.
+func (c *Core) zonePages(now time.Duration, numbers []int) map[int]*storage.ZoneReturnRecord {
 	z := c.returning
-	first := &storage.ZoneReturnRecord{Format: storage.ZoneReturnFormat}
-	for _, zone := range z.monitor.Zones() {
-		first.Zones = append(first.Zones, storage.ZoneRow{Name: zone.Name, State: int(zone.State), SinceMS: c.wallAt(zone.Since), Flaps: zone.Flaps})
-	}
 	pages := map[int]*storage.ZoneReturnRecord{}
-	page, number := first, z.records.nextOwn(0)
-	pages[number] = page
+	for _, number := range numbers {
+		if z.records.loans[number] > 0 || number == z.records.first() {
+			pages[number] = &storage.ZoneReturnRecord{Format: storage.ZoneReturnFormat}
+		}
+	}
+	if first := pages[z.records.first()]; first != nil {
+		for _, zone := range z.monitor.Zones() {
+			first.Zones = append(first.Zones, storage.ZoneRow{Name: zone.Name, State: int(zone.State), SinceMS: c.wallAt(zone.Since), Flaps: zone.Flaps})
+		}
+	}
 	for _, loan := range z.ledger.Loans() {
-		if len(page.Loans) == c.loansPerPage() {
-			page = &storage.ZoneReturnRecord{Format: storage.ZoneReturnFormat}
-			number = z.records.nextOwn(number + 1)
-			pages[number] = page
+		if page := pages[z.records.pageOf[loan.Lender]]; page != nil {
+			page.Loans = append(page.Loans, rowOf(loan))
 		}
-		page.Loans = append(page.Loans, rowOf(loan))
 	}
 	return pages
 }
 
+// zonePagesToWrite lists the pages that go into the next transaction: those first that lenders wait for.
+func (c *Core) zonePagesToWrite() []int {
+	r := &c.returning.records
+	awaited := map[int]bool{}
+	for task := range c.returning.untaken {
+		awaited[r.pageOf[task]] = true
+	}
+	numbers := slices.SortedFunc(maps.Keys(r.dirty), func(a, b int) int {
+		if awaited[a] != awaited[b] {
+			if awaited[a] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
+	return numbers[:min(len(numbers), c.pagesPerTransaction())]
+}
+
+// recordedLoans lists the open loans that stand on pages which have not changed, but for those of
+// borrowers that have others on pages which have: what lends to one job is stopped together.
+func (c *Core) recordedLoans() (recorded []zones.Loan) {
+	z := c.returning
+	waits := map[string]bool{}
+	for _, loan := range z.ledger.Loans() {
+		if z.records.dirty[z.records.pageOf[loan.Lender]] && z.untaken[loan.Lender] {
+			waits[loan.Borrower] = true
+		}
+	}
+	for _, loan := range z.ledger.Loans() {
+		if !z.records.dirty[z.records.pageOf[loan.Lender]] && !waits[loan.Borrower] {
+			recorded = append(recorded, loan)
+		}
+	}
+	return recorded
+}
+
 // nextOwn returns the first page from the given one on that may be written.
 func (r *zoneRecords) nextOwn(number int) int {
 	for r.foreign[number] {
@@ -110,13 +197,12 @@
 // otherwise gathered for a cycle.
 func (c *Core) writeZoneReturn(now time.Duration) {
 	z := c.returning
-	if z == nil || !z.records.dirty || z.records.writing || len(z.untaken) == 0 && now-z.records.at < Cycle {
+	if z == nil || len(z.records.dirty) == 0 || z.records.writing || len(z.untaken) == 0 && now-z.records.at < Cycle {
 		return
 	}
-	z.records.dirty = false
-	loans := z.ledger.Loans()
 	id, name := c.name()
 	txn, contents := c.zoneTransaction(now, name)
+	loans := c.recordedLoans()
 	if len(txn.Then) == 0 {
 		c.takeLoans(now, loans)
 		return
@@ -158,9 +244,17 @@
 		txn.Then = append(txn.Then, op)
 		contents[number] = content
 	}
-	pages := c.zonePages(now)
-	for _, number := range slices.Sorted(maps.Keys(pages)) {
+	numbers := c.zonePagesToWrite()
+	pages := c.zonePages(now, numbers)
+	for _, number := range numbers {
+		delete(z.records.dirty, number)
 		page := pages[number]
+		if page == nil {
+			if z.records.stamps[number] != 0 {
+				add(number, "", protocol.Op{Delete: storage.ZoneReturnKey(number)})
+			}
+			continue
+		}
 		plain, err := protocol.Encode(page)
 		if err != nil {
 			c.log.Error("zone return record", "err", err)
@@ -177,11 +271,6 @@
 		}
 		add(number, string(plain), protocol.Op{Put: storage.ZoneReturnKey(number), Value: value})
 	}
-	for _, number := range slices.Sorted(maps.Keys(z.records.stamps)) {
-		if pages[number] == nil {
-			add(number, "", protocol.Op{Delete: storage.ZoneReturnKey(number)})
-		}
-	}
 	return txn, contents
 }
 
--- a/internal/coordination/scheduler/zonereturn.go
+++ b/internal/coordination/scheduler/zonereturn.go
@@ -45,7 +45,7 @@
 	z := &zoneReturn{
 		order: order, several: len(names) > 1, untaken: map[zones.LentTask]bool{}, left: map[string]string{}, lentBy: map[string]int{}, records: newZoneRecords(),
 		monitor: zones.NewMonitor(now, config.Seconds(c.cfg.Workers.LeaseS), names),
-		ledger:  zones.NewLedger(c.pagesPerTransaction() * c.loansPerPage()),
+		ledger:  zones.NewLedger(c.mostLoans()),
 	}
 	c.returning = z
 	c.decide(zones.OrderInForce{Order: order.String(), Zones: len(names)})
@@ -112,7 +112,7 @@
 	}
 	for _, change := range z.monitor.Step(now, c.zoneFacts(now)) {
 		c.decide(zones.ZoneChanged{Change: change})
-		z.records.dirty = true
+		z.records.dirty[z.records.first()] = true
 		switch change.To {
 		case zones.Lost:
 			c.decide(zones.OrderInForce{Order: z.order.String(), Zones: len(z.monitor.Zones())})
--- a/internal/coordination/scheduler/zonereturn_test.go
+++ b/internal/coordination/scheduler/zonereturn_test.go
@@ -92,7 +92,7 @@
 		if got := b.records[key]; got.Version != 9 || string(got.Value) != string(value) {
 			t.Errorf("%s was written over", name)
 		}
-		b.c.returning.records.dirty = true
+		b.c.returning.records.dirty[b.c.returning.records.first()] = true
 		b.seconds(3)
 		if got := b.records[key]; got.Version != 9 || b.records[storage.ZoneReturnKey(1)].Version == 0 {
 			t.Errorf("%s: records %v", name, b.records)
