--- a/cmd/pinebay/main.go
+++ b/cmd/pinebay/main.go
@@ -46,7 +46,7 @@
 
 func command() *cobra.Command {
 	var path string
-	var stepTimes bool
+	var stepTimes, ownership bool
 	var zoneReturn zoneReturnFlags
 	cmd := &cobra.Command{
 		Use:           "pinebay --config FILE",
@@ -67,6 +67,7 @@
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
 			}
+			features.Ownership = ownership
 			if stepTimes {
 				features.Timing = timing.NewRecorder()
 			}
@@ -82,6 +83,7 @@
 	}
 	cmd.SetContext(context.Background())
 	cmd.Flags().StringVar(&path, "config", "", "settings file of this controller (TOML)")
+	cmd.Flags().BoolVar(&ownership, "ownership", false, "watch the other controllers for failures, and log suspicions and verdicts")
 	cmd.Flags().BoolVar(&stepTimes, "step-times", false, "log how long the leader's steps and heartbeats take")
 	zoneReturn.add(cmd)
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
--- a/internal/coordination/cancellation/cancellation.go
+++ b/internal/coordination/cancellation/cancellation.go
@@ -224,6 +224,9 @@
 	return t
 }
 
+// Life tells this process from earlier ones of the same name.
+func (l *Log) Life() uint64 { return l.life }
+
 // Whole says that nothing matters any more that an earlier process of this name
 // may have held.
 func (l *Log) Whole(now time.Duration) bool { return now >= l.whole }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"pinebay/internal/actor"
 	"pinebay/internal/config"
@@ -22,6 +23,7 @@
 	"pinebay/internal/coordination/election"
 	"pinebay/internal/coordination/fencing"
 	"pinebay/internal/coordination/leader"
+	"pinebay/internal/coordination/suspicion"
 	"pinebay/internal/coordination/zones"
 	"pinebay/internal/random"
 	"pinebay/internal/storage"
@@ -52,20 +54,21 @@
 	mesh    *transport.Mesh
 	api     *api.Server
 
-	box       *actor.Mailbox[election.Event]
-	elect     *election.Machine
-	view      atomic.Pointer[election.View]
-	leading   atomic.Pointer[leader.Leader]
-	fenceBox  *actor.Mailbox[fencing.Event]
-	fencing   *fencing.Monitor
-	intents   *cancellation.Log
-	wakes     map[string]chan struct{} // make the beat to a peer leave at once
-	peersMu   sync.Mutex
-	peers     map[string]election.Peer // what each last answered of itself
-	renewers  map[string]time.Duration // peers that renew leases without a leader, and when they last said so
-	redirects *RedirectTracker
-	peersOK   atomic.Int64 // steady time when a peer last had the state service
-	peerHeard atomic.Int64 // steady time when a peer was last heard
+	box        *actor.Mailbox[election.Event]
+	elect      *election.Machine
+	view       atomic.Pointer[election.View]
+	leading    atomic.Pointer[leader.Leader]
+	fenceBox   *actor.Mailbox[fencing.Event]
+	fencing    *fencing.Monitor
+	intents    *cancellation.Log
+	suspicions *suspicions              // nil: off
+	wakes      map[string]chan struct{} // make the beat to a peer leave at once
+	peersMu    sync.Mutex
+	peers      map[string]election.Peer // what each last answered of itself
+	renewers   map[string]time.Duration // peers that renew leases without a leader, and when they last said so
+	redirects  *RedirectTracker
+	peersOK    atomic.Int64 // steady time when a peer last had the state service
+	peerHeard  atomic.Int64 // steady time when a peer was last heard
 }
 
 // Times derives the election's times from the settings.
@@ -89,6 +92,8 @@
 type Features struct {
 	// ZoneReturn is the order in which work returns when a zone is lost; nil: off.
 	ZoneReturn *zones.Order
+	// Ownership watches the other controllers for failures, and logs suspicions and verdicts.
+	Ownership bool
 	// Timing measures the leader's steps and heartbeats and logs them; nil: off.
 	Timing *timing.Recorder
 }
@@ -118,6 +123,9 @@
 	c.intents = cancellation.New(source, names, keep, c.now()+c.times.Recovery, int(max(1, d.State.WriteRPS*keep.Seconds())))
 	c.mesh = transport.NewMesh(network, cfg.Node, peers, c.times.Silent/2, c.log, c.answerPeer,
 		func(node string) { c.box.Send(election.Lost{Peer: node}) })
+	if features.Ownership {
+		c.suspicions = &suspicions{box: actor.NewMailbox[suspicion.Event](), refusals: rate.Sometimes{Interval: c.times.Silent}}
+	}
 	c.elect = election.New(c.now(), cfg.Node, names, c.times)
 	c.publish()
 	return c
@@ -160,6 +168,7 @@
 	})
 	g.Go(func() error { c.runElection(ctx); return nil })
 	g.Go(func() error { c.runFencing(ctx); return nil })
+	g.Go(func() error { c.runSuspicions(ctx); return nil })
 	g.Go(func() error { c.watchLeader(ctx); return nil })
 	g.Go(func() error { c.learnTypes(ctx); return nil })
 	g.Go(func() error { c.probe(ctx); return nil })
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -125,6 +125,7 @@
 	switch m.Kind {
 	case protocol.MeshBeat:
 		c.heardPeer(m)
+		c.hearSuspicions(m)
 		c.takeIntents(m, false)
 		c.box.Send(election.Beat{From: m.From, Term: m.Term, Leader: m.Leader})
 		reply.Term, reply.Leader = v.Term, v.Leader
@@ -133,8 +134,11 @@
 		}
 		reply.StateOK, reply.Renews = c.stateOK(), c.renews()
 		c.intents.Fill(c.now(), m.From, m.Life, reply)
+		c.addSuspicions(reply)
 	case protocol.MeshStatus:
-		if l := c.leading.Load(); l != nil {
+		if m.Target != "" {
+			c.answerProbe(m, reply)
+		} else if l := c.leading.Load(); l != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), c.times.Silent/2)
 			defer cancel()
 			// A peer of an older version asks about one.
@@ -209,6 +213,7 @@
 		sent := c.now()
 		m := protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK(), Renews: c.renews()}
 		c.intents.Fill(sent, peer, 0, &m)
+		c.addSuspicions(&m)
 		r, err := c.mesh.Call(ctx, peer, m)
 		if err == nil {
 			c.features.Timing.Record(timing.Heartbeat, c.now()-sent)
@@ -255,6 +260,7 @@
 // answeredBeat takes in a peer's answer to a beat that was sent at the given time.
 func (c *Controller) answeredBeat(r *protocol.MeshMessage, sent time.Duration) {
 	c.heardPeer(r)
+	c.hearSuspicions(r)
 	t := c.takeIntents(r, true)
 	c.peersMu.Lock()
 	p := election.Peer{At: sent, StateOK: r.StateOK, Leader: r.Leader, Known: c.peers[r.From].Known}
--- /dev/null
+++ b/internal/daemon/suspicion.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pinebay/internal/actor"
+	"pinebay/internal/coordination/suspicion"
+	"pinebay/internal/protocol"
+)
+
+// suspicions is the actor that judges whether other controllers have failed.
+type suspicions struct {
+	box *actor.Mailbox[suspicion.Event]
+	// said is what the next heartbeats say of it.
+	said atomic.Pointer[said]
+	// refusals bounds how often malformed opinions are logged.
+	refusals rate.Sometimes
+}
+
+// said is what a controller tells the others with its heartbeats.
+type said struct {
+	is       suspicion.Incarnation
+	health   int
+	opinions []protocol.PeerOpinion
+}
+
+// suspicionTimes derives the times of suspicion from those of the election.
+func (c *Controller) suspicionTimes() suspicion.Times {
+	return suspicion.Times{Interval: followerPace * c.times.Beat, Confirm: c.times.Silent, Fresh: c.times.Silent}
+}
+
+// runSuspicions is the actor; it ends at once while suspicions are off.
+func (c *Controller) runSuspicions(ctx context.Context) {
+	if c.suspicions == nil {
+		return
+	}
+	times := c.suspicionTimes()
+	machine := suspicion.New(c.now(), c.cfg.Node, c.intents.Life(), c.mesh.Peers(), times)
+	step := func(e suspicion.Event) {
+		now := c.now()
+		machine.SetCounts(c.intents.Whole(now))
+		for _, effect := range machine.Step(now, e) {
+			c.carryOutSuspicion(ctx, effect)
+		}
+	}
+	ticked := c.now()
+	c.suspicions.box.Run(ctx, times.Interval, step, func() {
+		if now := c.now(); now-ticked >= times.Interval {
+			ticked = now
+			step(suspicion.Tick{})
+			c.suspicions.publish(now, machine)
+		}
+	})
+}
+
+func (s *suspicions) publish(now time.Duration, m *suspicion.Machine) {
+	out := &said{is: m.Incarnation(), health: m.Health()}
+	opinions := m.Opinions(now)
+	for _, name := range slices.Sorted(maps.Keys(opinions)) {
+		o := opinions[name]
+		heard := o.HeardAgo.Milliseconds()
+		if o.HeardAgo < 0 {
+			heard = -1
+		}
+		out.opinions = append(out.opinions, protocol.PeerOpinion{
+			Node: name, Life: o.Of.Life, Incarnation: o.Of.Number, HeardMS: heard, Suspected: o.Suspected,
+			SuspectedMS: o.SuspectedFor.Milliseconds(), Phi: o.Phi, Failed: o.Failed, Probed: o.Probed,
+		})
+	}
+	s.said.Store(out)
+}
+
+func (c *Controller) carryOutSuspicion(ctx context.Context, effect suspicion.Effect) {
+	switch e := effect.(type) {
+	case suspicion.Decided:
+		c.log.Info("suspicion", "decision", e.Decision.Describe())
+	case suspicion.Probe:
+		for _, through := range e.Through {
+			go c.probeThrough(ctx, e.Target, through)
+		}
+	}
+}
+
+// probeThrough asks a peer whether it reaches a controller. No answer tells nothing.
+func (c *Controller) probeThrough(ctx context.Context, target, through string) {
+	r, err := c.mesh.Call(ctx, through, protocol.MeshMessage{Kind: protocol.MeshStatus, Target: target})
+	if err != nil || r.Reached == nil {
+		return
+	}
+	c.suspicions.box.Send(suspicion.Probed{Target: target, Through: through, Reached: *r.Reached})
+}
+
+// probeShare is the part of a call's time, as its inverse, that a probe on behalf of a peer may take:
+// the peer's own call must not end before.
+const probeShare = 2
+
+// answerProbe answers whether a controller is reached from here. Any answer of it will do, also of
+// one without suspicions.
+func (c *Controller) answerProbe(m *protocol.MeshMessage, reply *protocol.MeshMessage) {
+	if c.suspicions == nil || m.Target == "" || m.Target == c.cfg.Node {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.times.Silent/2/probeShare)
+	defer cancel()
+	_, err := c.mesh.Call(ctx, m.Target, protocol.MeshMessage{Kind: protocol.MeshStatus, Target: m.Target})
+	reached := err == nil
+	reply.Reached = &reached
+}
+
+// addSuspicions puts into a heartbeat, or its answer, what this controller holds of the others.
+func (c *Controller) addSuspicions(m *protocol.MeshMessage) {
+	if c.suspicions == nil {
+		return
+	}
+	if s := c.suspicions.said.Load(); s != nil {
+		m.Incarnation, m.Health, m.Opinions = s.is.Number, s.health, s.opinions
+	}
+}
+
+// hearSuspicions takes in a peer's heartbeat, or its answer to ours. Opinions that are out of form are
+// dropped, and with them whatever they could consent to.
+func (c *Controller) hearSuspicions(m *protocol.MeshMessage) {
+	if c.suspicions == nil || m.Life == 0 {
+		return
+	}
+	heard := suspicion.Heard{Peer: m.From, Is: suspicion.Incarnation{Life: m.Life, Number: m.Incarnation}, Health: max(0, m.Health), Counts: m.Whole}
+	if err := protocol.CheckOpinions(m.Opinions); err != nil {
+		c.suspicions.refusals.Do(func() { c.log.Info("opinions refused", "from", m.From, "err", err) })
+	} else {
+		heard.Opinions = opinionsOf(m.Opinions)
+	}
+	c.suspicions.box.Send(heard)
+}
+
+func opinionsOf(list []protocol.PeerOpinion) map[string]suspicion.Opinion {
+	out := make(map[string]suspicion.Opinion, len(list))
+	for _, o := range list {
+		heard := time.Duration(o.HeardMS) * time.Millisecond
+		if o.HeardMS < 0 {
+			heard = -1
+		}
+		out[o.Node] = suspicion.Opinion{
+			Of: suspicion.Incarnation{Life: o.Life, Number: o.Incarnation}, HeardAgo: heard, Suspected: o.Suspected,
+			SuspectedFor: time.Duration(o.SuspectedMS) * time.Millisecond, Phi: o.Phi, Failed: o.Failed, Probed: o.Probed,
+		}
+	}
+	return out
+}
--- a/internal/protocol/limits_test.go
+++ b/internal/protocol/limits_test.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -32,3 +33,31 @@
 		}
 	})
 }
+
+// TestOpinionsOutOfForm: opinions that no controller can mean are refused, and those that one can are not.
+func TestOpinionsOutOfForm(t *testing.T) {
+	good := PeerOpinion{Node: "n-1", Life: 5, HeardMS: 1200, Suspected: true, SuspectedMS: 300, Phi: 9.5, Failed: true, Probed: []string{"n-2"}}
+	if err := CheckOpinions([]PeerOpinion{good, {Node: "n-2", HeardMS: -1}}); err != nil {
+		t.Error(err)
+	}
+	for name, change := range map[string]func(*PeerOpinion){
+		"nobody":           func(o *PeerOpinion) { o.Node = "" },
+		"heard in future":  func(o *PeerOpinion) { o.HeardMS = -2 },
+		"too long ago":     func(o *PeerOpinion) { o.HeardMS = math.MaxInt64 },
+		"suspected ahead":  func(o *PeerOpinion) { o.SuspectedMS = -1 },
+		"no phi":           func(o *PeerOpinion) { o.Phi = math.NaN() },
+		"endless phi":      func(o *PeerOpinion) { o.Phi = math.Inf(1) },
+		"failed unbidden":  func(o *PeerOpinion) { o.Suspected = false },
+		"heard of no life": func(o *PeerOpinion) { o.Life = 0 },
+		"too many probes":  func(o *PeerOpinion) { o.Probed = make([]string, MaxOpinions+1) },
+	} {
+		bad := good
+		change(&bad)
+		if CheckOpinions([]PeerOpinion{bad}) == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	if CheckOpinions(make([]PeerOpinion, MaxOpinions+1)) == nil {
+		t.Error("too many: taken")
+	}
+}
--- a/internal/protocol/mesh.go
+++ b/internal/protocol/mesh.go
@@ -53,6 +53,17 @@
 	// Held is how many of the receiver's intents of HeldLife the sender holds.
 	HeldLife uint64 `cbor:"16,keyasint,omitempty"`
 	Held     uint64 `cbor:"17,keyasint,omitempty"`
+
+	// What follows is there only while suspicions are on. Incarnation and Health are the sender's, and
+	// Opinions what it holds of the others.
+	Incarnation uint64        `cbor:"23,keyasint,omitempty"`
+	Health      int           `cbor:"24,keyasint,omitempty"`
+	Opinions    []PeerOpinion `cbor:"25,keyasint,omitempty"`
+	// Target makes a MeshStatus, which every version answers, a probe: whether the receiver reaches that
+	// controller, which Reached answers. Without it, from a controller without suspicions, say, a probe
+	// has told nothing but that the receiver is there.
+	Target  string `cbor:"26,keyasint,omitempty"`
+	Reached *bool  `cbor:"27,keyasint,omitempty"`
 }
 
 // Intent says that a user is about to be told that a job is cancelled. Mark tells
