--- /dev/null
+++ b/internal/actor/sleep.go
@@ -0,0 +1,18 @@
+package actor
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a time, or until the context ends; then it returns the context's error.
+func Sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/coordination/leader/cloud.go
+++ b/internal/coordination/leader/cloud.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/time/rate"
 
+	"pinebay/internal/actor"
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/protocol"
@@ -45,21 +46,9 @@
 	return Turn{now.Add(c.limit.ReserveN(now, 1).DelayFrom(now))}
 }
 
-// wait waits for the turn.
-func (t Turn) wait(ctx context.Context) error {
-	timer := time.NewTimer(time.Until(t.at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // call makes a call at its turn.
 func (c *Cloud) call(ctx context.Context, turn Turn, method, path string, body, out any) (int, error) {
-	if err := turn.wait(ctx); err != nil {
+	if err := actor.Sleep(ctx, time.Until(turn.at)); err != nil {
 		return 0, err
 	}
 	status, raw, err := c.client.Do(ctx, c.timeout, method, c.base+path, body)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"pinebay/internal/actor"
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/api"
 	"pinebay/internal/coordination/cancellation"
@@ -198,7 +199,7 @@
 func (c *Controller) beat(ctx context.Context, peer string) {
 	// The election's own timer has had its turn when this one is due: what a heartbeat says is what
 	// that has just decided.
-	if !sleep(ctx, c.times.Beat/heartbeatPhase) {
+	if actor.Sleep(ctx, c.times.Beat/heartbeatPhase) != nil {
 		return
 	}
 	interval := c.times.Beat
@@ -231,18 +232,6 @@
 // election's timer.
 const heartbeatPhase = 16
 
-// sleep waits for a time, and says whether the context has not ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // followerPace is how many times as seldom a follower sends heartbeats as the leader. It
 // hears the leader's and answers those; its own only keep followers in contact, which
 // hear each other in both directions, and new intents don't wait for them.
--- a/internal/random/random.go
+++ b/internal/random/random.go
@@ -9,6 +9,8 @@
 	"io"
 	"math/rand/v2"
 	"time"
+
+	"pinebay/internal/actor"
 )
 
 // Source draws random numbers. It holds no state but its seed, so any number of goroutines may use
@@ -37,12 +39,7 @@
 
 // Pause waits for about d, give or take a half, or until the context ends.
 func (s *Source) Pause(ctx context.Context, purpose string, d time.Duration) {
-	t := time.NewTimer(d/2 + s.UpTo(purpose, d))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	_ = actor.Sleep(ctx, d/2+s.UpTo(purpose, d)) // whoever paused looks at the context
 }
 
 func hash(text string) uint64 {
--- a/internal/storage/transactions.go
+++ b/internal/storage/transactions.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"pinebay/internal/actor"
 	"pinebay/internal/protocol"
 )
 
@@ -72,25 +73,14 @@
 	if a.leftover {
 		err = c.admitLeftover(ctx, nameOf(&t), len(t.Then))
 	} else {
-		err = waitUntil(ctx, a.at)
+		err = actor.Sleep(ctx, time.Until(a.at))
 	}
 	if err != nil {
-		return 0, false, nil, err
+		return 0, false, nil, fmt.Errorf("%w: %w", ErrCrowded, err)
 	}
 	return c.try(ctx, a.use, t)
 }
 
-func waitUntil(ctx context.Context, at time.Time) error {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", ErrCrowded, ctx.Err())
-	}
-}
-
 // nameOf is what tells a transaction from others that are under way.
 func nameOf(t *protocol.Txn) string {
 	if len(t.Then) == 0 {
