--- a/internal/coordination/scheduler/recording.go
+++ b/internal/coordination/scheduler/recording.go
@@ -69,8 +69,9 @@
 // nextBatch takes jobs off the queue of starts for one transaction of up to so many pages.
 func (c *Core) nextBatch(now time.Duration, pages int) (batch []*part) {
 	pages, bytes := min(pages, c.cfg.State.TxnOps), transactionBytes
+	stated := c.statedOrder()
 	for pages > 0 {
-		j := c.queues.starts.next(now, c.recordOrder())
+		j := c.queues.starts.next(now, stated)
 		if j == nil || len(batch) > 0 && j.recordTries > 0 {
 			return batch // what has failed is tried alone
 		}
@@ -88,12 +89,15 @@
 	return batch
 }
 
-// recordOrder is the order of records while the order of return is in force, or nil for the usual one.
-func (c *Core) recordOrder() func([]*job) {
+// statedOrder lists the jobs whose records wait in the order of return while that is in force; nil
+// stands for the usual order.
+func (c *Core) statedOrder() []*job {
 	if c.returning == nil || !c.recovering() && c.returning.ledger.Len() == 0 {
 		return nil
 	}
-	return c.sortForReturn
+	jobs := c.queues.starts.byTurn.Items()
+	c.sortForReturn(jobs)
+	return jobs
 }
 
 // settleEnded writes what has ended of jobs, those first that have waited for longest, as far as
--- a/internal/coordination/scheduler/startqueue.go
+++ b/internal/coordination/scheduler/startqueue.go
@@ -95,8 +95,9 @@
 func (q *startQueue) byWaitNext() bool { return q.handed%longestWaiting == longestWaiting-1 }
 
 // next returns the job whose turn it is, or nil if there is none that may be written now. Jobs that
-// wait for nothing any more are dropped. If an order is given, it goes before that of the queue.
-func (q *startQueue) next(now time.Duration, order func([]*job)) *job {
+// wait for nothing any more are dropped. If jobs are listed in another order, that goes before the
+// queue's own.
+func (q *startQueue) next(now time.Duration, listed []*job) *job {
 	jobs := q.byTurn
 	if q.byWaitNext() {
 		jobs = q.byWait
@@ -112,15 +113,12 @@
 		}
 		return next == nil
 	}
-	if order == nil {
+	if listed == nil {
 		jobs.Scan(look)
-	} else {
-		list := jobs.Items()
-		order(list)
-		for _, j := range list {
-			if !look(j) {
-				break
-			}
+	}
+	for _, j := range listed {
+		if j.recordQueued && !look(j) {
+			break
 		}
 	}
 	for _, j := range idle {
