--- a/internal/coordination/fencing/fencing_test.go
+++ b/internal/coordination/fencing/fencing_test.go
@@ -1,6 +1,7 @@
 package fencing
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -205,3 +206,46 @@
 		}
 	}
 }
+
+// TestManySilentMachines: of thousands of machines just those are asked about that are not heard here,
+// and just those returned that no peer hears either.
+func TestManySilentMachines(t *testing.T) {
+	const machines = 4000
+	m := newMonitor()
+	var names []string
+	for i := range machines {
+		names = append(names, fmt.Sprintf("m%05d", i))
+	}
+	assessed := Assessed{Leaderless: true, Held: true}
+	m.Step(0, assessed)
+	now := m.times.Grace + m.times.Age
+	for i := 0; i < machines; i += 2 {
+		m.Step(now, Heard{Report: &protocol.Report{Machine: names[i], Session: 1, Seq: 1}})
+	}
+	if effects := m.Step(now, assessed); len(effects) != 1 {
+		t.Fatalf("%v", effects)
+	}
+	effects := m.Step(now, listed(names...))
+	if len(effects) != 1 {
+		t.Fatalf("%d effects", len(effects))
+	}
+	asked := effects[0].(AskPeers).Machines
+	if len(asked) != machines/2 {
+		t.Fatalf("asked about %d machines, want %d", len(asked), machines/2)
+	}
+	var heard []string // by one peer a fourth of all, by another the first of them again
+	for i := 1; i < machines; i += 4 {
+		heard = append(heard, names[i])
+	}
+	silent, certain := StillSilent(asked, []PeerAnswer{{Answered: true, Heard: heard}, {Answered: true, Heard: heard[:1]}})
+	if !certain || len(silent) != machines/4 {
+		t.Fatalf("%d are silent, want %d", len(silent), machines/4)
+	}
+	returned := 0
+	for _, e := range m.Step(now, Confirmed{Silent: silent}) {
+		returned += len(e.(Release).Machines)
+	}
+	if returned != machines/4 {
+		t.Errorf("%d are returned, want %d", returned, machines/4)
+	}
+}
