Read once more: the election's majority in place of another, no state that can be derived

Suspicion counted a majority by itself, and kept of which incarnation there is a verdict, which is the peer's own; both go. When the order of return is in force was written twice; it is one function now. A parameter that nobody used, slices that were never used again and a method that only a test called are gone.

--- a/internal/coordination/scheduler/recording.go
+++ b/internal/coordination/scheduler/recording.go
@@ -62,7 +62,7 @@
 		if len(batch) == 0 {
 			return
 		}
-		c.writeParts(now, Starts, batch)
+		c.writeParts(Starts, batch)
 	}
 }
 
@@ -92,7 +92,7 @@
 // statedOrder lists the jobs whose records wait in the order of return while that is in force; nil
 // stands for the usual order.
 func (c *Core) statedOrder() []*job {
-	if c.returning == nil || !c.recovering() && c.returning.ledger.Len() == 0 {
+	if !c.orderInForce() {
 		return nil
 	}
 	jobs := c.queues.starts.byTurn.Items()
@@ -108,7 +108,7 @@
 		if j == nil {
 			return
 		}
-		c.writeParts(now, Ends, []*part{c.newPart(j, c.pagesPerTransaction())})
+		c.writeParts(Ends, []*part{c.newPart(j, c.pagesPerTransaction())})
 	}
 }
 
@@ -139,8 +139,7 @@
 func (p *part) encode(name string) error {
 	j := p.job
 	p.exits = map[int]int{}
-	p.conds = append(p.conds[:0], protocol.Cond{Key: storage.LiveKey(j.spec.ID), Version: j.stamp})
-	p.ops = p.ops[:0]
+	p.conds = []protocol.Cond{{Key: storage.LiveKey(j.spec.ID), Version: j.stamp}}
 	for _, n := range p.pages {
 		value, err := protocol.Encode(j.record(n, name))
 		if err != nil {
@@ -155,7 +154,7 @@
 }
 
 // writeParts writes parts in one transaction.
-func (c *Core) writeParts(now time.Duration, purpose Purpose, parts []*part) {
+func (c *Core) writeParts(purpose Purpose, parts []*part) {
 	id, name := c.name()
 	t := protocol.Txn{If: []protocol.Cond{{Key: storage.TermKey, Version: c.termStamp}}}
 	for _, p := range parts {
--- a/internal/coordination/scheduler/recording_test.go
+++ b/internal/coordination/scheduler/recording_test.go
@@ -313,8 +313,8 @@
 				}
 			}
 		}
-		if q.Len() != len(waiting) {
-			t.Fatalf("%d in the queue, %d wait", q.Len(), len(waiting))
+		if q.byTurn.Len() != len(waiting) {
+			t.Fatalf("%d in the queue, %d wait", q.byTurn.Len(), len(waiting))
 		}
 	})
 }
--- a/internal/coordination/scheduler/returnorder.go
+++ b/internal/coordination/scheduler/returnorder.go
@@ -17,12 +17,18 @@
 	aim             float64
 }
 
+// orderInForce says whether jobs go in the order of return: while a zone is lost or not yet trusted
+// again, and until all loans are repaid.
+func (c *Core) orderInForce() bool {
+	return c.returning != nil && (c.recovering() || c.returning.ledger.Len() > 0)
+}
+
 // sortForReturn puts jobs into the order of return: by the stated order, priority, what
 // lenders are owed once no zone is lost, the class's aim on waiting, and age. The list is
 // sorted by priority and age when it comes.
 func (c *Core) sortForReturn(jobs []*job) {
 	z := c.returning
-	if z == nil || !c.recovering() && z.ledger.Len() == 0 {
+	if !c.orderInForce() {
 		return
 	}
 	debts := map[string]float64{}
--- a/internal/coordination/scheduler/startqueue.go
+++ b/internal/coordination/scheduler/startqueue.go
@@ -126,6 +126,3 @@
 	}
 	return next
 }
-
-// Len returns the number of jobs in the queue.
-func (q *startQueue) Len() int { return q.byTurn.Len() }
--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -10,6 +10,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"pinebay/internal/coordination/election"
 )
 
 // Times are derived from the settings.
@@ -101,8 +103,7 @@
 	failed      bool
 	probedAt    time.Duration
 	unreachable map[string]bool // peers whose probes have failed since it is suspected
-	verdictOn   Incarnation     // of which a verdict was reached
-	verdict     bool
+	verdict     bool            // there is one on its incarnation
 }
 
 // Machine is a controller's view of the others.
@@ -289,8 +290,8 @@
 
 // goesOnAs notes in which incarnation a peer is.
 func (m *Machine) goesOnAs(name string, p *peer, is Incarnation) {
-	if p.verdict && is != p.verdictOn {
-		m.decide(Returned{Node: name, Of: is, Verdict: p.verdictOn})
+	if p.verdict && is != p.is {
+		m.decide(Returned{Node: name, Of: is, Verdict: p.is})
 		p.verdict = false
 	}
 	p.is = is
@@ -313,7 +314,7 @@
 // has failed, and none that counts has heard it since. Only those count that have not just begun, and
 // whose word is fresh.
 func (m *Machine) judge(now time.Duration, name string, p *peer) {
-	if !p.failed || !m.counts || p.verdict && p.verdictOn == p.is {
+	if !p.failed || !m.counts || p.verdict {
 		return
 	}
 	evidence := []Observation{{Observer: m.self, Health: m.health, Opinion: m.opinion(now, p)}}
@@ -330,10 +331,10 @@
 			return // it is heard elsewhere
 		}
 	}
-	if 2*len(evidence) <= len(m.names)+1 {
+	if !election.Majority(len(evidence), len(m.names)) {
 		return
 	}
-	p.verdict, p.verdictOn = true, p.is
+	p.verdict = true
 	slices.SortFunc(evidence, func(a, b Observation) int { return cmp.Compare(a.Observer, b.Observer) })
 	m.decide(Verdict{Node: name, Of: p.is, Controllers: len(m.names) + 1, Evidence: evidence})
 }
