--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,12 +59,14 @@
 	GPUsMax float64 `toml:"gpus_max"`
 }
 
-// Objective is an aim on starting ("wait") or finishing ("finished").
+// Objective is an aim on starting ("wait"), finishing ("finished") or meeting a job's own deadline ("deadline").
 type Objective struct {
 	Kind    string  `toml:"kind"`
 	Class   string  `toml:"class"`
 	WithinS float64 `toml:"within_s"`
 	Share   float64 `toml:"share"`
+	// Times is how many times its deadline a job may take, for aims on deadlines.
+	Times float64 `toml:"times"`
 }
 
 // Workers holds the times of the workers' protocol, in seconds.
@@ -82,6 +84,30 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next holds the limits that the service will have from some moment after an upgrade; a limit of 0 stays.
+	Next StateLimits `toml:"next"`
+}
+
+// StateLimits are limits of the state service that may come into force later.
+type StateLimits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Lowest returns the limits that hold both now and after the next change.
+func (s State) Lowest() State {
+	lower := func(now, next float64) float64 {
+		if next > 0 {
+			return min(now, next)
+		}
+		return now
+	}
+	return State{
+		RPS: lower(s.RPS, s.Next.RPS), WriteRPS: lower(s.WriteRPS, s.Next.WriteRPS), ValueKB: lower(s.ValueKB, s.Next.ValueKB),
+		TxnOps: int(lower(float64(s.TxnOps), float64(s.Next.TxnOps))), Next: s.Next,
+	}
 }
 
 // Cloud holds the limits of the cloud.
@@ -180,6 +206,16 @@
 			return fmt.Errorf("field deployment.%s: must be greater than 0", f.field)
 		}
 	}
+	for _, f := range []struct {
+		field string
+		value float64
+	}{
+		{"rps", d.State.Next.RPS}, {"write_rps", d.State.Next.WriteRPS}, {"value_kb", d.State.Next.ValueKB}, {"txn_ops", float64(d.State.Next.TxnOps)},
+	} {
+		if !(f.value >= 0) || math.IsInf(f.value, 0) {
+			return fmt.Errorf("field deployment.state.next.%s: must not be negative", f.field)
+		}
+	}
 	return s.checkQuota()
 }
 
--- a/internal/coordination/api/api.go
+++ b/internal/coordination/api/api.go
@@ -15,6 +15,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"pinebay/internal/config"
+	"pinebay/internal/coordination/featurelevel"
 	"pinebay/internal/protocol"
 	"pinebay/internal/random"
 	"pinebay/internal/storage"
@@ -31,6 +32,7 @@
 	// announce has a majority of the controllers hold an intent that a job is cancelled.
 	announce Announce
 	types    atomic.Pointer[[]protocol.MachineType]
+	level    atomic.Int64
 }
 
 // Announce has a majority of the controllers hold an intent that a job is about to be
@@ -53,6 +55,9 @@
 // SetTypes tells which machine types there are.
 func (s *Server) SetTypes(types []protocol.MachineType) { s.types.Store(&types) }
 
+// SetLevel tells which feature level is final.
+func (s *Server) SetLevel(level featurelevel.Level) { s.level.Store(int64(level)) }
+
 // Ready says whether the machine types are known.
 func (s *Server) Ready() bool { return s.types.Load() != nil }
 
@@ -101,7 +106,13 @@
 	ctx, cancel := context.WithTimeout(r.Context(), submitPatience)
 	defer cancel()
 	began := time.Now()
-	status, st := s.accept(ctx, job)
+	standing, no := s.checkAwaits(ctx, job)
+	if no != nil {
+		s.log.Debug("submission refused", "job", job.ID, "status", no.status, "why", no.why)
+		refuse(w, no.status, no.why)
+		return
+	}
+	status, st := s.accept(ctx, job, standing)
 	s.log.Debug("submission", "job", job.ID, "status", status, "took", time.Since(began))
 	if status >= 400 {
 		refuse(w, status, "the state service did not answer")
@@ -111,7 +122,7 @@
 }
 
 // accept records a job, unless it is known.
-func (s *Server) accept(ctx context.Context, job *protocol.Job) (int, protocol.JobStatus) {
+func (s *Server) accept(ctx context.Context, job *protocol.Job, standing protocol.Standing) (int, protocol.JobStatus) {
 	value, err := protocol.Encode(storage.LiveRecord{Job: *job, AtMS: time.Now().UnixMilli()})
 	if err != nil {
 		return http.StatusServiceUnavailable, protocol.JobStatus{}
@@ -126,7 +137,7 @@
 		ok, err := s.store.TxnTwice(ctx, storage.Accept, t)
 		switch {
 		case err == nil && ok && time.Since(began) < storage.Slow:
-			return http.StatusCreated, protocol.JobStatus{ID: job.ID, Standing: protocol.Queued}
+			return http.StatusCreated, protocol.JobStatus{ID: job.ID, Standing: standing}
 		case err == nil:
 			// The job was known, or the answer took so long that others may have read
 			// of the job meanwhile, and even cancelled it: look what has become of it.
@@ -159,9 +170,12 @@
 
 // lookup tells a job's state, as it is at some moment after the call.
 func (s *Server) lookup(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
-	st, found, err := s.reader.ask(ctx, id)
-	if err != nil || !found || st.Standing != protocol.Cancelled {
-		return st, found, err
+	a, err := s.reader.ask(ctx, id)
+	st := a.st
+	if err != nil || !a.found || st.Standing != protocol.Cancelled || a.shape != "" {
+		// One that lives is cancelled with a job that it awaits: it has no tasks of which somebody would have
+		// to know that they must end.
+		return st, a.found, err
 	}
 	if f, ok := s.reader.final(id); !ok || !f.told {
 		// Its transaction may have come late, when its intent was no longer taken
--- a/internal/coordination/api/reader.go
+++ b/internal/coordination/api/reader.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
+	"pinebay/internal/coordination/dependency"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 )
@@ -31,8 +33,9 @@
 	known  bool
 	rev    uint64 // up to which live is known
 	end    uint64 // up to which finals were followed
-	live   map[string]bool
-	finals map[string]final // guarded by mu
+	live   map[string]protocol.Shape
+	graph  *dependency.Graph // of the live jobs
+	finals map[string]final  // guarded by mu
 }
 
 // Statuses asks the leader about jobs, briefly. It returns those that it knows, and
@@ -50,8 +53,11 @@
 	id     string
 	answer chan struct{}
 	st     protocol.JobStatus
+	shape  protocol.Shape // of a job that lives
 	found  bool
 	missed bool // neither live nor among those that were seen to end
+	// unread are jobs that it awaits, directly or not, of which it must be read how they ended.
+	unread []string
 	err    error
 }
 
@@ -62,10 +68,57 @@
 // maxBatch bounds the questions that go to the leader in one message.
 const maxBatch = 256
 
+// maxUnread bounds the ends that one question reads at a time.
+const maxUnread = 16
+
 // ask returns what is known of a job at some moment after the call.
-func (r *reader) ask(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
+func (r *reader) ask(ctx context.Context, id string) (answer, error) {
+	for {
+		a, unread, err := r.askOnce(ctx, id)
+		if err != nil || len(unread) == 0 {
+			return a, err
+		}
+		for _, need := range unread {
+			if err := r.readEnd(ctx, need); err != nil {
+				return answer{}, err
+			}
+		}
+	}
+}
+
+// answer is what is known of a job.
+type answer struct {
+	st    protocol.JobStatus
+	shape protocol.Shape // of a job that lives; "" of others
+	found bool
+}
+
+// readEnd reads how a job has ended that others await, and remembers it.
+func (r *reader) readEnd(ctx context.Context, id string) error {
+	if _, ok := r.final(id); ok {
+		return nil
+	}
+	p, err := r.store.Get(ctx, storage.Consult, storage.EndedKey(id))
+	if err != nil {
+		return err
+	}
+	if p.Version == 0 {
+		return fmt.Errorf("%w: the end of %s", errUnread, id)
+	}
+	f, err := endedStatus(id, p.Value)
+	if err == nil {
+		r.keep(f.st, f.told)
+	}
+	return err
+}
+
+// errUnread says that a job is neither live nor recorded as over, for the moment.
+var errUnread = errors.New("not to be read yet")
+
+// askOnce asks once; unread are jobs whose ends have to be read before there is an answer.
+func (r *reader) askOnce(ctx context.Context, id string) (a answer, unread []string, err error) {
 	if f, ok := r.final(id); ok {
-		return f.st, true, nil
+		return answer{st: f.st, found: true}, nil, nil
 	}
 	q := &question{id: id, answer: make(chan struct{})}
 	r.mu.Lock()
@@ -78,30 +131,32 @@
 	select {
 	case <-q.answer:
 	case <-ctx.Done():
-		return protocol.JobStatus{}, false, ctx.Err()
+		return answer{}, nil, ctx.Err()
 	}
 	if !q.missed || q.err != nil {
-		return q.st, q.found, q.err
+		return answer{st: q.st, shape: q.shape, found: q.found}, q.unread, q.err
 	}
 	// It ended before we followed, or nobody submitted it.
 	p, err := r.store.Get(ctx, storage.Consult, storage.EndedKey(id))
 	if err != nil || p.Version == 0 {
-		return protocol.JobStatus{}, false, err
+		return answer{}, nil, err
 	}
-	st, err := endedStatus(id, p.Value)
+	f, err := endedStatus(id, p.Value)
 	if err != nil {
-		return st, false, err
+		return answer{}, nil, err
 	}
-	r.keep(st, false)
-	return st, true, nil
+	r.keep(f.st, f.told)
+	return answer{st: f.st, found: true}, nil, nil
 }
 
-func endedStatus(id string, value []byte) (protocol.JobStatus, error) {
+// endedStatus reads the record of a job that is over. One that was cancelled with a job that it awaited has
+// never had a task, so that nobody has to know of its cancellation before users are told.
+func endedStatus(id string, value []byte) (final, error) {
 	var rec storage.EndedRecord
 	if err := protocol.Decode(value, &rec); err != nil {
-		return protocol.JobStatus{}, err
+		return final{}, err
 	}
-	return protocol.JobStatus{ID: id, Standing: rec.Standing, Done: rec.Done}, nil
+	return final{st: protocol.JobStatus{ID: id, Standing: rec.Standing, Done: rec.Done}, told: rec.Need != ""}, nil
 }
 
 // work answers batches until nobody waits.
@@ -155,17 +210,53 @@
 		q.st = f.st
 		return
 	}
-	if !r.live[q.id] {
+	shape, live := r.live[q.id]
+	if !live {
 		q.found, q.missed = false, true
 		return
 	}
+	q.shape = shape
 	st, ok := statuses[q.id]
 	if !ok {
 		st = protocol.JobStatus{ID: q.id, Standing: protocol.Queued}
 	}
+	if st.Free {
+		r.graph.Free(q.id) // the leader has read that all that it awaits is done
+	}
+	if q.unread = r.unread(q.id); len(q.unread) > 0 {
+		return
+	}
+	if r.graph.State(q.id) == dependency.Cancelled {
+		st = protocol.JobStatus{ID: q.id, Standing: protocol.Cancelled}
+	}
 	q.st = st
 }
 
+// unread lists jobs that a job awaits, directly or not, of which it must be read how they ended.
+func (r *reader) unread(id string) []string {
+	for {
+		ids := r.graph.UnknownBefore(id, maxUnread)
+		settled := false
+		for _, need := range ids {
+			if f, ok := r.final(need); ok {
+				r.graph.End(need, stateOf(f.st.Standing))
+				settled = true
+			}
+		}
+		if !settled {
+			return ids
+		}
+	}
+}
+
+// stateOf is a final standing as the graph has it.
+func stateOf(standing protocol.Standing) dependency.State {
+	if standing == protocol.Done {
+		return dependency.Done
+	}
+	return dependency.Cancelled
+}
+
 // look takes in what has changed: first of the live keys, then of the final ones, for
 // the move is one way.
 func (r *reader) look(ctx context.Context) error {
@@ -174,9 +265,9 @@
 		if err != nil {
 			return err
 		}
-		r.live = make(map[string]bool, len(pairs))
+		r.live, r.graph = make(map[string]protocol.Shape, len(pairs)), dependency.New()
 		for _, p := range pairs {
-			r.live[p.Key[len(storage.LivePrefix):]] = true
+			r.enter(p.Key, p.Value)
 		}
 		// The list came in pages, from its first on: what changed meanwhile follows.
 		r.known, r.rev, r.end = true, rev, rev
@@ -189,10 +280,12 @@
 	dropped := false
 	for _, e := range ev.Events {
 		if e.Delete != "" {
-			delete(r.live, e.Delete[len(storage.LivePrefix):])
+			id := e.Delete[len(storage.LivePrefix):]
+			delete(r.live, id)
+			r.graph.Lose(id)
 			dropped = true
 		} else {
-			r.live[e.Put[len(storage.LivePrefix):]] = true
+			r.enter(e.Put, e.Value)
 		}
 	}
 	r.rev = max(r.rev, ev.Revision)
@@ -209,17 +302,35 @@
 		if e.Put == "" {
 			continue
 		}
-		st, err := endedStatus(e.Put[len(storage.EndedPrefix):], e.Value)
+		id := e.Put[len(storage.EndedPrefix):]
+		f, err := endedStatus(id, e.Value)
 		if err != nil {
 			r.log.Error("ended record out of form", "key", e.Put, "err", err)
 			continue
 		}
-		r.keep(st, false)
+		r.keep(f.st, f.told)
+		r.graph.End(id, stateOf(f.st.Standing))
 	}
 	r.end = max(r.end, ev.Revision)
 	return nil
 }
 
+// enter takes in a job that lives, with what it awaits.
+func (r *reader) enter(key string, value []byte) {
+	id := key[len(storage.LivePrefix):]
+	var rec struct {
+		Job struct {
+			Shape  protocol.Shape `msgpack:"shape"`
+			Awaits []string       `msgpack:"awaits"`
+		} `msgpack:"job"`
+	}
+	if err := protocol.Decode(value, &rec); err != nil {
+		r.log.Error("live record out of form", "key", key, "err", err)
+	}
+	r.live[id] = rec.Job.Shape
+	r.graph.Add(dependency.Job{ID: id, Needs: rec.Job.Awaits, Due: dependency.Never})
+}
+
 func (r *reader) final(id string) (final, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/internal/coordination/dependency/graph_test.go
@@ -0,0 +1,223 @@
+package dependency
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+// reference says by walking all jobs what the graph keeps up to date.
+type reference struct {
+	jobs  map[string]Job
+	ended map[string]State
+}
+
+// state returns whether a job is free, cancelled because of another, or waits.
+func (r *reference) state(id string) (open int, cancelled bool) {
+	for _, need := range r.jobs[id].Needs {
+		switch r.ended[need] {
+		case Done:
+			continue
+		case Cancelled:
+			return 0, true
+		}
+		if _, c := r.state(need); c {
+			return 0, true
+		}
+		open++
+	}
+	return open, false
+}
+
+// lives says whether a job has not ended and is not cancelled with another.
+func (r *reference) lives(id string) bool {
+	_, cancelled := r.state(id)
+	return r.ended[id] == Unknown && !cancelled
+}
+
+// level is the highest priority of a job and those that live and need it.
+func (r *reference) level(id string) int {
+	level := r.jobs[id].Level
+	for other, j := range r.jobs {
+		if r.lives(other) && slices.Contains(j.Needs, id) {
+			level = min(level, r.level(other))
+		}
+	}
+	return level
+}
+
+// TestGraphAgainstReference draws graphs, orders of submission, ends and cancellations, also of jobs that were
+// named before anybody knew how they had ended, and compares every answer with the reference's.
+func TestGraphAgainstReference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g, r := New(), &reference{jobs: map[string]Job{}, ended: map[string]State{}}
+		freed, cancelled := map[string]bool{}, map[string]bool{}
+		take := func(c Change) {
+			for _, id := range c.Freed {
+				if freed[id] {
+					t.Fatalf("%s is freed twice", id)
+				}
+				freed[id] = true
+			}
+			for _, id := range c.Cancelled {
+				if cancelled[id] {
+					t.Fatalf("%s is cancelled twice", id)
+				}
+				cancelled[id] = true
+			}
+			for _, id := range c.Unknown {
+				if state := r.ended[id]; state != Unknown {
+					c := g.End(id, state)
+					for _, id := range c.Freed {
+						freed[id] = true
+					}
+					for _, id := range c.Cancelled {
+						cancelled[id] = true
+					}
+				} else {
+					t.Fatalf("%s lives and is asked for", id)
+				}
+			}
+		}
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if len(r.jobs) == 0 || rapid.IntRange(0, 2).Draw(t, "what") > 0 {
+				j := Job{ID: fmt.Sprintf("j-%02d", step), Level: rapid.IntRange(0, 3).Draw(t, "level"), Due: Never}
+				for other := range r.jobs {
+					if rapid.IntRange(0, 3).Draw(t, "needs "+other) == 0 {
+						j.Needs = append(j.Needs, other)
+					}
+				}
+				r.jobs[j.ID] = j
+				take(g.Add(j))
+				continue
+			}
+			id := fmt.Sprintf("j-%02d", rapid.IntRange(0, step).Draw(t, "which"))
+			open, doomed := r.state(id)
+			switch {
+			case r.jobs[id].ID == "" || r.ended[id] != Unknown:
+			case doomed || rapid.Bool().Draw(t, "cancel"):
+				r.ended[id] = Cancelled
+				take(g.End(id, Cancelled))
+			case open == 0:
+				r.ended[id] = Done
+				take(g.End(id, Done))
+			}
+		}
+		for id := range r.jobs {
+			open, doomed := r.state(id)
+			if r.ended[id] != Unknown {
+				continue
+			}
+			if got := g.State(id); (got == Cancelled) != doomed || got == Done || got == Unknown {
+				t.Fatalf("%s is in state %d, cancelled %v", id, got, doomed)
+			}
+			if cancelled[id] != doomed {
+				t.Fatalf("%s was told to be cancelled: %v, want %v", id, cancelled[id], doomed)
+			}
+			if doomed {
+				continue
+			}
+			if got := g.Open(id); got != open {
+				t.Fatalf("%s has %d open needs, want %d", id, got, open)
+			}
+			if freed[id] && open > 0 {
+				t.Fatalf("%s was freed with %d open needs", id, open)
+			}
+			if got, ok := g.Level(id); !ok || got != r.level(id) {
+				t.Fatalf("%s has level %d, want %d", id, got, r.level(id))
+			}
+		}
+	})
+}
+
+// TestLatestStartFlowsBack: the deadline of the last job bounds when all before it must start, whichever
+// was submitted first, and the longest path counts.
+func TestLatestStartFlowsBack(t *testing.T) {
+	jobs := []Job{
+		{ID: "first", Level: 3, Due: Never, Estimate: 10},
+		{ID: "short", Level: 3, Due: Never, Estimate: 5, Needs: []string{"first"}},
+		{ID: "long", Level: 3, Due: Never, Estimate: 50, Needs: []string{"first"}},
+		{ID: "last", Level: 1, Due: 200, Estimate: 20, Needs: []string{"short", "long"}},
+	}
+	want := map[string]time.Duration{"first": 120, "short": 175, "long": 130, "last": 180}
+	for _, order := range [][]int{{0, 1, 2, 3}, {3, 2, 1, 0}, {3, 0, 2, 1}} {
+		g := New()
+		for _, i := range order {
+			g.Add(jobs[i])
+		}
+		for id, start := range want {
+			if got := g.LatestStart(id); got != start {
+				t.Errorf("order %v: %s must start by %d, want %d", order, id, got, start)
+			}
+			if level, _ := g.Level(id); level != 1 {
+				t.Errorf("order %v: %s has level %d, want that of the last job", order, id, level)
+			}
+		}
+	}
+}
+
+// TestLostAndReadAgain: a job that has ended, nobody knows how, holds up those that need it until that is
+// read, and they are found however far they are.
+func TestLostAndReadAgain(t *testing.T) {
+	g := New()
+	g.Add(Job{ID: "a", Due: Never})
+	g.Add(Job{ID: "b", Needs: []string{"a"}, Due: Never})
+	g.Add(Job{ID: "c", Needs: []string{"b"}, Due: Never})
+	if c := g.Lose("a"); !slices.Equal(c.Unknown, []string{"a"}) {
+		t.Fatalf("losing it asks for %v", c.Unknown)
+	}
+	if got := g.UnknownBefore("c", 9); !slices.Equal(got, []string{"a"}) {
+		t.Fatalf("before the last job is unknown: %v", got)
+	}
+	if c := g.End("a", Cancelled); !slices.Equal(c.Cancelled, []string{"b", "c"}) || g.Cause("c") != "a" {
+		t.Errorf("cancelled with it: %v, because of %q", c.Cancelled, g.Cause("c"))
+	}
+}
+
+// TestCostsFollowEdges: what an end and a submission cost does not grow with the jobs that wait, in a chain of ten
+// thousand, with one job that ten thousand await, and in layers.
+func TestCostsFollowEdges(t *testing.T) {
+	const n = 10_000
+	chain, star := New(), New()
+	star.Add(Job{ID: "hub", Level: 3, Due: Never})
+	last := ""
+	for i := range n {
+		id := fmt.Sprintf("j-%05d", i)
+		star.Add(Job{ID: id, Level: 3, Due: Never, Needs: []string{"hub"}})
+		var needs []string
+		if last != "" {
+			needs = []string{last}
+		}
+		chain.Add(Job{ID: id, Level: 3, Due: Never, Needs: needs})
+		last = id
+	}
+	if c := chain.Add(Job{ID: "end", Level: 1, Due: time.Hour, Needs: []string{last}}); len(c.Raised) != n+1 {
+		t.Errorf("the chain's end raises %d jobs, want %d", len(c.Raised), n+1)
+	}
+	if c := chain.End("j-00000", Done); len(c.Freed) != 1 || len(c.Raised) != 0 {
+		t.Errorf("the chain's first end frees %d and raises %d jobs", len(c.Freed), len(c.Raised))
+	}
+	if c := star.End("hub", Done); len(c.Freed) != n {
+		t.Errorf("the end that all await frees %d jobs", len(c.Freed))
+	}
+	layers := New()
+	for layer := range 100 {
+		for k := range 100 {
+			j := Job{ID: fmt.Sprintf("l%02d-%02d", layer, k), Level: 3, Due: Never}
+			for need := 0; layer > 0 && need < 100; need++ {
+				j.Needs = append(j.Needs, fmt.Sprintf("l%02d-%02d", layer-1, need))
+			}
+			layers.Add(j)
+		}
+	}
+	if c := layers.End("l00-00", Cancelled); len(c.Cancelled) != 99*100 {
+		t.Errorf("a cancellation in the first layer cancels %d jobs after it, want all of the others'", len(c.Cancelled))
+	}
+}
--- a/internal/coordination/election/events.go
+++ b/internal/coordination/election/events.go
@@ -37,6 +37,7 @@
 		Won   bool
 		Term  uint64
 		Stamp uint64
+		Level int // the final feature level
 		Lease uint64
 		Sent  time.Duration
 	}
@@ -70,8 +71,11 @@
 	Claim struct{ Over uint64 }
 	// Renew renews the leader's lease.
 	Renew struct{ Lease, Term uint64 }
-	// Lead begins the leadership of a term.
-	Lead struct{ Term, Stamp uint64 }
+	// Lead begins the leadership of a term, in which a feature level is final.
+	Lead struct {
+		Term, Stamp uint64
+		Level       int
+	}
 	// Yield ends the leadership of a term, and the lease that holds its key.
 	Yield struct{ Term, Lease uint64 }
 )
--- a/internal/coordination/election/peers.go
+++ b/internal/coordination/election/peers.go
@@ -72,7 +72,7 @@
 	m.claimAt = 0
 	clear(m.acks)
 	clear(m.full)
-	m.out = append(m.out, Lead{e.Term, e.Stamp})
+	m.out = append(m.out, Lead{Term: e.Term, Stamp: e.Stamp, Level: e.Level})
 }
 
 func (m *Machine) renewal(now time.Duration, e Renewed) {
--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -30,6 +30,10 @@
 			go l.order(e)
 		case scheduler.Inspect:
 			l.inspections.Add(e)
+		case scheduler.ReadEnd:
+			go l.readEnd(e)
+		case scheduler.LevelReached:
+			l.LevelReached(e.Level)
 		case scheduler.Decided:
 			l.Log.Info("zone return", "decision", e.Decision.Describe())
 		case scheduler.Fleet:
@@ -79,35 +83,58 @@
 			l.box.Send(scheduler.Written{Write: w.ID, Failed: failed})
 			return
 		case err == nil:
-			p, err := l.Store.Get(l.ctx, use, w.Verify)
-			if err != nil {
-				break
-			}
-			var rec struct {
-				Write string `msgpack:"w"`
-			}
-			mine := w.Name == "" && p.Version == 0
-			if p.Version != 0 && protocol.Decode(p.Value, &rec) == nil && rec.Write == w.Name {
-				mine = true
+			if mine, rev, known := l.carriedOut(use, w, uncertain); known {
+				l.box.Send(scheduler.Written{Write: w.ID, OK: mine, Rev: rev, Failed: failed})
+				return
 			}
-			l.box.Send(scheduler.Written{Write: w.ID, OK: mine, Rev: p.Version, Failed: failed})
-			return
 		case errors.Is(err, storage.ErrUncertain):
 			uncertain = true
 		case !errors.Is(err, storage.ErrUnavailable):
-			// Refused for its form: trying again at once would not help, and
-			// giving up would leave the books open.
+			// Refused for its form: as it is it will never be carried out, unless an earlier try was.
 			l.Log.Error("write refused", "key", w.Verify, "err", err)
-			if w.Shared && !uncertain {
-				l.box.Send(scheduler.Written{Write: w.ID, Refused: true})
+			if mine, rev, known := l.carriedOut(use, w, uncertain); known {
+				l.box.Send(scheduler.Written{Write: w.ID, OK: mine, Rev: rev, Refused: !mine})
 				return
 			}
-			l.Random.Pause(l.ctx, w.Verify, 10*scheduler.Cycle)
 		}
 		l.Random.Pause(l.ctx, w.Verify, scheduler.Cycle/10)
 	}
 }
 
+// carriedOut says whether an earlier try of a write, of which no answer came, was carried out: then the record
+// names it. known is false if that can't be told now.
+func (l *Leader) carriedOut(use storage.Use, w scheduler.Write, uncertain bool) (mine bool, rev uint64, known bool) {
+	if !uncertain {
+		return false, 0, true
+	}
+	p, err := l.Store.Get(l.ctx, use, w.Verify)
+	if err != nil {
+		return false, 0, false
+	}
+	var rec struct {
+		Write string `msgpack:"w"`
+	}
+	mine = w.Name == "" && p.Version == 0
+	if p.Version != 0 && protocol.Decode(p.Value, &rec) == nil && rec.Write == w.Name {
+		mine = true
+	}
+	return mine, p.Version, true
+}
+
+// readEnd reads how a job has ended.
+func (l *Leader) readEnd(e scheduler.ReadEnd) {
+	read := scheduler.EndRead{ID: e.ID}
+	p, err := l.Store.Get(l.ctx, storage.Decide, storage.EndedKey(e.ID))
+	var rec storage.EndedRecord
+	switch {
+	case err != nil:
+		l.Log.Debug("end not read", "job", e.ID, "err", err)
+	case p.Version != 0 && protocol.Decode(p.Value, &rec) == nil:
+		read.Standing = rec.Standing
+	}
+	l.box.Send(read)
+}
+
 func (l *Leader) order(o scheduler.Order) {
 	status, raw, err := l.Workers.Do(l.ctx, orderPatience(l.Cfg), http.MethodPost, "http://"+o.Addr+"/commands", o.Orders)
 	done := scheduler.OrdersDone{Machine: o.Machine}
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -12,6 +12,7 @@
 
 	"pinebay/internal/actor"
 	"pinebay/internal/config"
+	"pinebay/internal/coordination/featurelevel"
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/coordination/zones"
 	"pinebay/internal/protocol"
@@ -48,6 +49,8 @@
 	ZoneReturn *zones.Order
 	// Types is told of machine types that were read.
 	Types func([]protocol.MachineType)
+	// LevelReached is told of a feature level that this leader has made final.
+	LevelReached func(featurelevel.Level)
 	// Timing measures the steps; nil: off.
 	Timing *timing.Recorder
 }
@@ -55,7 +58,8 @@
 // Leader is one term of leadership.
 type Leader struct {
 	Deps
-	term, stamp uint64
+	lead        scheduler.Term
+	term        uint64
 	box         *actor.Mailbox[any] // of scheduler.Event, query and loaded
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -93,10 +97,10 @@
 const socketsInspects = 32
 
 // Start begins a term.
-func Start(ctx context.Context, d Deps, term, stamp uint64) *Leader {
-	l := &Leader{Deps: d, term: term, stamp: stamp, box: actor.NewMailbox[any]()}
+func Start(ctx context.Context, d Deps, term scheduler.Term) *Leader {
+	l := &Leader{Deps: d, lead: term, term: term.Number, box: actor.NewMailbox[any]()}
 	l.inspections = actor.NewPool(max(1, d.Cfg.Quota.MaxSockets/socketsInspects), l.inspect)
-	l.Log = d.Log.With("term", term)
+	l.Log = d.Log.With("term", term.Number)
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	go l.run()
 	return l
@@ -130,6 +134,9 @@
 	l.box.Send(scheduler.Withdrawn{ID: job, Until: at + l.Confirm})
 }
 
+// Finalise asks that a feature level be made final.
+func (l *Leader) Finalise(level featurelevel.Level) { l.box.Send(scheduler.Finalise{Level: level}) }
+
 // Statuses asks what the leader knows of jobs; those that it does not know are missing.
 // false means that it did not answer.
 func (l *Leader) Statuses(ctx context.Context, ids []string) ([]protocol.JobStatus, bool) {
@@ -183,8 +190,7 @@
 			early.add(e)
 		case loaded:
 			records := scheduler.Records{Types: e.types, Live: e.live, Pages: e.pages, Images: e.images, ZonePages: e.zones}
-			term := scheduler.Term{Number: l.term, Stamp: l.stamp}
-			core = scheduler.New(now, l.Cfg, l.Log, term, records, time.Now().UnixMilli(), l.ZoneReturn)
+			core = scheduler.New(now, l.Cfg, l.Log, l.lead, records, time.Now().UnixMilli(), l.ZoneReturn)
 			l.Log.Info("records read", "jobs", len(e.live), "pages", len(e.pages), "took", now-began)
 			withdrawals := l.Withdrawals(now)
 			for _, job := range slices.Sorted(maps.Keys(withdrawals)) {
@@ -199,7 +205,7 @@
 				l.do(core.Step(now, r))
 			}
 			go l.refreshTypes()
-		case scheduler.JobSet, scheduler.JobDropped, scheduler.Fresh:
+		case scheduler.JobSet, scheduler.JobDropped, scheduler.Fresh, scheduler.Finalise:
 			changes = append(changes, e.(scheduler.Event))
 		}
 	}
--- a/internal/coordination/partition/views.go
+++ b/internal/coordination/partition/views.go
@@ -177,6 +177,18 @@
 	p.touch(m)
 }
 
+// SetLevel has a placement count by another priority from now on.
+func (p *Partition) SetLevel(pl *Placement, level int) {
+	m := p.machines[pl.Machine]
+	if m == nil || m.placements[pl.Task] != pl {
+		pl.Level = level
+		return
+	}
+	p.leave(m, pl)
+	pl.Level = level
+	p.enter(m, pl)
+}
+
 // stops counts a placement that is to end from now on.
 func (p *Partition) stops(pl *Placement) {
 	m := p.machines[pl.Machine]
--- a/internal/coordination/scheduler/cancel.go
+++ b/internal/coordination/scheduler/cancel.go
@@ -57,7 +57,7 @@
 // held says whether a job must not start anything.
 func (c *Core) held(j *job) bool {
 	_, ok := c.withdrawn[j.spec.ID]
-	return ok || j.over || j.finishing
+	return ok || j.over || j.finishing || j.blocked
 }
 
 // dropped takes in that a job is over by somebody's transaction.
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pinebay/internal/config"
+	"pinebay/internal/coordination/dependency"
+	"pinebay/internal/coordination/featurelevel"
 	"pinebay/internal/coordination/fleet"
 	"pinebay/internal/coordination/partition"
 	"pinebay/internal/coordination/zones"
@@ -34,7 +36,16 @@
 	log       *slog.Logger
 	term      uint64
 	termStamp uint64
-	perPage   int
+	node      string
+	// level is the feature level that is final, and stateLimits are what records keep to.
+	level       featurelevel.Level
+	stateLimits config.State
+	// paused says that no writes begin until those under way have ended and the level is final.
+	paused bool
+	target featurelevel.Level // while paused: the level to be made final
+	graph  *dependency.Graph
+	doomed []*job // cancelled with a job that they await, and not recorded yet
+	timers []timer
 
 	machines *partition.Partition
 	fleet    *fleet.Fleet
@@ -87,8 +98,12 @@
 	returning     *zoneReturn // nil unless it is on
 }
 
-// Term is the term that a core leads: its number, and the version of its record.
-type Term struct{ Number, Stamp uint64 }
+// Term is the term that a core leads.
+type Term struct {
+	Number, Stamp uint64 // its number, and the version of its record
+	Node          string // this controller
+	Level         featurelevel.Level
+}
 
 // Records is what a new leader reads.
 type Records struct {
@@ -100,13 +115,14 @@
 // turns on zone return; nil leaves it off.
 func New(now time.Duration, cfg *config.Deployment, log *slog.Logger, term Term, rec Records, wallMS int64, order *zones.Order) *Core {
 	c := &Core{
-		cfg: cfg, log: log, term: term.Number, termStamp: term.Stamp, wallMS: wallMS, perPage: storage.PageTasks(cfg.State.ValueKB),
+		cfg: cfg, log: log, term: term.Number, termStamp: term.Stamp, node: term.Node, wallMS: wallMS, graph: dependency.New(),
 		machines: partition.New(term.Number, cfg.Workers), fleet: fleet.New(term.Number, cfg.Cloud, cfg.Workers), jobs: map[string]*job{}, withdrawn: map[string]time.Duration{},
 		writes: map[uint64]func(time.Duration, Written){}, due: true, began: now,
 		lastCycle: now - Cycle, lastPlan: now - Cycle,
 		arrivals: map[string][]time.Duration{}, sample: map[string]*protocol.Job{}, sizes: map[string]float64{},
 		counted: map[string]float64{}, prior: map[string]float64{}, imagePages: map[string]string{}, imagesWritten: now,
 	}
+	c.setLevel(term.Level)
 	c.queues, c.roster, c.find, c.preemptionRound = newJobQueues(), newRoster(), indexFinder{c}, 1
 	c.searchLooks, c.preemptionLooks = maxLooks, preemptionLooks
 	c.teams, c.waitAims = map[string]*config.Team{}, waitAimsOf(cfg.Objectives)
@@ -115,12 +131,16 @@
 	}
 	c.machines.SetTypes(rec.Types)
 	c.recoverImages(rec.Images)
+	started := jobsWithPages(rec.Pages)
 	for _, p := range rec.Live {
 		var rec storage.LiveRecord
 		if err := protocol.Decode(p.Value, &rec); err != nil {
 			log.Error("live record out of form", "key", p.Key, "err", err)
 			continue
 		}
+		if started[rec.Job.ID] {
+			rec.Job.Awaits = nil // its record proves that all of them are done
+		}
 		age := time.Duration(max(0, wallMS-rec.AtMS)) * time.Millisecond
 		c.accept(now, now-age, rec, p.Version)
 	}
@@ -128,9 +148,7 @@
 		// The last leader has counted those jobs that live.
 		delete(c.arrivals, class)
 	}
-	for _, p := range rec.Pages {
-		c.recoverPage(now, p)
-	}
+	c.recoverPages(now, rec.Pages)
 	for _, j := range c.sorted() {
 		// A gang that the last leader did not finish writing starts anew.
 		if j.spec.Shape == protocol.Gang && len(j.places) > 0 && j.counts[pending] > 0 {
@@ -150,7 +168,6 @@
 
 // Step takes an event and returns what is to be done.
 func (c *Core) Step(now time.Duration, event Event) []Effect {
-	c.out = nil
 	switch e := event.(type) {
 	case Tick:
 		c.tick(now)
@@ -169,6 +186,11 @@
 			delete(c.writes, e.Write)
 			f(now, e)
 		}
+		c.finaliseWhenQuiet()
+	case EndRead:
+		c.endRead(now, e)
+	case Finalise:
+		c.finalise(e)
 	case OrdersDone:
 		c.ordersDone(now, e)
 	case Inspected:
@@ -203,7 +225,9 @@
 		}
 	}
 	c.announceDecisions()
-	return c.out
+	out := c.out // with what was asked for at the beginning of the term
+	c.out = nil
+	return out
 }
 
 func (c *Core) emit(effects ...Effect) { c.out = append(c.out, effects...) }
@@ -221,10 +245,12 @@
 // Status tells what the leader knows of a job.
 func (c *Core) Status(id string) (protocol.JobStatus, bool) {
 	j := c.jobs[id]
-	if j == nil || j.over || j.finishing {
+	if j == nil || j.over || j.finishing || c.graph.State(id) == dependency.Cancelled {
 		return protocol.JobStatus{}, false
 	}
-	return j.standing(), true
+	status := j.standing()
+	status.Free = !j.blocked
+	return status, true
 }
 
 // Cycles returns how many scheduling cycles have run.
@@ -253,6 +279,7 @@
 // cycle, and had planning waited for a cycle without, nothing would have been
 // rented, returned or fenced for minutes.
 func (c *Core) tick(now time.Duration) {
+	c.runTimers(now)
 	c.inspectSome(now)
 	full := now-c.lastPlan >= Cycle
 	if full || c.due && now-c.lastCycle >= min(maxPause, Eager*time.Duration(1+len(c.jobs)/crowd)) {
@@ -282,11 +309,13 @@
 	}
 	c.logFleet(now, units)
 	c.checkReach(now)
+	c.replacePages(now)
 	c.writeImages(now)
 }
 
 // writeAll writes the records that starts wait for, and what has ended as far as there is room.
 func (c *Core) writeAll(now time.Duration) {
 	c.recordStarts(now)
+	c.recordCancelled()
 	c.settleEnded(now)
 }
--- a/internal/coordination/scheduler/demand.go
+++ b/internal/coordination/scheduler/demand.go
@@ -46,7 +46,7 @@
 		}
 	}
 	c.spareNow = c.spare(now)
-	return append(units, c.spareNow...)
+	return append(append(units, c.foreseen(now)...), c.spareNow...)
 }
 
 // zoneQuestion is what the choice of a zone depends on.
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pinebay/internal/coordination/featurelevel"
 	"pinebay/internal/coordination/fleet"
 	"pinebay/internal/coordination/zones"
 	"pinebay/internal/protocol"
@@ -39,7 +40,7 @@
 	// Fresh says that all changes of the accepted jobs up to At have been told.
 	Fresh struct{ At time.Duration }
 	// Written is the outcome of a Write. Failed names the conditions that did
-	// not hold. Refused says that a shared one was refused for its form.
+	// not hold. Refused says that it was refused for its form, and not carried out.
 	Written struct {
 		Write   uint64
 		OK      bool
@@ -47,6 +48,13 @@
 		Failed  []string
 		Refused bool
 	}
+	// EndRead is what the state service says of how a job ended: "" if there is no record of that.
+	EndRead struct {
+		ID       string
+		Standing protocol.Standing
+	}
+	// Finalise asks that a feature level be made final.
+	Finalise struct{ Level featurelevel.Level }
 	// OrdersDone is the outcome of an Order. Report is nil without an answer.
 	OrdersDone struct {
 		Machine string
@@ -83,6 +91,7 @@
 // Purposes.
 const (
 	Starts Purpose = iota // placements that wait for their record
+	Frees                 // ends of jobs that others await
 	Ends                  // what has ended: tasks, and jobs
 	Upkeep                // cleaning, and hints for the next leader
 )
@@ -116,6 +125,10 @@
 	}
 	// Inspect asks a machine how it stands; no answer means nothing.
 	Inspect struct{ Machine, Addr string }
+	// ReadEnd asks how a job ended; EndRead answers.
+	ReadEnd struct{ ID string }
+	// LevelReached says that a feature level is final.
+	LevelReached struct{ Level featurelevel.Level }
 	// Decided tells of a decision because of a zone.
 	Decided struct{ Decision zones.Decision }
 	// Depose says that this leader's time is over; Term is a later one, if one
@@ -134,6 +147,8 @@
 func (Withdrawn) event()  {}
 func (Fresh) event()      {}
 func (Written) event()    {}
+func (EndRead) event()    {}
+func (Finalise) event()   {}
 func (OrdersDone) event() {}
 func (Inspected) event()  {}
 func (Types) event()      {}
@@ -141,10 +156,12 @@
 func (Rented) event()     {}
 func (Released) event()   {}
 
-func (Answer) effect()  {}
-func (Write) effect()   {}
-func (Order) effect()   {}
-func (Inspect) effect() {}
-func (Depose) effect()  {}
-func (Fleet) effect()   {}
-func (Decided) effect() {}
+func (Answer) effect()       {}
+func (Write) effect()        {}
+func (Order) effect()        {}
+func (Inspect) effect()      {}
+func (Depose) effect()       {}
+func (Fleet) effect()        {}
+func (Decided) effect()      {}
+func (ReadEnd) effect()      {}
+func (LevelReached) effect() {}
--- a/internal/coordination/scheduler/images.go
+++ b/internal/coordination/scheduler/images.go
@@ -39,13 +39,13 @@
 // writeImages writes down the machines' images, a page at a time and not often:
 // it is a help for the next leader, and must not stand in anybody's way.
 func (c *Core) writeImages(now time.Duration) {
-	if c.imagesWriting || now-c.imagesWritten < imagesPause {
+	if c.imagesWriting || c.paused || now-c.imagesWritten < imagesPause {
 		return
 	}
 	c.imagesWritten = now
 	copies := c.machines.Copies()
 	names := slices.Sorted(maps.Keys(copies))
-	per := storage.ImagesPerRecord(c.cfg.State.ValueKB)
+	per := storage.ImagesPerRecord(c.stateLimits.ValueKB)
 	pages := map[string][]byte{}
 	for page := 0; page*per < len(names); page++ {
 		var rec storage.ImagesRecord
@@ -72,7 +72,7 @@
 			sort.Slice(rec.Arrivals, func(a, b int) bool { return rec.Arrivals[a].Class < rec.Arrivals[b].Class })
 		}
 		raw, err := protocol.Encode(rec)
-		if err != nil || float64(len(raw)) > c.cfg.State.ValueKB*1024/2 {
+		if err != nil || !storage.Fits(raw, c.stateLimits.ValueKB) {
 			continue // too many names for a hint
 		}
 		pages[storage.ImagesKey(page)] = raw
@@ -80,14 +80,14 @@
 	t := protocol.Txn{If: []protocol.Cond{{Key: storage.TermKey, Version: c.termStamp}}}
 	var changed []string
 	for _, key := range slices.Sorted(maps.Keys(c.imagePages)) {
-		if pages[key] == nil {
+		if pages[key] == nil && len(t.Then) < c.stateLimits.TxnOps/2 {
 			t.Then = append(t.Then, protocol.Op{Delete: key})
 			changed = append(changed, key)
 		}
 	}
 	for _, key := range inTurnFrom(c.imagesFrom, slices.Sorted(maps.Keys(pages))) {
 		raw := pages[key]
-		if c.imagePages[key] != string(raw) && len(t.Then) < c.cfg.State.TxnOps/2 {
+		if c.imagePages[key] != string(raw) && len(t.Then) < c.stateLimits.TxnOps/2 {
 			t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
 			changed = append(changed, key)
 			c.imagesFrom = key
@@ -100,6 +100,9 @@
 	id, _ := c.name()
 	c.writes[id] = func(_ time.Duration, w Written) {
 		c.imagesWriting = false
+		if !w.OK {
+			return // a hint; it is written anew the next time
+		}
 		for _, key := range changed {
 			if pages[key] == nil {
 				delete(c.imagePages, key)
--- a/internal/coordination/scheduler/job.go
+++ b/internal/coordination/scheduler/job.go
@@ -5,11 +5,10 @@
 package scheduler
 
 import (
-	"slices"
-	"sort"
 	"strings"
 	"time"
 
+	"pinebay/internal/coordination/dependency"
 	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
@@ -34,13 +33,21 @@
 	atMS  int64
 	known time.Duration // when it was submitted, by this leader's clock
 
-	tasks   []taskState
-	counts  [3]int
-	low     int // no task below it is pending
-	places  map[int]*partition.Placement
-	ran     map[int]bool // replicas that have run, and should be back soon if lost
-	pages   map[int]*page
-	perPage int
+	tasks  []taskState
+	counts [3]int
+	low    int // no task below it is pending
+	places map[int]*partition.Placement
+	ran    map[int]bool // replicas that have run, and should be back soon if lost
+	pages  map[int]*page
+	layout storage.Layout
+	// superseded are stored pages of other layouts, wider than the job's own. They count for tasks of
+	// whose own page nothing is stored yet, and are dropped when they count for none.
+	superseded []superseded
+
+	// blocked says that a job that it awaits is not durably done, or that it is cancelled with one.
+	blocked bool
+	// latestStart is by when it must start so that all deadlines can be met that depend on it.
+	latestStart time.Duration
 
 	over      bool // cancelled, or its end is recorded
 	finishing bool // the transaction that ends it is under way
@@ -79,19 +86,12 @@
 	queues                           *jobQueues // nil until it is in some
 }
 
-// page is a run of tasks that share a record.
-type page struct {
-	stamp    uint64
-	attempts uint64
-	dirty    bool
-	exits    []*partition.Placement // gone, and still in the record
-}
-
-func newJob(spec protocol.Job, stamp uint64, atMS int64, now time.Duration, perPage int) *job {
+func newJob(spec protocol.Job, stamp uint64, atMS int64, now time.Duration, layout storage.Layout) *job {
 	return &job{
 		spec: spec, need: partition.NeedOf(&spec), level: spec.Priority.Level(), types: strings.Join(spec.Types, " "), stamp: stamp, atMS: atMS, known: now,
-		tasks: make([]taskState, spec.Tasks), counts: [3]int{spec.Tasks, 0, 0},
-		places: map[int]*partition.Placement{}, ran: map[int]bool{}, pages: map[int]*page{}, perPage: perPage, failedOn: map[string]bool{},
+		latestStart: dependency.Never,
+		tasks:       make([]taskState, spec.Tasks), counts: [3]int{spec.Tasks, 0, 0},
+		places: map[int]*partition.Placement{}, ran: map[int]bool{}, pages: map[int]*page{}, layout: layout, failedOn: map[string]bool{},
 	}
 }
 
@@ -124,22 +124,6 @@
 	return -1
 }
 
-func (j *job) page(n int) *page {
-	p := j.pages[n]
-	if p == nil {
-		p = &page{}
-		j.pages[n] = p
-	}
-	return p
-}
-
-func (j *job) pageOf(task int) *page { return j.page(task / j.perPage) }
-
-func (j *job) touch(task int, now time.Duration) {
-	j.pageOf(task).dirty = true
-	j.queues.addEnded(now, j)
-}
-
 // attempt returns the next attempt number of a task; those of a gang agree.
 func (j *job) attempt(task int) uint64 {
 	if j.spec.Shape != protocol.Gang {
@@ -152,79 +136,6 @@
 	return n + 1
 }
 
-// record returns page n as it should be stored.
-func (j *job) record(n int, write string) *storage.PageRecord {
-	p := j.page(n)
-	r := &storage.PageRecord{
-		Write: write, Attempts: p.attempts, Team: j.spec.Team,
-		CPUs: j.need.CPUs, GPUs: j.need.GPUs, MemoryGB: j.need.MemoryGB,
-	}
-	for t := n * j.perPage; t < min((n+1)*j.perPage, len(j.tasks)); t++ {
-		if j.tasks[t] == done {
-			r.AddDone(t)
-		}
-		if pl := j.places[t]; pl != nil {
-			r.Places = append(r.Places, storage.Place{
-				Task: t, Machine: pl.Machine, Session: pl.Session, Attempt: pl.Attempt, Zone: r.ZoneIndex(pl.Zone),
-			})
-		}
-	}
-	return r
-}
-
-// What a record takes at the most, in the JSON form that limits count, beside its placements.
-const (
-	recordHeadBytes = 512
-	doneRangeBytes  = 16
-)
-
-// pageBytes bounds the size of page n as a record.
-func (j *job) pageBytes(n int) int {
-	size := recordHeadBytes
-	last := false
-	for t := n * j.perPage; t < min((n+1)*j.perPage, len(j.tasks)); t++ {
-		isDone := j.tasks[t] == done
-		if isDone && !last {
-			size += doneRangeBytes
-		}
-		last = isDone
-		if j.places[t] != nil {
-			size += storage.PlaceBytes
-		}
-	}
-	return size
-}
-
-// dirtyPages lists the pages to be written, in order.
-func (j *job) dirtyPages() []int {
-	var ns []int
-	for n, p := range j.pages {
-		if p.dirty {
-			ns = append(ns, n)
-		}
-	}
-	sort.Ints(ns)
-	return ns
-}
-
-// pagesToWrite lists up to so many pages to be written, those first for which starts wait.
-func (j *job) pagesToWrite(most int) []int {
-	var ns []int
-	add := func(n int) {
-		if len(ns) < most && !slices.Contains(ns, n) {
-			ns = append(ns, n)
-		}
-	}
-	for _, pl := range j.granted {
-		add(pl.Task.Task / j.perPage)
-	}
-	for _, n := range j.dirtyPages() {
-		add(n)
-	}
-	slices.Sort(ns)
-	return ns
-}
-
 // leaving says whether tasks are being stopped, and will have to be placed anew.
 func (j *job) leaving() bool {
 	for _, pl := range j.places {
--- a/internal/coordination/scheduler/jobqueues.go
+++ b/internal/coordination/scheduler/jobqueues.go
@@ -11,6 +11,7 @@
 // jobs. The trees are in the order of the jobs' turns.
 type jobQueues struct {
 	pendingJobs  *btree.BTreeG[*job] // with tasks to place
+	blockedJobs  *btree.BTreeG[*job] // that await others
 	starts       *startQueue         // with placements that wait for their record
 	fetchingJobs *btree.BTreeG[*job] // placed lately, with tasks that may still fetch their image
 	endedJobs    []*job              // with pages to write, the longest waiting first
@@ -18,12 +19,13 @@
 
 func newJobQueues() *jobQueues {
 	tree := func() *btree.BTreeG[*job] { return btree.NewBTreeGOptions(goesBefore, btree.Options{NoLocks: true}) }
-	return &jobQueues{pendingJobs: tree(), starts: newStartQueue(), fetchingJobs: tree()}
+	return &jobQueues{pendingJobs: tree(), blockedJobs: tree(), starts: newStartQueue(), fetchingJobs: tree()}
 }
 
-// goesBefore orders jobs by priority, then age.
+// goesBefore orders jobs by priority; among equals those come first of which a pipeline's deadline depends,
+// by when they must start, and the others by age.
 func goesBefore(a, b *job) bool {
-	return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.atMS, b.atMS), cmp.Compare(a.spec.ID, b.spec.ID)) < 0
+	return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.latestStart, b.latestStart), cmp.Compare(a.atMS, b.atMS), cmp.Compare(a.spec.ID, b.spec.ID)) < 0
 }
 
 // update enters a job that has tasks to place, or takes it out. Queues that are nil hold nothing.
@@ -31,11 +33,39 @@
 	if q == nil {
 		return
 	}
-	if j.counts[pending] > 0 && !j.over {
-		q.pendingJobs.Set(j)
-	} else {
+	enter := func(tree *btree.BTreeG[*job], in bool) {
+		if in {
+			tree.Set(j)
+		} else {
+			tree.Delete(j)
+		}
+	}
+	waits := j.counts[pending] > 0 && !j.over
+	enter(q.pendingJobs, waits && !j.blocked)
+	enter(q.blockedJobs, waits && j.blocked)
+}
+
+// reorder changes by what a job is ordered.
+func (q *jobQueues) reorder(j *job, change func()) {
+	fetching := false
+	if q != nil {
+		_, fetching = q.fetchingJobs.Get(j)
 		q.pendingJobs.Delete(j)
+		q.blockedJobs.Delete(j)
+		q.fetchingJobs.Delete(j)
+	}
+	queued := j.recordQueued
+	if queued {
+		q.starts.remove(j)
 	}
+	change()
+	if queued {
+		q.starts.add(j)
+	}
+	if fetching {
+		q.fetchingJobs.Set(j)
+	}
+	j.queues.update(j)
 }
 
 // addPlaced enters a job of which tasks were placed.
@@ -77,6 +107,7 @@
 // remove takes a job out of the trees; the queue drops it in its turn.
 func (q *jobQueues) remove(j *job) {
 	q.pendingJobs.Delete(j)
+	q.blockedJobs.Delete(j)
 	q.starts.remove(j)
 	q.fetchingJobs.Delete(j)
 }
--- a/internal/coordination/scheduler/lifecycle.go
+++ b/internal/coordination/scheduler/lifecycle.go
@@ -19,18 +19,27 @@
 		}
 		return
 	}
-	j := newJob(rec.Job, stamp, rec.AtMS, since, c.perPage)
+	j := newJob(rec.Job, stamp, rec.AtMS, since, c.layout())
 	c.jobs[id] = j
+	c.addDependencies(now, j)
 	c.enqueue(j)
-	class := rec.Job.Class
+	if j.blocked {
+		return // it arrives when it is freed
+	}
+	c.arrived(j, since)
+	c.due = true
+}
+
+// arrived remembers when a job came that may begin, for the forecast of arrivals.
+func (c *Core) arrived(j *job, since time.Duration) {
+	class := j.spec.Class
 	c.arrivals[class] = append(c.arrivals[class], since)
 	c.sample[class] = &j.spec
 	if old := c.sizes[class]; old > 0 {
-		c.sizes[class] = old + (float64(rec.Job.Tasks)-old)/8
+		c.sizes[class] = old + (float64(j.spec.Tasks)-old)/8
 	} else {
-		c.sizes[class] = float64(rec.Job.Tasks)
+		c.sizes[class] = float64(j.spec.Tasks)
 	}
-	c.due = true
 }
 
 // facts takes in what became of placements.
@@ -187,6 +196,7 @@
 // end takes in that a job is over.
 func (c *Core) end(now time.Duration, j *job) {
 	j.over, j.stamp = true, 0
+	c.needLost(now, j.spec.ID)
 	c.queues.update(j)
 	c.due = true
 	if j.counts[done] < len(j.tasks) {
--- a/internal/coordination/scheduler/zonerecords.go
+++ b/internal/coordination/scheduler/zonerecords.go
@@ -73,7 +73,7 @@
 }
 
 // loansPerPage is how many loans one page holds.
-func (c *Core) loansPerPage() int { return storage.LoansPerPage(c.cfg.State.ValueKB) }
+func (c *Core) loansPerPage() int { return storage.LoansPerPage(c.stateLimits.ValueKB) }
 
 // recoverZoneReturn takes over what an earlier leader recorded. A page that cannot be read, or
 // is of a newer format, is reported and left alone: its loans count as ended, which harms no
@@ -197,7 +197,7 @@
 // otherwise gathered for a cycle.
 func (c *Core) writeZoneReturn(now time.Duration) {
 	z := c.returning
-	if z == nil || len(z.records.dirty) == 0 || z.records.writing || len(z.untaken) == 0 && now-z.records.at < Cycle {
+	if z == nil || c.paused || len(z.records.dirty) == 0 || z.records.writing || len(z.untaken) == 0 && now-z.records.at < Cycle {
 		return
 	}
 	id, name := c.name()
@@ -210,6 +210,14 @@
 	z.records.writing, z.records.at = true, now
 	c.writes[id] = func(now time.Duration, w Written) {
 		z.records.writing = false
+		if w.Refused {
+			c.log.Error("zone return record refused", "pages", len(contents))
+			z.records.at = now + refusedPause
+			for number := range contents {
+				z.records.dirty[number] = true
+			}
+			return
+		}
 		if !w.OK {
 			c.emit(Depose{Reason: fmt.Sprintf("conditions failed: %v", w.Failed)})
 			return
@@ -223,6 +231,20 @@
 	c.emit(Write{ID: id, Txn: txn, Verify: verify, Name: mark})
 }
 
+// spreadLoans moves loans off pages that hold more than fits under the limits in force.
+func (c *Core) spreadLoans() {
+	if c.returning == nil {
+		return
+	}
+	r := &c.returning.records
+	for _, loan := range c.returning.ledger.Loans() {
+		if r.loans[r.pageOf[loan.Lender]] > c.loansPerPage() {
+			r.remove(loan.Lender)
+			r.add(loan.Lender, c.loansPerPage())
+		}
+	}
+}
+
 // settle notes what a page is now; "" that it is gone.
 func (r *zoneRecords) settle(number int, content string, rev uint64) {
 	if content == "" {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"pinebay/internal/coordination/api"
 	"pinebay/internal/coordination/cancellation"
 	"pinebay/internal/coordination/election"
+	"pinebay/internal/coordination/featurelevel"
 	"pinebay/internal/coordination/fencing"
 	"pinebay/internal/coordination/leader"
 	"pinebay/internal/coordination/suspicion"
@@ -54,21 +55,24 @@
 	mesh    *transport.Mesh
 	api     *api.Server
 
-	box        *actor.Mailbox[election.Event]
-	elect      *election.Machine
-	view       atomic.Pointer[election.View]
-	leading    atomic.Pointer[leader.Leader]
-	fenceBox   *actor.Mailbox[fencing.Event]
-	fencing    *fencing.Monitor
-	intents    *cancellation.Log
-	suspicions *suspicions              // nil: off
-	wakes      map[string]chan struct{} // make the beat to a peer leave at once
-	peersMu    sync.Mutex
-	peers      map[string]election.Peer // what each last answered of itself
-	renewers   map[string]time.Duration // peers that renew leases without a leader, and when they last said so
-	redirects  *RedirectTracker
-	peersOK    atomic.Int64 // steady time when a peer last had the state service
-	peerHeard  atomic.Int64 // steady time when a peer was last heard
+	box         *actor.Mailbox[election.Event]
+	elect       *election.Machine
+	view        atomic.Pointer[election.View]
+	leading     atomic.Pointer[leader.Leader]
+	fenceBox    *actor.Mailbox[fencing.Event]
+	fencing     *fencing.Monitor
+	intents     *cancellation.Log
+	suspicions  *suspicions              // nil: off
+	wakes       map[string]chan struct{} // make the beat to a peer leave at once
+	peersMu     sync.Mutex
+	peers       map[string]election.Peer // what each last answered of itself
+	renewers    map[string]time.Duration // peers that renew leases without a leader, and when they last said so
+	redirects   *RedirectTracker
+	levelBox    *actor.Mailbox[featurelevel.Event]
+	levels      *featurelevel.Machine
+	refuseNewer sync.Once
+	peersOK     atomic.Int64 // steady time when a peer last had the state service
+	peerHeard   atomic.Int64 // steady time when a peer was last heard
 }
 
 // Times derives the election's times from the settings.
@@ -96,6 +100,17 @@
 	Ownership bool
 	// Timing measures the leader's steps and heartbeats and logs them; nil: off.
 	Timing *timing.Recorder
+	// HoldLevel keeps the controller at the feature level of the version in production, so that tests can
+	// mix levels; it is no operator's flag.
+	HoldLevel bool
+}
+
+// level is the feature level that a controller speaks.
+func (f Features) level() featurelevel.Level {
+	if f.HoldLevel {
+		return featurelevel.Production
+	}
+	return featurelevel.Current
 }
 
 // New returns a controller that is not running yet. It draws its random numbers from the source.
@@ -126,6 +141,8 @@
 	if features.Ownership {
 		c.suspicions = &suspicions{box: actor.NewMailbox[suspicion.Event](), refusals: rate.Sometimes{Interval: c.times.Silent}}
 	}
+	c.levelBox = actor.NewMailbox[featurelevel.Event]()
+	c.levels = featurelevel.New(cfg.Node, names, features.level(), c.times.Silent/2)
 	c.elect = election.New(c.now(), cfg.Node, names, c.times)
 	c.publish()
 	return c
@@ -169,6 +186,7 @@
 	g.Go(func() error { c.runElection(ctx); return nil })
 	g.Go(func() error { c.runFencing(ctx); return nil })
 	g.Go(func() error { c.runSuspicions(ctx); return nil })
+	g.Go(func() error { c.runLevels(ctx); return nil })
 	g.Go(func() error { c.watchLeader(ctx); return nil })
 	g.Go(func() error { c.learnTypes(ctx); return nil })
 	g.Go(func() error { c.probe(ctx); return nil })
--- a/internal/daemon/lead.go
+++ b/internal/daemon/lead.go
@@ -8,6 +8,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/election"
+	"pinebay/internal/coordination/featurelevel"
 	"pinebay/internal/coordination/leader"
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/protocol"
@@ -54,7 +55,8 @@
 				}
 				c.box.Send(election.Resign{Term: term, Away: d.Away})
 			},
-		}, e.Term, e.Stamp)
+			LevelReached: c.levelReached,
+		}, scheduler.Term{Number: e.Term, Stamp: e.Stamp, Node: c.cfg.Node, Level: featurelevel.Level(e.Level)})
 		if old := c.leading.Swap(l); old != nil {
 			old.Stop()
 		}
@@ -87,10 +89,16 @@
 	}
 	var rec storage.TermRecord
 	if tp.Version != 0 {
-		if err := protocol.Decode(tp.Value, &rec); err != nil {
+		if rec, err = storage.DecodeTerm(tp.Value); err != nil {
 			return fail(err)
 		}
 	}
+	if rec.Level > int(c.features.level()) {
+		c.refuseNewer.Do(func() {
+			c.log.Error("a newer feature level is final: this version can't lead any more", "level", rec.Level, "own", c.features.level())
+		})
+		return election.Claimed{}
+	}
 	lp, err := c.store.Get(ctx, storage.Urgent, storage.LeaderKey)
 	if err != nil {
 		return fail(err)
@@ -106,7 +114,7 @@
 	// A worker may have seen a token that no record tells of any more only if
 	// the state service lost it; be above what we have seen all the same.
 	term := max(rec.Term, e.Over) + 1
-	value, err := protocol.Encode(storage.TermRecord{Term: term, Node: c.cfg.Node, Claim: fmt.Sprint(lease)})
+	value, err := storage.EncodeTerm(storage.TermRecord{Term: term, Node: c.cfg.Node, Claim: fmt.Sprint(lease), Level: rec.Level})
 	if err != nil {
 		return fail(err)
 	}
@@ -121,7 +129,7 @@
 	if err != nil || !ok {
 		return fail(fmt.Errorf("transaction ok=%v: %w", ok, err))
 	}
-	return election.Claimed{Won: true, Term: term, Stamp: rev, Lease: lease, Sent: sent}
+	return election.Claimed{Won: true, Term: term, Stamp: rev, Level: rec.Level, Lease: lease, Sent: sent}
 }
 
 // watchLeader follows the leader's key.
--- /dev/null
+++ b/internal/daemon/levels.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"context"
+
+	"pinebay/internal/coordination/featurelevel"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// runLevels is the feature levels' actor.
+func (c *Controller) runLevels(ctx context.Context) {
+	step := func(e featurelevel.Event) {
+		for _, effect := range c.levels.Step(c.now(), e) {
+			c.carryOutLevel(ctx, effect)
+		}
+	}
+	c.levelBox.Run(ctx, c.times.Beat, step, func() {
+		l := c.leading.Load()
+		step(featurelevel.Led{Leading: l != nil && l.Ready()})
+		step(featurelevel.Tick{})
+	})
+}
+
+func (c *Controller) carryOutLevel(ctx context.Context, effect featurelevel.Effect) {
+	switch e := effect.(type) {
+	case featurelevel.List:
+		go func() { c.levelBox.Send(c.listLevels(ctx)) }()
+	case featurelevel.Announce:
+		go func() {
+			c.announceLevel(ctx, e)
+			c.levelBox.Send(featurelevel.AnnounceDone{})
+		}()
+	case featurelevel.Finalise:
+		if l := c.leading.Load(); l != nil {
+			l.Finalise(e.Level)
+		}
+	case featurelevel.Reached:
+		c.log.Info("feature level in force", "level", e.Level)
+		c.store.SetLimits(c.cfg.Deploy.State.Lowest())
+		c.api.SetLevel(e.Level)
+	}
+}
+
+// levelReached takes in that the leader here has made a level final.
+func (c *Controller) levelReached(level featurelevel.Level) {
+	c.levelBox.Send(featurelevel.Finalised{Level: level})
+}
+
+// listLevels reads what levels the controllers have recorded, and which one is final.
+func (c *Controller) listLevels(ctx context.Context) featurelevel.Listed {
+	fail := func(err error) featurelevel.Listed {
+		c.log.Debug("feature levels not read", "err", err)
+		return featurelevel.Listed{Failed: true}
+	}
+	pairs, _, err := c.store.ListFor(ctx, storage.Urgent, storage.LevelPrefix)
+	if err != nil {
+		return fail(err)
+	}
+	listed := featurelevel.Listed{Nodes: map[string]featurelevel.Recorded{}}
+	for _, p := range pairs {
+		node, rec, err := storage.DecodeLevel(p)
+		if err != nil {
+			c.log.Error("feature level out of form", "err", err)
+			continue
+		}
+		listed.Nodes[node] = featurelevel.Recorded{Level: featurelevel.Level(rec.Level), Version: p.Version}
+	}
+	term, err := c.store.Get(ctx, storage.Urgent, storage.TermKey)
+	if err != nil {
+		return fail(err)
+	}
+	if term.Version != 0 {
+		rec, err := storage.DecodeTerm(term.Value)
+		if err != nil {
+			return fail(err)
+		}
+		listed.Final = featurelevel.Level(rec.Level)
+	}
+	return listed
+}
+
+// announceLevel records the level that this controller speaks. Should the answer be lost, the next look
+// shows whether it is recorded.
+func (c *Controller) announceLevel(ctx context.Context, e featurelevel.Announce) {
+	value, err := protocol.Encode(storage.LevelRecord{Level: int(e.Level)})
+	if err != nil {
+		c.log.Error("feature level", "err", err)
+		return
+	}
+	key := storage.LevelKey(c.cfg.Node)
+	_, ok, err := c.store.Txn(ctx, storage.Urgent, protocol.Txn{
+		If: []protocol.Cond{{Key: key, Version: e.Version}}, Then: []protocol.Op{{Put: key, Value: value}}})
+	c.log.Info("feature level recorded", "level", e.Level, "ok", ok, "err", err)
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -12,6 +12,7 @@
 	"pinebay/internal/coordination/api"
 	"pinebay/internal/coordination/cancellation"
 	"pinebay/internal/coordination/election"
+	"pinebay/internal/coordination/featurelevel"
 	"pinebay/internal/protocol"
 	"pinebay/internal/timing"
 )
@@ -134,6 +135,7 @@
 			reply.Term, reply.Leader = m.Term, m.From // what we shall have taken in
 		}
 		reply.StateOK, reply.Renews = c.stateOK(), c.renews()
+		reply.Level = int(c.features.level())
 		c.intents.Fill(c.now(), m.From, m.Life, reply)
 		c.addSuspicions(reply)
 	case protocol.MeshStatus:
@@ -167,6 +169,7 @@
 
 func (c *Controller) heardPeer(m *protocol.MeshMessage) {
 	c.peerHeard.Store(int64(c.now()))
+	c.levelBox.Send(featurelevel.Heard{Node: m.From, Level: featurelevel.Level(m.Level)})
 	if m.StateOK {
 		c.peersOK.Store(int64(c.now()))
 	}
@@ -212,7 +215,7 @@
 			t.Reset(interval)
 		}
 		sent := c.now()
-		m := protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK(), Renews: c.renews()}
+		m := protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK(), Renews: c.renews(), Level: int(c.features.level())}
 		c.intents.Fill(sent, peer, 0, &m)
 		c.addSuspicions(&m)
 		r, err := c.mesh.Call(ctx, peer, m)
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -38,7 +38,7 @@
 
 // Decode reads one MessagePack map into v and refuses anything else.
 func Decode(raw []byte, v any) (err error) {
-	if len(raw) == 0 || !isMap(raw[0]) {
+	if !IsMap(raw) {
 		return fmt.Errorf("%w: not a map", ErrMalformed)
 	}
 	return DecodeAny(raw, v)
@@ -66,7 +66,12 @@
 	return nil
 }
 
-func isMap(c byte) bool {
+// IsMap says whether an encoded value is a map.
+func IsMap(raw []byte) bool {
+	if len(raw) == 0 {
+		return false
+	}
+	c := raw[0]
 	return c&0xf0 == 0x80 || c == 0xde || c == 0xdf
 }
 
--- a/internal/protocol/mesh.go
+++ b/internal/protocol/mesh.go
@@ -64,6 +64,10 @@
 	// has told nothing but that the receiver is there.
 	Target  string `cbor:"26,keyasint,omitempty"`
 	Reached *bool  `cbor:"27,keyasint,omitempty"`
+
+	// Level is the feature level that the sender speaks, in beats and their replies; versions before the
+	// levels state none.
+	Level int `cbor:"28,keyasint,omitempty"`
 }
 
 // Intent says that a user is about to be told that a job is cancelled. Mark tells
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -1,9 +1,13 @@
 package protocol
 
 import (
+	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Shape says how a job's tasks belong together.
@@ -59,6 +63,8 @@
 	CheckpointS float64  `msgpack:"bookmark_s"`
 	SaveS       float64  `msgpack:"stow_s"`
 	DeadlineS   float64  `msgpack:"due_s,omitempty"`
+	// Awaits are the jobs that have to be done before any task of this one starts.
+	Awaits []string `msgpack:"awaits,omitempty"`
 }
 
 // submission has a pointer wherever "missing" must be told from "zero".
@@ -83,6 +89,8 @@
 	CheckpointS *float64  `msgpack:"bookmark_s"`
 	SaveS       *float64  `msgpack:"stow_s"`
 	DeadlineS   *float64  `msgpack:"due_s"`
+	// Awaits is decoded by itself, so that a complaint names it.
+	Awaits msgpack.RawMessage `msgpack:"awaits"`
 }
 
 // jobPrefix begins every job id, and maxJobID is the most letters and digits after it.
@@ -186,9 +194,35 @@
 	if s.DeadlineS != nil {
 		j.DeadlineS = *s.DeadlineS
 	}
+	awaits, err := decodeAwaits(s.Awaits)
+	if err != nil {
+		return nil, bad("awaits", err.Error())
+	}
+	j.Awaits = awaits
 	return j, nil
 }
 
+// errAwaits says what the field with the awaited jobs must be.
+var errAwaits = errors.New("not a list of job ids")
+
+// decodeAwaits reads the ids of awaited jobs, each once and in order.
+func decodeAwaits(raw []byte) ([]string, error) {
+	if len(raw) == 0 {
+		return nil, nil
+	}
+	var ids []string
+	if err := DecodeAny(raw, &ids); err != nil {
+		return nil, errAwaits
+	}
+	for _, id := range ids {
+		if !ValidJobID(id) {
+			return nil, errAwaits
+		}
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids), nil
+}
+
 // Standing is a job's state as its user sees it.
 type Standing string
 
@@ -209,6 +243,8 @@
 	Standing Standing `msgpack:"standing" cbor:"2,keyasint"`
 	Done     int      `msgpack:"done" cbor:"3,keyasint"`
 	Running  int      `msgpack:"running" cbor:"4,keyasint"`
+	// Free says, between controllers, that all jobs that it awaits are durably done.
+	Free bool `msgpack:"-" cbor:"5,keyasint,omitempty"`
 }
 
 // Problem is the body of a refusal.
--- a/internal/simulation/system_outside_test.go
+++ b/internal/simulation/system_outside_test.go
@@ -8,6 +8,7 @@
 	"pinebay/internal/coordination/fleet"
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
 )
 
 func (s *system) encode(v any) []byte {
@@ -18,6 +19,14 @@
 	return raw
 }
 
+func (s *system) encodeTerm(rec storage.TermRecord) []byte {
+	raw, err := storage.EncodeTerm(rec)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return raw
+}
+
 // callCloud carries out what the fleet asks of the cloud.
 func (s *system) callCloud(l *leading, e fleet.Effect) {
 	switch e := e.(type) {
--- a/internal/storage/budgets.go
+++ b/internal/storage/budgets.go
@@ -4,8 +4,40 @@
 	"context"
 	"fmt"
 	"time"
+
+	"golang.org/x/time/rate"
+
+	"pinebay/internal/config"
 )
 
+// readShares divides the service's requests a second between the uses of a controller.
+func (c *Client) readShares(limits config.State) map[Use]float64 {
+	n := float64(c.nodes)
+	return map[Use]float64{Decide: limits.RPS * 0.5, Accept: limits.RPS / n, Consult: limits.RPS * 0.6 / n, Bulk: limits.RPS * 0.1}
+}
+
+// writeShares divides the service's writes a second between the uses of a controller.
+func (c *Client) writeShares(limits config.State) map[Use]float64 {
+	return map[Use]float64{Decide: limits.WriteRPS * DecideShare, Accept: limits.WriteRPS / float64(c.nodes),
+		Bulk: limits.WriteRPS * 0.2, Settle: limits.WriteRPS * DecideShare * settleFloor}
+}
+
+// burstOf is how much of a budget may be used at a moment: a second's share. What is beyond that waits; the
+// service's own 429 corrects where several controllers are busy at once.
+func burstOf(limit float64) int { return max(1, int(limit)) }
+
+// SetLimits has the budgets follow other limits of the service from now on.
+func (c *Client) SetLimits(limits config.State) {
+	set := func(budgets map[Use]*rate.Limiter, shares map[Use]float64) {
+		for use, limit := range shares {
+			budgets[use].SetLimit(rate.Limit(limit))
+			budgets[use].SetBurst(burstOf(limit))
+		}
+	}
+	set(c.reads, c.readShares(limits))
+	set(c.writes, c.writeShares(limits))
+}
+
 // Queue is how long a user's request may wait for its turn: no longer than the
 // pause after which a user who was refused asks again.
 const Queue = time.Second
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -67,6 +67,7 @@
 	watches *transport.Client
 	timeout time.Duration
 	random  *random.Source
+	nodes   int
 	reads   map[Use]*rate.Limiter
 	writes  map[Use]*rate.Limiter
 	// settleMu has one that has ended look at the budget at a time.
@@ -80,31 +81,26 @@
 // NewClient returns a client. The limits of the service are shared between
 // the controllers; within a controller no use can starve one before it.
 func NewClient(network transport.Network, source *random.Source, d *config.Deployment, addr string, timeout time.Duration) *Client {
-	// A read or write beyond a second's share waits; the service's own 429
-	// corrects where several controllers are busy at once.
-	share := func(limit, part float64) *rate.Limiter {
-		r := limit * part
-		return rate.NewLimiter(rate.Limit(r), max(1, int(r)))
-	}
-	n := float64(d.Nodes)
 	perHost := max(4, d.Quota.MaxSockets/socketsState)
-	return &Client{
+	c := &Client{
 		base:    "http://" + addr,
 		calls:   transport.NewClient(network, perHost, perHost, config.Seconds(d.Workers.LeaseS)),
 		urgent:  transport.NewClient(network, 4, 4, config.Seconds(d.Workers.LeaseS)),
 		watches: transport.NewClient(network, 4, 4, config.Seconds(d.Workers.LeaseS)),
 		timeout: timeout,
 		random:  source,
-		reads: map[Use]*rate.Limiter{
-			Decide: share(d.State.RPS, 0.5), Accept: share(d.State.RPS, 1/n),
-			Consult: share(d.State.RPS, 0.6/n), Bulk: share(d.State.RPS, 0.1),
-		},
-		writes: map[Use]*rate.Limiter{
-			Decide: share(d.State.WriteRPS, DecideShare), Accept: share(d.State.WriteRPS, 1/n),
-			Bulk: share(d.State.WriteRPS, 0.2), Settle: share(d.State.WriteRPS, DecideShare*settleFloor),
-		},
-		start: time.Now(),
+		nodes:   d.Nodes,
+		reads:   map[Use]*rate.Limiter{},
+		writes:  map[Use]*rate.Limiter{},
+		start:   time.Now(),
+	}
+	for use, limit := range c.readShares(d.State) {
+		c.reads[use] = rate.NewLimiter(rate.Limit(limit), burstOf(limit))
+	}
+	for use, limit := range c.writeShares(d.State) {
+		c.writes[use] = rate.NewLimiter(rate.Limit(limit), burstOf(limit))
 	}
+	return c
 }
 
 // SilentFor returns how long ago the service last gave an answer.
