--- a/internal/simulation/ledger.go
+++ b/internal/simulation/ledger.go
@@ -21,7 +21,11 @@
 	// that a user was told.
 	AllDone       func(id string) bool
 	ToldCancelled func(id string, at time.Duration)
-	Broken        []string
+	// Awaits, if set, lists the jobs that a job awaits, and CancelS is how long after the cancellation of one
+	// of them it may still be called queued.
+	Awaits  func(id string) []string
+	CancelS time.Duration
+	Broken  []string
 	// Told counts answers that bind.
 	Told int
 }
@@ -90,8 +94,10 @@
 	switch {
 	case over && st.Standing != f.standing && (f.at <= sent || st.Standing.Final()):
 		broken("went_back", "a %s got %s after %s", kind, st.Standing, f.standing)
-	case st.Standing == protocol.Cancelled && !l.asked[id]:
+	case st.Standing == protocol.Cancelled && !l.askedBefore(id):
 		broken("went_back", "cancelled, though nobody asked for it")
+	case st.Standing != protocol.Cancelled && l.orphaned(id, now):
+		broken("orphaned", "a %s got %s long after a job before it was cancelled", kind, st.Standing)
 	case st.Standing == protocol.Done && !l.AllDone(id):
 		broken("not_done", "a %s got done", kind)
 	}
@@ -103,6 +109,46 @@
 	}
 }
 
+// before calls f for a job and all that it awaits, directly or not, until it returns false.
+func (l *Ledger) before(id string, f func(id string) bool) {
+	seen := map[string]bool{id: true}
+	for stack := []string{id}; len(stack) > 0; {
+		at := stack[len(stack)-1]
+		stack = stack[:len(stack)-1]
+		if !f(at) {
+			return
+		}
+		if l.Awaits == nil {
+			continue
+		}
+		for _, need := range l.Awaits(at) {
+			if !seen[need] {
+				seen[need] = true
+				stack = append(stack, need)
+			}
+		}
+	}
+}
+
+// askedBefore says whether a user has asked to cancel a job, or one that it awaits.
+func (l *Ledger) askedBefore(id string) (asked bool) {
+	l.before(id, func(at string) bool {
+		asked = asked || l.asked[at]
+		return !asked
+	})
+	return asked
+}
+
+// orphaned says whether a user was told long ago that a job is cancelled that this one awaits.
+func (l *Ledger) orphaned(id string, now time.Duration) (orphaned bool) {
+	l.before(id, func(at string) bool {
+		f, over := l.finals[at]
+		orphaned = orphaned || at != id && over && f.standing == protocol.Cancelled && now > f.at+l.CancelS
+		return !orphaned
+	})
+	return orphaned
+}
+
 // Unanswered returns the accepted jobs about which no question was answered since
 // the given time.
 func (l *Ledger) Unanswered(since time.Duration) (ids []string) {
--- a/internal/simulation/ledger_test.go
+++ b/internal/simulation/ledger_test.go
@@ -57,6 +57,66 @@
 	}
 }
 
+// TestLedgerSeesOrphans plays histories of a chain of three jobs, of which the first is cancelled or done.
+func TestLedgerSeesOrphans(t *testing.T) {
+	const q, d, c = protocol.Queued, protocol.Done, protocol.Cancelled
+	awaits := map[string][]string{"j-2": {"j-1"}, "j-3": {"j-2"}}
+	type answer struct {
+		kind, id string
+		at       int
+		standing protocol.Standing
+	}
+	for name, h := range map[string]struct {
+		steps  []answer
+		broken string
+	}{
+		"cancelled in time":        {[]answer{{Cancels, "j-1", 10, c}, {Asks, "j-3", 45, q}, {Asks, "j-3", 51, c}}, ""},
+		"queued for too long":      {[]answer{{Cancels, "j-1", 10, c}, {Asks, "j-3", 51, q}}, "orphaned"},
+		"done after all":           {[]answer{{Cancels, "j-1", 10, c}, {Asks, "j-2", 51, d}}, "orphaned"},
+		"accepted when it is late": {[]answer{{Cancels, "j-2", 10, c}, {Submits, "j-3", 90, c}}, ""},
+		"the first is done":        {[]answer{{Cancels, "j-1", 10, d}, {Asks, "j-3", 90, q}}, ""},
+		"cancelled by nobody":      {[]answer{{Asks, "j-1", 10, d}, {Asks, "j-3", 90, c}}, "went_back"},
+		"the one after is no need": {[]answer{{Cancels, "j-3", 10, c}, {Asks, "j-1", 90, c}}, "went_back"},
+	} {
+		l := NewLedger(func(string) bool { return true }, func(string, time.Duration) {})
+		l.Awaits, l.CancelS = func(id string) []string { return awaits[id] }, 40*time.Second
+		for _, id := range []string{"j-1", "j-2", "j-3"} {
+			l.Sent(Submits, id)
+			l.Answered(Submits, id, 0, 0, 201, protocol.JobStatus{ID: id, Standing: q})
+		}
+		for _, a := range h.steps {
+			l.Sent(a.kind, a.id)
+			at := time.Duration(a.at) * time.Second
+			l.Answered(a.kind, a.id, at, at, 200, protocol.JobStatus{ID: a.id, Standing: a.standing})
+		}
+		if h.broken == "" && len(l.Broken) > 0 || h.broken != "" && (len(l.Broken) != 1 || !strings.HasPrefix(l.Broken[0], h.broken)) {
+			t.Errorf("%s: %v, want %q", name, l.Broken, h.broken)
+		}
+	}
+}
+
+// TestWorldSeesTasksThatAreTooEarly: a task starts when another one of a job that its job awaits has still to
+// complete, and once all have.
+func TestWorldSeesTasksThatAreTooEarly(t *testing.T) {
+	kind := &protocol.MachineType{Name: "g8", CPUs: 8, GPUs: 8, MemoryGB: 64}
+	for done := range 3 {
+		w := NewWorld(10*time.Second, 0, time.Hour)
+		w.Jobs["j-1"] = &protocol.Job{ID: "j-1", Shape: protocol.Array, Tasks: 2, Team: "red"}
+		w.Jobs["j-2"] = &protocol.Job{ID: "j-2", Shape: protocol.Array, Tasks: 1, Team: "red", Awaits: []string{"j-1"}}
+		for task := range done {
+			w.Done[protocol.TaskID{Job: "j-1", Task: task}] = true
+		}
+		w.Add(0, "a1", "a", false, kind, time.Minute).Command(0, protocol.Orders{Session: 1, Commands: []protocol.Command{{Verb: protocol.Run, Name: "j-2/0", Attempt: 1}}})
+		for now := time.Duration(0); now < 3*time.Second; now += 100 * time.Millisecond {
+			w.Advance(now)
+		}
+		early := len(w.Broken) == 1 && strings.HasPrefix(w.Broken[0], "too_early")
+		if w.Starts != 1 || early != (done < 2) {
+			t.Errorf("with %d of 2 tasks done: %d starts, %v", done, w.Starts, w.Broken)
+		}
+	}
+}
+
 // TestWorldSeesEveryBrokenRule breaks each rule about tasks once.
 func TestWorldSeesEveryBrokenRule(t *testing.T) {
 	kind := &protocol.MachineType{Name: "g8", CPUs: 8, GPUs: 8, MemoryGB: 64}
--- a/internal/simulation/live_test.go
+++ b/internal/simulation/live_test.go
@@ -106,6 +106,7 @@
 	}
 	l.boot = func(name string) time.Duration { return 4*time.Second + l.upTo("boot "+name, 6*time.Second) }
 	l.ledger = NewLedger(l.allDone, l.toldCancelled)
+	l.ledger.Awaits, l.ledger.CancelS = l.awaits, config.Seconds(w.CancelS)
 	level := slog.LevelInfo
 	if os.Getenv("LOG_LEVEL") == "debug" {
 		level = slog.LevelDebug
--- /dev/null
+++ b/internal/simulation/pipeline_test.go
@@ -0,0 +1,216 @@
+package simulation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/daemon"
+	"pinebay/internal/protocol"
+	"pinebay/internal/testkit"
+)
+
+// pipeline submits the jobs of a pipeline one after another, each as soon as those that it awaits are accepted:
+// an array, two arrays after it, a gang after one of these, and an urgent array with a deadline at the end. A
+// part of them has its last job submitted only when the others are over, another names a job that runs.
+func (l *live) pipeline(earlier string) (ids []string) {
+	type stage struct {
+		shape  protocol.Shape
+		tasks  int
+		prio   protocol.Priority
+		awaits []int
+	}
+	stages := []stage{
+		{protocol.Array, 2, "best_effort", nil}, {protocol.Array, 3, "best_effort", []int{0}}, {protocol.Array, 2, "best_effort", []int{0}},
+		{protocol.Gang, 2, "normal", []int{1}}, {protocol.Array, 1, "urgent", []int{2, 3}},
+	}
+	var accepted []chan struct{}
+	for i, st := range stages {
+		j := l.job(st.shape, st.tasks, 0)
+		j.Priority, j.EstimateS, j.DeadlineS = st.prio, 5, 0
+		if i == len(stages)-1 {
+			j.DeadlineS = 120
+		}
+		var before []chan struct{}
+		for _, need := range st.awaits {
+			j.Awaits = append(j.Awaits, ids[need])
+			before = append(before, accepted[need])
+		}
+		if i == 0 && earlier != "" {
+			j.Awaits = []string{earlier}
+		}
+		l.mu.Lock()
+		l.world.RunTimes[j.ID] = 2*s + l.upTo("run time "+j.ID, 3*s)
+		l.mu.Unlock()
+		ids, accepted = append(ids, j.ID), append(accepted, make(chan struct{}))
+		l.userAfter(j, before, accepted[i])
+	}
+	return ids
+}
+
+// pipelines submits so many pipelines, one a second; every fourth job of theirs is called off, at any time.
+func pipelines(n int) func(*live) {
+	return func(l *live) {
+		l.go_(func() {
+			for i := range n {
+				time.Sleep(s + l.upTo(fmt.Sprint("pipeline ", i), 50*ms))
+				earlier := ""
+				if l.chance(fmt.Sprint("earlier ", i), 0.3) {
+					earlier = l.anArray()
+				}
+				for k, id := range l.pipeline(earlier) {
+					if l.chance("call off "+id, 0.06) {
+						time.AfterFunc(l.upTo("call off after "+id, time.Duration(5+5*k)*s), func() { l.cancel(id, l.nodes, 3*time.Minute) })
+					}
+				}
+				l.note("pipeline")
+			}
+		})
+	}
+}
+
+// anArray returns an array that was accepted and is not over, or "".
+func (l *live) anArray() string {
+	for _, id := range l.running() {
+		l.mu.Lock()
+		shape := l.world.Jobs[id].Shape
+		l.mu.Unlock()
+		if shape == protocol.Array {
+			return id
+		}
+	}
+	return ""
+}
+
+// production begins with all controllers held at the level of the version in production.
+func production(l *live) {
+	l.features = func(int) daemon.Features { return daemon.Features{HoldLevel: true} }
+}
+
+// upgrade ends controllers one after the other, in the given order by their numbers; each is back with the new
+// level after a while.
+func upgrade(order []int, every, back time.Duration) func(*live) {
+	return func(l *live) {
+		for i, node := range order {
+			n := l.nodes[node%len(l.nodes)]
+			time.AfterFunc(time.Duration(i)*every, func() {
+				n.features.HoldLevel = false
+				l.note("upgraded")
+				l.crash(n, back)
+			})
+		}
+	}
+}
+
+// next are limits of the state service that come into force after an upgrade.
+var next = config.StateLimits{WriteRPS: 20, ValueKB: 1, TxnOps: 5}
+
+// limitsToFall has the state service keep to its limits, and names lower ones.
+func limitsToFall(l *live) {
+	l.cfg.State = config.State{RPS: 150, WriteRPS: 40, ValueKB: 8, TxnOps: 16, Next: next}
+	l.state.Limit(l.cfg.State)
+}
+
+// limitsFall lowers the limits as soon as all controllers have shown the new level.
+func limitsFall(l *live) {
+	l.go_(func() {
+		for l.ctx.Err() == nil && l.levelsRecorded() < len(l.nodes) {
+			time.Sleep(10 * ms)
+		}
+		l.state.Limit(l.cfg.State.Lowest())
+		l.note("limits")
+	})
+}
+
+// levelsRecorded returns how many controllers have recorded a feature level.
+func (l *live) levelsRecorded() int {
+	pairs, _ := l.state.List("feature/node/")
+	return len(pairs)
+}
+
+// pipelineScenarios are meetings of troubles that touch cancellations, ends or take-overs, with pipelines.
+var pipelineScenarios = []struct {
+	name        string
+	controllers int
+	w           config.Workers
+	steps       []step
+	happened    []string
+	options     []func(*live)
+}{
+	{"quiet", 3, brisk, []step{{0, pipelines(8)}}, []string{"pipeline", "cancelled"}, nil},
+	{"close looks", 3, brisk, []step{{0, during(60*s, closeLooks)}, {0, pipelines(10)}}, []string{"looks", "cancelled"}, nil},
+	{"leaders end", 3, brisk, []step{{0, pipelines(12)}, {6 * s, crashLeader(5 * s)}, {14 * s, crashLeader(300 * ms)}, {22 * s, crashLeader(5 * s)}}, []string{"crash", "cancelled"}, nil},
+	{"all controllers end", 5, brisk, []step{{0, pipelines(10)}, {7 * s, crashAll(14 * s)}, {40 * s, crashAll(300 * ms)}}, []string{"crash", "cancelled"}, nil},
+	{"an outage longer than a cancellation takes, after the leader alone is refused", 3, brisk,
+		[]step{{0, pipelines(12)}, {8 * s, during(50*s, refuseLeader)}, {8 * s, cancels(3, 0)}, {9 * s, during(48*s, outage)}, {60 * s, pipelines(4)}}, []string{"refused", "outage", "cancelled"}, nil},
+	{"the leader is cut from the service and the others", 3, brisk, []step{{0, pipelines(12)}, {5 * s, during(45*s, leaderApart)}, {8 * s, cancels(4, 0)}}, []string{"apart", "cancelled"}, nil},
+	{"transactions come late", 3, brisk, []step{{0, during(60*s, lateWrites(0.25))}, {0, pipelines(12)}, {15 * s, crashLeader(5 * s)}}, []string{"write", "cancelled"}, nil},
+	{"only answers are lost", 3, brisk, []step{{0, during(60*s, lostAnswers(0.3))}, {0, pipelines(12)}, {18 * s, crashLeader(300 * ms)}}, []string{"write", "cancelled"}, nil},
+	{"old reports, and machines are lost", 3, brisk, []step{{0, during(60*s, lateReports(0.3))}, {0, during(60*s, forNext(0.3, 0))}, {0, pipelines(12)}, {6 * s, lose(2)}, {9 * s, crashLeader(5 * s)}, {15 * s, lose(2)}},
+		[]string{"late report", "lost", "crash"}, nil},
+	{"machines hang and are deaf", 3, slow, []step{{0, pipelines(12)}, {5 * s, during(20*s, deaf(3))}, {8 * s, hang(3, 30*s)}, {9 * s, cancels(4, 0)}, {12 * s, crashLeader(5 * s)}}, []string{"deaf", "hang", "cancelled"}, nil},
+	{"ends and cancellations at one moment", 3, brisk, []step{{0, pipelines(10)}, {0, atEnd(10)}, {10 * s, atEnd(6)}}, []string{"at end", "cancelled"}, nil},
+	{"more work than room", 3, brisk, []step{{0, crowd(16)}, {5 * s, pipelines(12)}, {20 * s, cancels(4, 0)}}, []string{"pipeline", "cancelled"}, nil},
+	{"a zone is cut off", 3, brisk, []step{{0, pipelines(12)}, {6 * s, during(30*s, zoneCut)}, {20 * s, cancels(2, 0)}}, []string{"zone"}, nil},
+}
+
+// TestPipelineScenarios plays pipelines among troubles: no task starts before all that its job awaits is done,
+// no job is orphaned, every other rule holds, and all are over in the end.
+func TestPipelineScenarios(t *testing.T) {
+	for i, x := range pipelineScenarios {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			play(t, uint64(800+i), x.controllers, x.w, func(l *live) { l.carryOut(x.steps, x.happened) }, x.options...)
+		})
+	}
+}
+
+// TestUpgradeScenarios plays upgrades: controllers come back with the new level in every order, among troubles,
+// and the state service's limits fall as soon as the last has shown it. Pipelines are refused until the level is
+// final, and served then; all rules hold.
+func TestUpgradeScenarios(t *testing.T) {
+	upgraded := []string{"upgraded", "limits", "pipeline"}
+	options := []func(*live){production, limitsToFall}
+	up, down := []int{0, 1, 2}, []int{2, 1, 0}
+	for i, x := range []struct {
+		name        string
+		controllers int
+		w           config.Workers
+		steps       []step
+	}{
+		{"one after the other", 3, brisk, []step{{0, limitsFall}, {0, batches(6)}, {0, upgrade(up, 10*s, 5*s)}, {34 * s, pipelines(8)}}},
+		{"the other way, at once back", 3, brisk, []step{{0, limitsFall}, {0, batches(6)}, {0, upgrade(down, 3*s, 200*ms)}, {9 * s, pipelines(8)}}},
+		{"all at once", 3, brisk, []step{{0, limitsFall}, {0, batches(4)}, {1 * s, upgrade(up, 10*ms, 5*s)}, {5 * s, pipelines(8)}}},
+		{"five, two of them twice", 5, brisk, []step{{0, limitsFall}, {0, batches(8)}, {0, upgrade([]int{3, 0, 4, 1, 2, 0, 3}, 4*s, 3*s)}, {20 * s, pipelines(8)}, {25 * s, cancels(3, 0)}}},
+		{"one stays away for long", 3, brisk, []step{{0, limitsFall}, {0, upgrade([]int{0, 1}, 6*s, 5*s)}, {10 * s, pipelines(4)}, {40 * s, upgrade([]int{2}, s, 30*s)}, {80 * s, pipelines(6)}}},
+		{"leaders end in the midst", 3, brisk, []step{{0, limitsFall}, {0, batches(10)}, {0, upgrade(up, 8*s, 5*s)}, {5 * s, crashLeader(300 * ms)}, {12 * s, crashLeader(5 * s)}, {18 * s, crashLeader(300 * ms)}, {22 * s, crashLeader(5 * s)}, {24 * s, pipelines(8)}}},
+		{"an outage as the last is back", 3, brisk, []step{{0, limitsFall}, {0, batches(8)}, {0, upgrade(up, 8*s, 5*s)}, {20900 * ms, during(20*s, outage)}, {22 * s, pipelines(8)}, {24 * s, cancels(3, 0)}}},
+		{"an outage throughout", 3, brisk, []step{{0, limitsFall}, {0, batches(4)}, {2 * s, during(30*s, outage)}, {3 * s, upgrade(up, 8*s, 5*s)}, {30 * s, pipelines(8)}}},
+		{"transactions come late", 3, brisk, []step{{0, limitsFall}, {0, during(60*s, lateWrites(0.2))}, {0, batches(8)}, {1 * s, upgrade(down, 8*s, 5*s)}, {24 * s, pipelines(8)}}},
+		{"answers are lost", 3, brisk, []step{{0, limitsFall}, {0, during(60*s, lostAnswers(0.3))}, {0, batches(8)}, {1 * s, upgrade(up, 8*s, 5*s)}, {24 * s, pipelines(8)}, {26 * s, crashLeader(5 * s)}}},
+		{"old reports, lost machines, cancellations", 3, slow, []step{{0, limitsFall}, {0, during(60*s, lateReports(0.3))}, {0, batches(8)}, {1 * s, upgrade(up, 8*s, 5*s)}, {6 * s, lose(2)}, {10 * s, cancels(4, 20*s)}, {24 * s, pipelines(8)}, {30 * s, crashLeader(5 * s)}}},
+		{"the leader is refused, then cut off", 3, brisk, []step{{0, limitsFall}, {0, batches(8)}, {0, upgrade(up, 8*s, 5*s)}, {6 * s, during(15*s, refuseLeader)}, {22 * s, during(25*s, leaderApart)}, {24 * s, pipelines(8)}, {26 * s, cancels(3, 0)}}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			play(t, uint64(850+i), x.controllers, x.w, func(l *live) { l.carryOut(x.steps, upgraded) }, options...)
+		})
+	}
+}
+
+// TestDrawnUpgrades plays upgrades in drawn orders with drawn troubles, and pipelines throughout.
+func TestDrawnUpgrades(t *testing.T) {
+	for seed := testkit.Seed(); seed < testkit.Seed()+6; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 11))
+			controllers := []int{3, 3, 5}[rng.IntN(3)]
+			steps, names := drawScenario(rng)
+			steps = append([]step{{0, limitsFall}, {0, pipelines(15)}, {0, upgrade(rng.Perm(controllers), time.Duration(1+rng.IntN(10))*s, []time.Duration{200 * ms, 5 * s}[rng.IntN(2)])}}, steps...)
+			t.Log(names)
+			play(t, seed, controllers, []config.Workers{brisk, brisk, slow}[rng.IntN(3)], func(l *live) { l.carryOut(steps, nil) }, production, limitsToFall)
+		})
+	}
+}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -156,6 +156,11 @@
 // started checks the rules for a task that gets onto its machine.
 func (w *World) started(now time.Duration, m *Worker, t *Task, j *protocol.Job) {
 	w.Starts++
+	for _, need := range j.Awaits {
+		if !w.allDone(need) {
+			w.broken("too_early: %s started before %s was done", t.ID, need)
+		}
+	}
 	if w.OnStart != nil {
 		w.OnStart(now, t.ID)
 	}
@@ -191,6 +196,20 @@
 	}
 }
 
+// allDone says whether all tasks of a job have completed.
+func (w *World) allDone(id string) bool {
+	j := w.job(id)
+	if j == nil {
+		return false
+	}
+	for i := range j.Tasks {
+		if !w.Done[protocol.TaskID{Job: id, Task: i}] {
+			return false
+		}
+	}
+	return true
+}
+
 func (w *World) checkCancelled(now time.Duration) {
 	for id, at := range w.Cancelled {
 		if now <= at+w.CancelS || len(w.occupied.zones[id]) == 0 {
