Tests of levels, pages of every layout, awaited jobs and production's golden bytes

A page layout wider than production's must not replace it (found by the drawn test of pages): a job's pages only become narrower. Superseded pages that nothing keeps any more are dropped with the next write. Mixed sets end with compact pages only, and hardly a transaction is refused for its size when the limits fall as the last controller shows the level.

--- a/internal/coordination/api/api_test.go
+++ b/internal/coordination/api/api_test.go
@@ -32,6 +32,8 @@
 	t     testing.TB
 	state *simulation.State
 	nodes []http.Handler
+	// servers are what serves them.
+	servers []*Server
 	// unsafe is what an announcement comes to.
 	unsafe error
 }
@@ -56,22 +58,42 @@
 		in.SetTypes(kinds)
 		r := chi.NewRouter()
 		in.Routes(r)
-		s.nodes = append(s.nodes, r)
+		s.nodes, s.servers = append(s.nodes, r), append(s.servers, in)
 	}
 	return s
 }
 
 func (s *site) call(node int, method, path string, body []byte) (int, protocol.JobStatus, http.Header) {
+	w := s.ask(node, method, path, body)
+	return w.Code, s.status(w), w.Header()
+}
+
+// callWhy is call, and returns why the request was refused.
+func (s *site) callWhy(node int, method, path string, body []byte) (int, protocol.JobStatus, string) {
+	w := s.ask(node, method, path, body)
+	var p protocol.Problem
+	if w.Code >= 300 {
+		if err := protocol.Decode(w.Body.Bytes(), &p); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	return w.Code, s.status(w), p.Error
+}
+
+func (s *site) ask(node int, method, path string, body []byte) *httptest.ResponseRecorder {
 	req := httptest.NewRequest(method, path, bytes.NewReader(body))
 	w := httptest.NewRecorder()
 	s.nodes[node].ServeHTTP(w, req)
-	var st protocol.JobStatus
+	return w
+}
+
+func (s *site) status(w *httptest.ResponseRecorder) (st protocol.JobStatus) {
 	if w.Code < 300 {
 		if err := protocol.Decode(w.Body.Bytes(), &st); err != nil {
 			s.t.Fatal(err)
 		}
 	}
-	return w.Code, st, w.Header()
+	return st
 }
 
 func body(t testing.TB, j protocol.Job) []byte {
--- a/internal/coordination/scheduler/level.go
+++ b/internal/coordination/scheduler/level.go
@@ -17,6 +17,14 @@
 	return storage.Layout{Width: storage.CompactPageTasks(c.stateLimits.ValueKB), Compact: true}
 }
 
+// narrowed is the layout in force for a job of which pages are stored that cover so many tasks at the least: of a
+// task that several pages cover, the narrowest counts, so that a job's pages never become wider.
+func (c *Core) narrowed(width int) storage.Layout {
+	layout := c.layout()
+	layout.Width = min(layout.Width, width)
+	return layout
+}
+
 // setLevel takes in that a feature level is final: from then on records keep to the state service's next
 // limits as well.
 func (c *Core) setLevel(level featurelevel.Level) {
@@ -65,8 +73,8 @@
 	c.setLevel(c.target)
 	c.log.Info("feature level is final", "level", c.level, "value KB", c.stateLimits.ValueKB, "operations", c.stateLimits.TxnOps)
 	for _, j := range c.sorted() {
-		if j.layout.Width > c.layout().Width || !j.layout.Compact {
-			j.relayout(c.layout())
+		if layout := c.narrowed(j.layout.Width); layout != j.layout {
+			j.relayout(layout)
 		}
 		j.recordAfter = 0
 		if len(j.dirtyPages()) > 0 {
--- /dev/null
+++ b/internal/coordination/scheduler/level_test.go
@@ -0,0 +1,234 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/featurelevel"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// withNext gives a store's core limits of the state service that are to come.
+func withNext(s *slowStore, next config.StateLimits) *slowStore {
+	s.c.cfg.State.Next = next
+	return s
+}
+
+// TestLevelIsFinalWithoutOthersUnderWay: the record of the term changes only when no other write depends on it, none
+// begins meanwhile, and all that follow depend on its new version. Starts go on afterwards.
+func TestLevelIsFinalWithoutOthersUnderWay(t *testing.T) {
+	s := withNext(emptyStore(4), config.StateLimits{ValueKB: 2, TxnOps: 5, WriteRPS: 18})
+	s.submit("j-1", "normal", 2)
+	s.cycleAll()
+	if len(s.open) != 1 {
+		t.Fatalf("%d writes under way", len(s.open))
+	}
+	first := s.open[0]
+	s.step(Finalise{Level: featurelevel.Pipelines})
+	s.step(Finalise{Level: featurelevel.Pipelines})
+	s.submit("j-2", "urgent", 2)
+	s.cycleAll()
+	if len(s.open) != 1 {
+		t.Fatalf("%d writes under way while one is awaited", len(s.open))
+	}
+	s.answer(Written{Write: first.ID, OK: true})
+	if len(s.open) != 1 || s.open[0].Verify != storage.TermKey || s.open[0].Txn.If[0].Version != 1 {
+		t.Fatalf("the term's record is not what is written now: %+v", s.open)
+	}
+	rec, err := storage.DecodeTerm(s.open[0].Txn.Then[0].Value)
+	if err != nil || rec.Term != 5 || rec.Level != int(featurelevel.Pipelines) || rec.Write != s.open[0].Name {
+		t.Fatalf("the record: %+v, %v", rec, err)
+	}
+	s.cycleAll()
+	if len(s.open) != 1 {
+		t.Fatalf("%d writes under way while the level is made final", len(s.open))
+	}
+	s.answer(Written{Write: s.open[0].ID, OK: true})
+	stamp := s.rev
+	s.cycleAll()
+	if len(s.open) == 0 {
+		t.Fatal("nothing is written any more")
+	}
+	for _, w := range s.open {
+		if w.Txn.If[0] != (protocol.Cond{Key: storage.TermKey, Version: stamp}) {
+			t.Errorf("a write depends on %+v, want version %d of the term", w.Txn.If[0], stamp)
+		}
+		if len(w.Txn.Then) > 5 {
+			t.Errorf("%d operations", len(w.Txn.Then))
+		}
+		for _, op := range w.Txn.Then {
+			if op.Put != "" && !strings.Contains(op.Put, "/w") {
+				t.Errorf("%s is written in the layout of production", op.Put)
+			}
+		}
+	}
+	if s.c.stateLimits.ValueKB != 2 || s.c.paused {
+		t.Errorf("limits %+v, paused %v", s.c.stateLimits, s.c.paused)
+	}
+}
+
+// books is what a core knows of a job that a new leader must know too.
+func books(j *job) map[int]string {
+	known := map[int]string{}
+	for task, state := range j.tasks {
+		text := fmt.Sprint("state ", state)
+		if pl := j.places[task]; pl != nil {
+			text = fmt.Sprintf("%s on %s session %d attempt %d zone %s", text, pl.Machine, pl.Session, pl.Attempt, pl.Zone)
+		}
+		known[task] = text
+	}
+	return known
+}
+
+// TestPagesOfEveryLayout draws what happens to a job whose pages are cut narrower now and then, while records are
+// carried out in part. However far the replacement has come, a new leader reads the books as they were
+// recorded, and no attempt number comes again.
+func TestPagesOfEveryLayout(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := emptyStore(6)
+		s.c.cfg.State = config.State{RPS: 100, WriteRPS: 30, ValueKB: 1, TxnOps: rapid.IntRange(2, 6).Draw(t, "operations"),
+			Next: config.StateLimits{ValueKB: rapid.SampledFrom([]float64{0.5, 0.7, 1}).Draw(t, "value"), TxnOps: rapid.IntRange(2, 5).Draw(t, "next operations")}}
+		s.c.setLevel(featurelevel.Production)
+		tasks := rapid.IntRange(1, 60).Draw(t, "tasks")
+		s.accept(spec("j-1", protocol.Array, "normal", tasks, 1))
+		stored := map[string]protocol.Pair{}
+		carryOut := func(w Write) {
+			s.rev++
+			for _, cond := range w.Txn.If {
+				if strings.HasPrefix(cond.Key, storage.PlacePrefix) && stored[cond.Key].Version != cond.Version {
+					t.Fatalf("%s has version %d, wanted %d", cond.Key, stored[cond.Key].Version, cond.Version)
+				}
+			}
+			for _, op := range w.Txn.Then {
+				if op.Put != "" {
+					stored[op.Put] = protocol.Pair{Key: op.Put, Value: op.Value, Version: s.rev}
+					if s.c.level >= featurelevel.Pipelines && op.Put != storage.TermKey && !storage.Fits(op.Value, s.c.stateLimits.ValueKB) && !strings.Contains(op.Put, "/w1.") {
+						t.Fatalf("%s does not fit", op.Put)
+					}
+				}
+				delete(stored, op.Delete)
+			}
+			if len(w.Txn.Then) > s.c.stateLimits.TxnOps {
+				t.Fatalf("%d operations", len(w.Txn.Then))
+			}
+			s.open = slices.DeleteFunc(s.open, func(o Write) bool { return o.ID == w.ID })
+			s.stepAll(Written{Write: w.ID, OK: true, Rev: s.rev})
+		}
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				s.cycleAll()
+			case 1:
+				s.endSome(rapid.IntRange(0, 5).Draw(t, "which"))
+			case 2:
+				s.step(Finalise{Level: featurelevel.Pipelines})
+			case 3:
+				if j := s.c.jobs["j-1"]; j != nil && j.layout.Compact && !j.writing && j.layout.Width > 1 {
+					j.relayout(storage.Layout{Width: (j.layout.Width + 1) / 2, Compact: true})
+				}
+			default:
+				if len(s.open) > 0 {
+					carryOut(s.open[0])
+				}
+			}
+		}
+		s.cycleAll()
+		for n := 0; len(s.open) > 0 && n < 500; n++ {
+			carryOut(s.open[0])
+		}
+		j := s.c.jobs["j-1"]
+		if j == nil || j.over {
+			return // all of it is done
+		}
+		for range 200 {
+			s.cycleAll()
+			for len(s.open) > 0 {
+				carryOut(s.open[0])
+			}
+		}
+		pages := slices.Collect(maps.Values(stored))
+		pages = slices.DeleteFunc(pages, func(p protocol.Pair) bool { return !strings.HasPrefix(p.Key, storage.PlacePrefix) })
+		raw, err := protocol.Encode(storage.LiveRecord{Job: j.spec})
+		if err != nil {
+			t.Fatal(err)
+		}
+		next := New(s.now, s.c.cfg, s.c.log, Term{Number: 6, Stamp: 2, Level: s.c.level}, Records{Types: []protocol.MachineType{*s.c.machines.Type("g8")},
+			Live: []protocol.Pair{{Key: storage.LiveKey("j-1"), Value: raw, Version: j.stamp}}, Pages: pages}, 0, nil)
+		got := next.jobs["j-1"]
+		if !maps.Equal(books(got), books(j)) {
+			t.Fatalf("a new leader reads\n%v\nof\n%v", books(got), books(j))
+		}
+		for task := range tasks {
+			if got.attempt(task) < j.attempt(task) {
+				t.Fatalf("task %d would get attempt %d again", task, got.attempt(task))
+			}
+		}
+		if s.c.level >= featurelevel.Pipelines && len(j.superseded) > 0 {
+			t.Fatalf("%d pages of another layout are left after many quiet cycles", len(j.superseded))
+		}
+	})
+}
+
+// endSome ends tasks of every sixth number, done or not, that are on machines.
+func (s *slowStore) endSome(which int) {
+	for _, name := range sortedNames(s.tasks) {
+		for id, t := range s.tasks[name] {
+			if id.Task%6 == which && t.State != protocol.Exited {
+				t.State, t.Cause = protocol.Exited, []protocol.Cause{protocol.CauseDone, protocol.CauseStopped}[which%2]
+				s.tasks[name][id] = t
+			}
+		}
+		s.stepAll(Reported{Tag: name, Report: s.report(name)})
+	}
+}
+
+// TestRefusedRecordsAreMadeSmaller: a record that the state service refuses for its form is cut narrower and never
+// written again as it was; below the level, where that can't be, it waits and the others go on.
+func TestRefusedRecordsAreMadeSmaller(t *testing.T) {
+	s := emptyStore(6)
+	s.submit("j-1", "normal", 10)
+	s.cycleAll()
+	refused := s.open[0]
+	s.answer(Written{Write: refused.ID, Refused: true})
+	s.submit("j-2", "normal", 1)
+	s.cycleAll()
+	if len(s.open) != 1 || !slices.Contains(jobsOf(s.open[0]), "j-2") || slices.Contains(jobsOf(s.open[0]), "j-1") {
+		t.Fatalf("below the level the others do not go on alone: %+v", s.open)
+	}
+	s.answerAll()
+	s.step(Finalise{Level: featurelevel.Pipelines})
+	s.answerAll()
+	for width := s.c.jobs["j-1"].layout.Width; width > 8; width /= 2 {
+		s.cycleAll()
+		i := slices.IndexFunc(s.open, func(w Write) bool { return slices.Contains(jobsOf(w), "j-1") })
+		if i < 0 {
+			t.Fatalf("the record is not written with pages of %d tasks", width)
+		}
+		if got := s.c.jobs["j-1"].layout.Width; got != width {
+			t.Fatalf("pages of %d tasks, want %d", got, width)
+		}
+		s.answer(Written{Write: s.open[i].ID, Refused: true})
+		s.answerOthers(func(w Write) bool { return slices.Contains(jobsOf(w), "j-1") })
+	}
+	s.cycleAll()
+	s.answerAll()
+	if j := s.c.jobs["j-1"]; len(j.granted) > 0 {
+		t.Errorf("%d starts still wait for their record", len(j.granted))
+	}
+}
+
+// answerOthers answers the writes that are under way but for those of the job that is refused.
+func (s *slowStore) answerOthers(refused func(Write) bool) {
+	for _, w := range slices.Clone(s.open) {
+		if !refused(w) {
+			s.answer(Written{Write: w.ID, OK: true})
+		}
+	}
+}
--- a/internal/coordination/scheduler/pages.go
+++ b/internal/coordination/scheduler/pages.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -191,16 +192,21 @@
 	return ok
 }
 
-// replaceSuperseded has the pages written that keep a superseded page from being dropped.
+// replaceSuperseded has the pages written that keep a superseded page from being dropped. If there are none, it
+// goes with the next write of the first page that shares tasks with it.
 func (j *job) replaceSuperseded(now time.Duration) {
 	if len(j.superseded) == 0 {
 		return
 	}
-	j.eachPageOf(j.superseded[0].name, func(n int) {
+	old := j.superseded[0]
+	j.eachPageOf(old.name, func(n int) {
 		if p := j.page(n); p.stamp == 0 {
 			p.dirty = true
 		}
 	})
+	if j.replaced(old, nil) {
+		j.page(old.name.First() / j.layout.Width).dirty = true
+	}
 	j.queues.addEnded(now, j)
 }
 
@@ -235,14 +241,12 @@
 // recoverJobPages takes over what the pages of a job record, the narrowest first: of a task that several
 // cover, that one counts.
 func (c *Core) recoverJobPages(now time.Duration, id string, pages []storedPage) {
-	slices.SortStableFunc(pages, func(a, b storedPage) int { return a.name.Layout.Width - b.name.Layout.Width })
+	slices.SortStableFunc(pages, func(a, b storedPage) int { return narrower(a.name.Layout, b.name.Layout) })
 	j := c.jobs[id]
 	if j == nil {
 		j = c.overJob(now, id, pages)
 	}
-	if narrowest := pages[0].name.Layout; narrowest.Compact {
-		j.layout = storage.Layout{Width: min(narrowest.Width, c.layout().Width), Compact: true}
-	}
+	j.layout = c.narrowed(pages[0].name.Layout.Width)
 	var covered []storage.PageName
 	for _, p := range pages {
 		counts := func(task int) bool {
@@ -261,6 +265,18 @@
 	j.queues.addPlaced(j)
 }
 
+// narrower orders layouts by which counts for a task that pages of several cover: the narrower one, and of two
+// that are as wide the compact one.
+func narrower(a, b storage.Layout) int {
+	if a.Width == b.Width && a.Compact != b.Compact {
+		if a.Compact {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.Width, b.Width)
+}
+
 // overJob makes up a job that is over, and whose tasks may not be gone: they still count.
 func (c *Core) overJob(now time.Duration, id string, pages []storedPage) *job {
 	rec := pages[0].rec
--- a/internal/simulation/pipeline_test.go
+++ b/internal/simulation/pipeline_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"pinebay/internal/config"
+	"pinebay/internal/coordination/featurelevel"
 	"pinebay/internal/daemon"
 	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
 	"pinebay/internal/testkit"
 )
 
@@ -162,11 +165,51 @@
 	for i, x := range pipelineScenarios {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
-			play(t, uint64(800+i), x.controllers, x.w, func(l *live) { l.carryOut(x.steps, x.happened) }, x.options...)
+			play(t, uint64(800+i), x.controllers, x.w, func(l *live) {
+				l.carryOut(x.steps, x.happened)
+				l.checkRecords()
+			}, x.options...)
 		})
 	}
 }
 
+// checkRecords demands that what is over has its record: no job lives that users were told is cancelled, be it
+// with another one.
+func (l *live) checkRecords() {
+	l.t.Helper()
+	pairs, _ := l.state.List(storage.LivePrefix)
+	for _, p := range pairs {
+		id := strings.TrimPrefix(p.Key, storage.LivePrefix)
+		if standing, over := l.ledger.Final(id); over {
+			l.t.Errorf("%s is %s and its live record is left", id, standing)
+		}
+	}
+}
+
+// mostTooLarge is how many transactions may be refused for their size in the moments between the fall of the limits,
+// when the last controller has recorded its level, and the level's being final.
+const mostTooLarge = 12
+
+// checkUpgraded demands that the level is final everywhere, that no page of the layout of production is left, and
+// that hardly anything was refused for its size.
+func (l *live) checkUpgraded() {
+	l.t.Helper()
+	l.checkRecords()
+	term := l.state.Get(storage.TermKey)
+	if rec, err := storage.DecodeTerm(term.Value); err != nil || rec.Level != int(featurelevel.Current) {
+		l.t.Errorf("the term's record: %+v, %v", rec, err)
+	}
+	pairs, _ := l.state.List(storage.PlacePrefix)
+	for _, p := range pairs {
+		if name, err := storage.ParsePageName(p.Key, 1); err != nil || !name.Layout.Compact {
+			l.t.Errorf("%s is left: %v", p.Key, err)
+		}
+	}
+	if use := l.state.Use(); use.TooLarge > mostTooLarge {
+		l.t.Errorf("%d transactions were refused for their size", use.TooLarge)
+	}
+}
+
 // TestUpgradeScenarios plays upgrades: controllers come back with the new level in every order, among troubles,
 // and the state service's limits fall as soon as the last has shown it. Pipelines are refused until the level is
 // final, and served then; all rules hold.
@@ -195,7 +238,10 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
-			play(t, uint64(850+i), x.controllers, x.w, func(l *live) { l.carryOut(x.steps, upgraded) }, options...)
+			play(t, uint64(850+i), x.controllers, x.w, func(l *live) {
+				l.carryOut(x.steps, upgraded)
+				l.checkUpgraded()
+			}, options...)
 		})
 	}
 }
--- a/internal/simulation/state.go
+++ b/internal/simulation/state.go
@@ -50,6 +50,7 @@
 // StateUse counts what was asked of a state service.
 type StateUse struct {
 	Requests, Writes, Refused int
+	TooLarge                  int // transactions that were refused for their size
 	Keys                      int // at this moment
 }
 
@@ -113,6 +114,17 @@
 	if limits == nil {
 		return true
 	}
+	if limits.allow(t) {
+		return true
+	}
+	s.mu.Lock()
+	s.use.TooLarge++
+	s.mu.Unlock()
+	return false
+}
+
+// allow says whether a transaction keeps to the limits on its size.
+func (limits *stateLimits) allow(t *protocol.Txn) bool {
 	if len(t.Then) > limits.operations || len(t.If) > 4*limits.operations {
 		return false
 	}
--- /dev/null
+++ b/internal/storage/compatibility_test.go
@@ -0,0 +1,102 @@
+package storage_test
+
+import (
+	"bytes"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// golden returns bytes as the version in production wrote them.
+func golden(t *testing.T, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", "production", name+".hex"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := hex.DecodeString(strings.TrimSpace(string(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// TestProductionRecords: every record of the version in production is read, and below the first feature level
+// written the same, byte by byte: both versions work on each other's data.
+func TestProductionRecords(t *testing.T) {
+	job := protocol.Job{ID: "j-000412", Class: "train", Team: "vision", Shape: protocol.Gang, Priority: "urgent", Tasks: 16, CPUs: 8, GPUs: 1, MemoryGB: 64,
+		Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, Zone: "a", SameZone: true, Spot: true, EstimateS: 240, CheckpointS: 30, SaveS: 4, DeadlineS: 900}
+	for name, want := range map[string]any{
+		"live":            &storage.LiveRecord{Job: job, AtMS: 1764682355123},
+		"ended-done":      &storage.EndedRecord{Standing: protocol.Done, Done: 16, Write: "7.42"},
+		"ended-cancelled": &storage.EndedRecord{Standing: protocol.Cancelled},
+		"leader":          &storage.LeaderRecord{Node: "bothy-1", Term: 7},
+		"images": &storage.ImagesRecord{Images: []string{"img-07", "img-09"}, SizesGB: []float64{6.2, 118}, Machines: []storage.MachineImages{{Name: "host-000231", Images: []int{0, 1}}},
+			Arrivals: []storage.ClassArrivals{{Class: "train", Jobs: 2.25, Tasks: 11.5}}},
+		"types": &protocol.MachineTypes{Types: []protocol.MachineType{{Name: "g8", CPUs: 96, GPUs: 8, MemoryGB: 768, CacheGB: 200, FetchGBPerS: 1, Price: 12, SpotPrice: 4.5, BootS: 45, Zones: []string{"a", "b"}}}},
+		"zone-return": &storage.ZoneReturnRecord{Format: 1, Write: "7.43", Zones: []storage.ZoneRow{{Name: "a", State: 1, SinceMS: 1764682355123, Flaps: 2}},
+			Loans: []storage.LoanRow{{Term: 7, Number: 3, Lender: "j-1", Task: 4, Attempt: 2, Borrower: "j-2", Machine: "host-000231", Zone: "b", LostS: 12.5, AtMS: 5, UntilMS: 6}}},
+	} {
+		raw := golden(t, name)
+		got := reflect.New(reflect.TypeOf(want).Elem()).Interface()
+		if err := protocol.Decode(raw, got); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s is read as %+v: %v", name, got, err)
+		}
+		if written, err := protocol.Encode(want); err != nil || !bytes.Equal(written, raw) {
+			t.Errorf("%s is written otherwise: %x, want %x, %v", name, written, raw, err)
+		}
+	}
+}
+
+// TestProductionPage does the same for a page of placements.
+func TestProductionPage(t *testing.T) {
+	want := storage.PageRecord{Write: "7.41", Attempts: 3, Done: [][2]int{{0, 4}, {6, 6}}, Zones: []string{"a", "b"},
+		Places: []storage.Place{{Task: 5, Machine: "host-000231", Session: 2, Attempt: 3, Zone: 0}, {Task: 7, Machine: "host-000232", Session: 1, Attempt: 1, Zone: 1}},
+		Team:   "vision", CPUs: 8, GPUs: 1, MemoryGB: 64}
+	layout := storage.Layout{Width: storage.ProductionPageTasks(8)}
+	raw := golden(t, "page")
+	got, err := storage.DecodePage(raw, layout)
+	if err != nil || !reflect.DeepEqual(*got, want) {
+		t.Errorf("it is read as %+v: %v", got, err)
+	}
+	if written, err := storage.EncodePage(&want, layout); err != nil || !bytes.Equal(written, raw) {
+		t.Errorf("it is written otherwise: %x, want %x, %v", written, raw, err)
+	}
+	if key := (storage.PageName{Job: "j-000412", Layout: layout, Number: 3}).Key(); key != "place/j-000412/0003" || layout.Width != 96 {
+		t.Errorf("its key is %q, and it covers %d tasks", key, layout.Width)
+	}
+}
+
+// TestProductionTerm: the term's record is read and written as in production below the first feature level. From
+// then on a process of production, which expects a number, can't read it: so it can't claim a term.
+func TestProductionTerm(t *testing.T) {
+	raw, plain := golden(t, "term"), storage.TermRecord{Term: 7, Node: "bothy-1", Claim: "912"}
+	if got, err := storage.DecodeTerm(raw); err != nil || got != plain {
+		t.Errorf("it is read as %+v: %v", got, err)
+	}
+	if written, err := storage.EncodeTerm(plain); err != nil || !bytes.Equal(written, raw) {
+		t.Errorf("it is written otherwise: %x, want %x, %v", written, raw, err)
+	}
+	leveled := storage.TermRecord{Term: 8, Node: "bothy-2", Claim: "913", Level: 1, Write: "8.2"}
+	written, err := storage.EncodeTerm(leveled)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := storage.DecodeTerm(written); err != nil || got != leveled {
+		t.Errorf("with a level it is read as %+v: %v", got, err)
+	}
+	var production struct {
+		Term  uint64 `msgpack:"term"`
+		Node  string `msgpack:"node"`
+		Claim string `msgpack:"claim"`
+	}
+	if err := protocol.Decode(written, &production); err == nil {
+		t.Error("production reads a term's record of a level that it does not speak")
+	}
+}
