Transactions refused for their size become smaller; drawn pages are read back in the midst

Cascades of cancellations were tried again as large as they were when the service's limits fell lower than the settings say: found with the limits left as they were on purpose. A refusal now halves the operations of later transactions, then the width of pages. The drawn test of pages compares what a new leader reads at any moment with the last record of each task; it fails without the order by width.

--- a/internal/coordination/scheduler/images.go
+++ b/internal/coordination/scheduler/images.go
@@ -100,6 +100,9 @@
 	id, _ := c.name()
 	c.writes[id] = func(_ time.Duration, w Written) {
 		c.imagesWriting = false
+		if w.Refused {
+			c.refused(&t)
+		}
 		if !w.OK {
 			return // a hint; it is written anew the next time
 		}
--- a/internal/coordination/scheduler/level.go
+++ b/internal/coordination/scheduler/level.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// fewestOperations is how many operations a transaction must be able to have: the end of a job takes two.
+const fewestOperations = 2
+
+// refused takes in that a transaction was refused for its form, and says whether it had more operations than it
+// needs: later ones have half as many. The limits may be lower than the settings say.
+func (c *Core) refused(t *protocol.Txn) bool {
+	if len(t.Then) <= fewestOperations {
+		return false
+	}
+	c.stateLimits.TxnOps = max(fewestOperations, min(c.stateLimits.TxnOps, len(t.Then)/2))
+	c.log.Error("transaction refused for its form", "operations", len(t.Then), "operations now", c.stateLimits.TxnOps)
+	return true
+}
+
 // finalise begins to make a level final. The transaction changes the term's record, on whose version all of
 // the leader's writes depend. So no others begin until it is carried out, and those under way end first.
 func (c *Core) finalise(e Finalise) {
--- a/internal/coordination/scheduler/level_test.go
+++ b/internal/coordination/scheduler/level_test.go
@@ -11,6 +11,7 @@
 
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/featurelevel"
+	"pinebay/internal/coordination/partition"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
 )
@@ -74,31 +75,64 @@
 	}
 }
 
-// books is what a core knows of a job that a new leader must know too.
+// books is what a core knows of a job's tasks that a new leader must know too.
 func books(j *job) map[int]string {
 	known := map[int]string{}
 	for task, state := range j.tasks {
-		text := fmt.Sprint("state ", state)
-		if pl := j.places[task]; pl != nil {
-			text = fmt.Sprintf("%s on %s session %d attempt %d zone %s", text, pl.Machine, pl.Session, pl.Attempt, pl.Zone)
+		pl := j.places[task]
+		if state == done || pl != nil {
+			known[task] = taskText(state == done, pl)
 		}
-		known[task] = text
 	}
 	return known
 }
 
+func taskText(isDone bool, pl *partition.Placement) string {
+	if pl == nil {
+		return fmt.Sprint("done ", isDone)
+	}
+	return fmt.Sprintf("done %v on %s session %d attempt %d zone %s", isDone, pl.Machine, pl.Session, pl.Attempt, pl.Zone)
+}
+
+// recordBooks takes into the books what a page says of its tasks: of several pages the last one that was written.
+func recordBooks(t *rapid.T, known map[int]string, pair protocol.Pair) {
+	name, err := storage.ParsePageName(pair.Key, storage.ProductionPageTasks(4))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec, err := storage.DecodePage(pair.Value, name.Layout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	isDone := map[int]bool{}
+	for _, d := range rec.Done {
+		for task := d[0]; task <= d[1]; task++ {
+			isDone[task] = true
+		}
+	}
+	for task := name.First(); task < name.End(); task++ {
+		delete(known, task)
+		if isDone[task] {
+			known[task] = taskText(true, nil)
+		}
+	}
+	for _, pl := range rec.Places {
+		known[pl.Task] = taskText(isDone[pl.Task], &partition.Placement{Machine: pl.Machine, Session: pl.Session, Attempt: pl.Attempt, Zone: rec.Zones[pl.Zone]})
+	}
+}
+
 // TestPagesOfEveryLayout draws what happens to a job whose pages are cut narrower now and then, while records are
 // carried out in part. However far the replacement has come, a new leader reads the books as they were
 // recorded, and no attempt number comes again.
 func TestPagesOfEveryLayout(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := emptyStore(6)
-		s.c.cfg.State = config.State{RPS: 100, WriteRPS: 30, ValueKB: 1, TxnOps: rapid.IntRange(2, 6).Draw(t, "operations"),
-			Next: config.StateLimits{ValueKB: rapid.SampledFrom([]float64{0.5, 0.7, 1}).Draw(t, "value"), TxnOps: rapid.IntRange(2, 5).Draw(t, "next operations")}}
+		s.c.cfg.State = config.State{RPS: 100, WriteRPS: 30, ValueKB: 4, TxnOps: rapid.IntRange(2, 6).Draw(t, "operations"),
+			Next: config.StateLimits{ValueKB: rapid.SampledFrom([]float64{0.5, 1, 4}).Draw(t, "value"), TxnOps: rapid.IntRange(2, 5).Draw(t, "next operations")}}
 		s.c.setLevel(featurelevel.Production)
-		tasks := rapid.IntRange(1, 60).Draw(t, "tasks")
+		tasks := rapid.IntRange(1, 120).Draw(t, "tasks")
 		s.accept(spec("j-1", protocol.Array, "normal", tasks, 1))
-		stored := map[string]protocol.Pair{}
+		stored, recorded := map[string]protocol.Pair{}, map[int]string{}
 		carryOut := func(w Write) {
 			s.rev++
 			for _, cond := range w.Txn.If {
@@ -109,6 +143,9 @@
 			for _, op := range w.Txn.Then {
 				if op.Put != "" {
 					stored[op.Put] = protocol.Pair{Key: op.Put, Value: op.Value, Version: s.rev}
+					if strings.HasPrefix(op.Put, storage.PlacePrefix) {
+						recordBooks(t, recorded, stored[op.Put])
+					}
 					if s.c.level >= featurelevel.Pipelines && op.Put != storage.TermKey && !storage.Fits(op.Value, s.c.stateLimits.ValueKB) && !strings.Contains(op.Put, "/w1.") {
 						t.Fatalf("%s does not fit", op.Put)
 					}
@@ -121,6 +158,12 @@
 			s.open = slices.DeleteFunc(s.open, func(o Write) bool { return o.ID == w.ID })
 			s.stepAll(Written{Write: w.ID, OK: true, Rev: s.rev})
 		}
+		for range rapid.IntRange(0, 3).Draw(t, "quiet cycles first") {
+			s.cycleAll()
+			for len(s.open) > 0 {
+				carryOut(s.open[0])
+			}
+		}
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0:
@@ -139,6 +182,23 @@
 				}
 			}
 		}
+		nextLeader := func() *job {
+			pages := slices.Collect(maps.Values(stored))
+			pages = slices.DeleteFunc(pages, func(p protocol.Pair) bool { return !strings.HasPrefix(p.Key, storage.PlacePrefix) })
+			raw, err := protocol.Encode(storage.LiveRecord{Job: spec("j-1", protocol.Array, "normal", tasks, 1)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			next := New(s.now, s.c.cfg, s.c.log, Term{Number: 6, Stamp: 2, Level: s.c.level}, Records{Types: []protocol.MachineType{*s.c.machines.Type("g8")},
+				Live: []protocol.Pair{{Key: storage.LiveKey("j-1"), Value: raw, Version: 5}}, Pages: pages}, 0, nil)
+			return next.jobs["j-1"]
+		}
+		if stored[storage.EndedKey("j-1")].Version > 0 {
+			return // all of it is done, and its pages go
+		}
+		if got := books(nextLeader()); !maps.Equal(got, recorded) {
+			t.Fatalf("in the midst a new leader reads\n%v\nof\n%v", got, recorded)
+		}
 		s.cycleAll()
 		for n := 0; len(s.open) > 0 && n < 500; n++ {
 			carryOut(s.open[0])
@@ -153,15 +213,7 @@
 				carryOut(s.open[0])
 			}
 		}
-		pages := slices.Collect(maps.Values(stored))
-		pages = slices.DeleteFunc(pages, func(p protocol.Pair) bool { return !strings.HasPrefix(p.Key, storage.PlacePrefix) })
-		raw, err := protocol.Encode(storage.LiveRecord{Job: j.spec})
-		if err != nil {
-			t.Fatal(err)
-		}
-		next := New(s.now, s.c.cfg, s.c.log, Term{Number: 6, Stamp: 2, Level: s.c.level}, Records{Types: []protocol.MachineType{*s.c.machines.Type("g8")},
-			Live: []protocol.Pair{{Key: storage.LiveKey("j-1"), Value: raw, Version: j.stamp}}, Pages: pages}, 0, nil)
-		got := next.jobs["j-1"]
+		got := nextLeader()
 		if !maps.Equal(books(got), books(j)) {
 			t.Fatalf("a new leader reads\n%v\nof\n%v", books(got), books(j))
 		}
--- a/internal/coordination/scheduler/pipelines.go
+++ b/internal/coordination/scheduler/pipelines.go
@@ -175,6 +175,7 @@
 				c.end(now, j)
 			}
 		case w.Refused:
+			c.refused(&t)
 			c.after(now+refusedPause, func(time.Duration) { c.doomed = append(c.doomed, jobs...) })
 			return
 		case !c.overtakenAny(now, jobs, w):
--- a/internal/coordination/scheduler/recording.go
+++ b/internal/coordination/scheduler/recording.go
@@ -193,7 +193,7 @@
 	c.underWay[purpose] += len(t.Then)
 	c.writes[id] = func(now time.Duration, w Written) {
 		c.underWay[purpose] -= len(t.Then)
-		c.partsWritten(now, parts, w)
+		c.partsWritten(now, &t, parts, w)
 		if purpose == Ends {
 			c.settleEnded(now)
 		} else {
@@ -206,7 +206,7 @@
 // partsWritten takes in the outcome of a transaction. A failed condition of one job concerns that job
 // alone: the others are written again at once, in another transaction. The one that failed can't have
 // been carried out and never will be, as its conditions hold no longer.
-func (c *Core) partsWritten(now time.Duration, parts []*part, w Written) {
+func (c *Core) partsWritten(now time.Duration, t *protocol.Txn, parts []*part, w Written) {
 	for _, p := range parts {
 		p.job.writing = false
 	}
@@ -222,7 +222,7 @@
 		case w.Refused && len(parts) > 1:
 			c.recordAlone(now, p) // one of them is out of form, and only alone it shows which
 		case w.Refused:
-			c.partRefused(now, p)
+			c.partRefused(now, t, p)
 		default:
 			c.partFailed(now, p, w.Failed)
 		}
@@ -250,12 +250,16 @@
 	}
 }
 
-// partRefused takes in that a part alone was refused for its form: its pages are cut narrower, as far as that
-// goes. Else it is tried again after a pause, in which others have their turn.
-func (c *Core) partRefused(now time.Duration, p *part) {
+// partRefused takes in that a part alone was refused for its form: fewer of its pages are written at a time, and then
+// they are cut narrower, as far as that goes. Else it is tried again after a pause, in which others have their turn.
+func (c *Core) partRefused(now time.Duration, t *protocol.Txn, p *part) {
 	j := p.job
 	c.putBack(now, p)
 	j.recordAfter = now + refusedPause
+	if c.refused(t) {
+		j.recordAfter = now // it is written with fewer pages at a time
+		return
+	}
 	if j.layout.Compact && j.layout.Width > 1 && !j.over {
 		j.relayout(storage.Layout{Width: (j.layout.Width + 1) / 2, Compact: true})
 		j.recordAfter = now
--- a/internal/coordination/scheduler/records.go
+++ b/internal/coordination/scheduler/records.go
@@ -37,6 +37,7 @@
 	c.writes[id] = func(now time.Duration, w Written) {
 		j.finishing = false
 		if w.Refused {
+			c.refused(&t)
 			c.after(now+refusedPause, func(now time.Duration) { c.finish(now, j) })
 			return
 		}
@@ -116,6 +117,7 @@
 	c.writes[id] = func(now time.Duration, w Written) {
 		j.writing = false
 		if w.Refused {
+			c.refused(&t)
 			c.after(now+refusedPause, func(now time.Duration) { c.sweep(now, j) })
 			return
 		}
--- a/internal/simulation/pipeline_test.go
+++ b/internal/simulation/pipeline_test.go
@@ -173,6 +173,22 @@
 	}
 }
 
+// TestLimitsBelowTheSettings: the state service's limits fall lower than the settings say. Transactions and values
+// are refused all the same, and made smaller: everything is recorded in the end.
+func TestLimitsBelowTheSettings(t *testing.T) {
+	play(t, 880, 3, brisk, func(l *live) {
+		l.settle(9)
+		lower := l.cfg.State
+		lower.ValueKB, lower.TxnOps = 0.4, 2
+		l.state.Limit(lower)
+		l.carryOut([]step{{0, pipelines(8)}, {0, crowd(8)}, {10 * s, crashLeader(5 * s)}, {15 * s, cancels(3, 0)}}, []string{"pipeline", "cancelled"})
+		l.checkRecords()
+		if l.state.Use().TooLarge == 0 {
+			t.Error("nothing was refused for its size: the scenario shows nothing")
+		}
+	}, limitsToFall)
+}
+
 // checkRecords demands that what is over has its record: no job lives that users were told is cancelled, be it
 // with another one.
 func (l *live) checkRecords() {
