--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -83,6 +83,7 @@
 	f.IntVar(&cfg.Load.GangTasks, "gang-tasks", cfg.Load.GangTasks, "tasks of the largest gang")
 	f.Float64Var(&cfg.Load.UrgentPerS, "urgent", cfg.Load.UrgentPerS, "urgent single tasks a second")
 	f.Float64Var(&cfg.Load.CancelShare, "cancels", cfg.Load.CancelShare, "share of the arrays that are called off")
+	f.Float64Var(&cfg.Load.PipelinesPerS, "pipelines", cfg.Load.PipelinesPerS, "pipelines a second, each of three arrays of which one awaits the other")
 	f.BoolVar(&cfg.Load.TeamsAtLimit, "teams-at-limit", cfg.Load.TeamsAtLimit, "teams have limits and ask for more")
 	f.Float64Var(&cfg.Load.Overcommit, "overcommit", cfg.Load.Overcommit, "with --teams-at-limit, how many times its limit a team asks for")
 	f.DurationVar(&cfg.Report, "report", cfg.Report, "time between a worker's reports")
@@ -115,7 +116,7 @@
 	return &scale.Config{
 		Program: "target/pinebay", Sizes: []int{250, 500, 750, 1000},
 		Load: scale.Load{Controllers: 3, Workers: 18_000, Teams: 200, Zones: 3, TasksPerWorker: 240_000. / 18_000, StartsPerS: 3000,
-			ArrayTasks: 500, GangShare: 0.1, GangTasks: 64, UrgentPerS: 10, CancelShare: 0.03, Overcommit: 1.5},
+			ArrayTasks: 500, GangShare: 0.1, GangTasks: 64, UrgentPerS: 10, PipelinesPerS: 2, CancelShare: 0.03, Overcommit: 1.5},
 		Report: 5 * time.Second, Lease: 29 * time.Second, RunTime: 40 * time.Second, Warmup: 45 * time.Second, Measure: 30 * time.Second,
 		Slices: 6, Seed: 1, Port: 21_000, CoreShare: 1, RAMMB: 2048, MaxSockets: 19_000,
 		WorkerProcesses: 3, StateRPS: 600, StateWriteRPS: 180, StateTxnOps: 16, CloudRPS: 4,
--- a/internal/coordination/scheduler/level_test.go
+++ b/internal/coordination/scheduler/level_test.go
@@ -284,3 +284,33 @@
 		}
 	}
 }
+
+// TestCostOfSmallerPages counts what the start of an array costs in writes and bytes, in the layout of production
+// under 8 KiB and in the compact one under 2 KiB: up to 48 tasks one write in both, and a fraction of the bytes.
+func TestCostOfSmallerPages(t *testing.T) {
+	cost := func(level featurelevel.Level, tasks int) (writes, bytes int) {
+		s := withNext(emptyStore(tasks/8+1), config.StateLimits{ValueKB: 2, TxnOps: 5})
+		s.c.setLevel(level)
+		s.accept(spec("j-1", protocol.Array, "normal", tasks, 1))
+		s.cycleAll()
+		for len(s.open) > 0 {
+			for _, op := range s.open[0].Txn.Then {
+				size, err := storage.ValueBytes(op.Value)
+				if err != nil {
+					t.Fatal(err)
+				}
+				writes, bytes = writes+1, bytes+size
+			}
+			s.answer(Written{Write: s.open[0].ID, OK: true})
+		}
+		return writes, bytes
+	}
+	for tasks, most := range map[int]int{18: 1, 48: 1, 96: 2} {
+		oldWrites, oldBytes := cost(featurelevel.Production, tasks)
+		writes, bytes := cost(featurelevel.Pipelines, tasks)
+		t.Logf("%d tasks: %d writes of %d bytes in all, before %d of %d", tasks, writes, bytes, oldWrites, oldBytes)
+		if writes > most || oldWrites != 1 || 10*bytes > 7*oldBytes {
+			t.Errorf("%d tasks: %d writes of %d bytes in all, before %d of %d", tasks, writes, bytes, oldWrites, oldBytes)
+		}
+	}
+}
--- a/internal/scale/config.go
+++ b/internal/scale/config.go
@@ -35,13 +35,14 @@
 	Teams          int     `json:"teams"`
 	TasksPerWorker float64 `json:"tasks_per_worker"`
 	StartsPerS     float64 `json:"starts_per_s"`
-	ArrayTasks     int     `json:"array_tasks"`    // of each array; they make most of the starts
-	GangShare      float64 `json:"gang_share"`     // of the starts
-	GangTasks      int     `json:"gang_tasks"`     // of the largest gang
-	UrgentPerS     float64 `json:"urgent_per_s"`   // single urgent tasks a second
-	CancelShare    float64 `json:"cancel_share"`   // of the arrays
-	TeamsAtLimit   bool    `json:"teams_at_limit"` // teams ask for more than their limits
-	Overcommit     float64 `json:"overcommit"`     // with it: how many times its limit a team asks for
+	ArrayTasks     int     `json:"array_tasks"`     // of each array; they make most of the starts
+	GangShare      float64 `json:"gang_share"`      // of the starts
+	GangTasks      int     `json:"gang_tasks"`      // of the largest gang
+	UrgentPerS     float64 `json:"urgent_per_s"`    // single urgent tasks a second
+	CancelShare    float64 `json:"cancel_share"`    // of the arrays
+	PipelinesPerS  float64 `json:"pipelines_per_s"` // pipelines a second, each of three arrays after one another
+	TeamsAtLimit   bool    `json:"teams_at_limit"`  // teams ask for more than their limits
+	Overcommit     float64 `json:"overcommit"`      // with it: how many times its limit a team asks for
 	Zones          int     `json:"zones"`
 }
 
@@ -101,6 +102,7 @@
 		l.Workers = size
 		l.StartsPerS *= factor
 		l.UrgentPerS *= factor
+		l.PipelinesPerS *= factor
 	case Starts:
 		l.StartsPerS = float64(size)
 	case Teams:
@@ -169,7 +171,7 @@
 		return fmt.Errorf("%d zones, want at least one", l.Zones)
 	case !(l.TasksPerWorker > 0):
 		return fmt.Errorf("%g tasks a worker, want more than none", l.TasksPerWorker)
-	case l.StartsPerS < 0 || l.UrgentPerS < 0 || l.GangShare < 0 || l.GangShare > 1 || l.CancelShare < 0 || l.CancelShare > 1:
+	case l.StartsPerS < 0 || l.UrgentPerS < 0 || l.PipelinesPerS < 0 || l.GangShare < 0 || l.GangShare > 1 || l.CancelShare < 0 || l.CancelShare > 1:
 		return errors.New("a rate or share is out of range")
 	case l.ArrayTasks < 1 || l.GangTasks < 1:
 		return errors.New("arrays and gangs need at least one task")
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -96,6 +96,7 @@
 		r.wg.Go(func() { r.every(gangs, func() { r.user(r.newGang(r.anyTeam())) }) })
 	}
 	r.wg.Go(func() { r.every(r.load.UrgentPerS, func() { r.user(r.newUrgent()) }) })
+	r.wg.Go(func() { r.every(r.load.PipelinesPerS, r.pipeline) })
 }
 
 // press keeps a team asking for more than its limit.
@@ -180,8 +181,13 @@
 		timer := time.AfterFunc(r.cfg.RunTime/cancelAfterRun, func() { r.cancelJob(j.ID) })
 		defer timer.Stop()
 	}
+	r.follow(j.ID)
+}
+
+// follow asks for an accepted job until it is over.
+func (r *run) follow(id string) {
 	for r.sleep(pollInterval) == nil {
-		if status, st := r.users.Request(r.ctx, r.anyController(), simulation.Asks, j.ID, nil); status == http.StatusOK && st.Standing.Final() {
+		if status, st := r.users.Request(r.ctx, r.anyController(), simulation.Asks, id, nil); status == http.StatusOK && st.Standing.Final() {
 			return
 		}
 	}
@@ -242,6 +248,11 @@
 	if id.Task != 0 {
 		return
 	}
+	if freed, awaited := r.world.FreedAt(r.world.Jobs[id.Job]); awaited {
+		delete(r.waiting, id.Job)
+		r.meter.Took(FreedStarted, now-freed)
+		return
+	}
 	at, ok := r.waiting[id.Job]
 	switch {
 	case !ok:
--- a/internal/scale/meter.go
+++ b/internal/scale/meter.go
@@ -41,10 +41,11 @@
 	CancellationAnswered
 	UrgentStarted
 	TaskStarted
+	FreedStarted // from the end of the last job that a job awaits
 	latencies
 )
 
-var latencyNames = [latencies]string{"report", "submission", "question", "cancellation", "urgent start", "start"}
+var latencyNames = [latencies]string{"report", "submission", "question", "cancellation", "urgent start", "start", "freed to started"}
 
 func (l Latency) String() string { return latencyNames[l] }
 
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -97,6 +97,7 @@
 	r.newWorld()
 	r.newCloud()
 	r.ledger = simulation.NewLedger(r.allDone, r.toldCancelled)
+	r.ledger.Awaits, r.ledger.CancelS = r.awaits, r.world.CancelS
 	network := meteredNetwork{from: []byte{127, 0, 0, 1}, bytes: &r.meter.bytes[LinkUsers]}
 	r.users = &simulation.Users{Client: transport.NewClient(network, usersConnections, usersConnections, time.Minute), Ledger: r.ledger,
 		Now: r.now, Fault: r.fail, OnAnswer: r.userAnswered}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -47,7 +47,7 @@
 		WorkerProcesses: 2, WorkerProgram: self,
 		Program: build(t), Vary: Workers, Sizes: []int{6, 8, 10, 12},
 		Load: Load{Controllers: 3, Workers: 10, Teams: 2, Zones: 2, TasksPerWorker: 4, StartsPerS: 10, ArrayTasks: 5, GangShare: 0.2,
-			GangTasks: 2, UrgentPerS: 2, CancelShare: 0.2, Overcommit: 1.5},
+			GangTasks: 2, UrgentPerS: 2, PipelinesPerS: 1, CancelShare: 0.2, Overcommit: 1.5},
 		Report: 300 * time.Millisecond, Lease: 3 * time.Second, RunTime: time.Second, Warmup: 2 * time.Second, Measure: 2 * time.Second,
 		Slices: 2, Seed: 1, Port: freePort(t), CoreShare: 1, RAMMB: 256, MaxSockets: 500, StateRPS: 600, StateWriteRPS: 180, StateTxnOps: 16, CloudRPS: 4,
 	}
--- a/internal/simulation/mirror.go
+++ b/internal/simulation/mirror.go
@@ -60,6 +60,6 @@
 	}
 	m.set(t, said.State)
 	if said.State == protocol.Exited && said.Cause == protocol.CauseDone {
-		w.Done[id] = true
+		w.complete(now, id)
 	}
 }
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -281,12 +281,12 @@
 		if j.Shape != protocol.Service && now-t.Since >= w.runTime(t.ID) {
 			if j.Shape == protocol.Gang {
 				for i := range j.Tasks {
-					w.Done[protocol.TaskID{Job: j.ID, Task: i}] = true
+					w.complete(now, protocol.TaskID{Job: j.ID, Task: i})
 				}
 				w.finishGang(now, j.ID, t.Attempt)
 				return
 			}
-			w.Done[t.ID] = true
+			w.complete(now, t.ID)
 			m.exit(now, t, protocol.CauseDone)
 		}
 	case protocol.Saving:
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -18,6 +18,7 @@
 	Jobs    map[string]*protocol.Job
 	Workers map[string]*Worker
 	Done    map[protocol.TaskID]bool
+	DoneAt  map[string]time.Duration // when a task of a job last completed
 	// Cancelled says when users were told that their jobs are cancelled.
 	Cancelled map[string]time.Duration
 	CancelS   time.Duration
@@ -47,7 +48,7 @@
 // NewWorld returns a world without machines or jobs.
 func NewWorld(cancel, fetch, run time.Duration) *World {
 	return &World{
-		Jobs: map[string]*protocol.Job{}, Workers: map[string]*Worker{}, Done: map[protocol.TaskID]bool{},
+		Jobs: map[string]*protocol.Job{}, Workers: map[string]*Worker{}, Done: map[protocol.TaskID]bool{}, DoneAt: map[string]time.Duration{},
 		Cancelled: map[string]time.Duration{}, CancelS: cancel, Limits: map[string][2]float64{}, Fetch: fetch, RunTime: run,
 		RunTimes: map[string]time.Duration{},
 		occupied: newOccupancy(),
@@ -196,6 +197,22 @@
 	}
 }
 
+// complete notes that a task has completed.
+func (w *World) complete(now time.Duration, id protocol.TaskID) {
+	if !w.Done[id] {
+		w.Done[id] = true
+		w.DoneAt[id.Job] = now
+	}
+}
+
+// FreedAt returns when the last of the jobs that a job awaits was done, or false if it awaits none.
+func (w *World) FreedAt(j *protocol.Job) (at time.Duration, ok bool) {
+	for _, need := range j.Awaits {
+		at = max(at, w.DoneAt[need])
+	}
+	return at, len(j.Awaits) > 0
+}
+
 // allDone says whether all tasks of a job have completed.
 func (w *World) allDone(id string) bool {
 	j := w.job(id)
