--- a/internal/coordination/featurelevel/featurelevel.go
+++ b/internal/coordination/featurelevel/featurelevel.go
@@ -38,7 +38,7 @@
 		Final  Level
 		Failed bool
 	}
-	// Recorded says that the write of the own level has ended, whatever came of it.
+	// AnnounceDone says that the write of the own level has ended, whatever came of it.
 	AnnounceDone struct{}
 	// Heard is the level that a heartbeat of a peer states.
 	Heard struct {
--- a/internal/coordination/scheduler/pipelines.go
+++ b/internal/coordination/scheduler/pipelines.go
@@ -210,17 +210,22 @@
 // foreseen lists the room that blocked jobs will want before a machine rented now would be up: the jobs that
 // they await all run, and are likely to be done by then.
 func (c *Core) foreseen(now time.Duration) (units []fleet.Unit) {
+	left := mostForeseen
 	c.queues.blockedJobs.Scan(func(j *job) bool {
+		if left--; left < 0 {
+			return false
+		}
 		if c.graph.State(j.spec.ID) == dependency.Live && c.isNear(now, j) {
 			units = append(units, fleet.Unit{Job: &j.spec, Count: min(j.spec.Tasks, c.allowance(j)), Spare: true})
 		}
-		return len(units) < mostForeseen
+		return true
 	})
 	return units
 }
 
-// mostForeseen bounds the jobs for which room is foreseen in a plan.
-const mostForeseen = 64
+// mostForeseen bounds the jobs that a plan looks at for what they will want: the first by priority and latest
+// start, however many wait.
+const mostForeseen = 256
 
 // isNear says whether all that a job awaits is likely to be done within a boot time.
 func (c *Core) isNear(now time.Duration, j *job) bool {
--- a/internal/daemon/levels.go
+++ b/internal/daemon/levels.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"pinebay/internal/coordination/featurelevel"
 	"pinebay/internal/protocol"
@@ -10,7 +11,11 @@
 
 // runLevels is the feature levels' actor.
 func (c *Controller) runLevels(ctx context.Context) {
+	var missing []string
 	step := func(e featurelevel.Event) {
+		if _, ok := e.(featurelevel.Listed); ok {
+			defer func() { missing = c.tellMissing(missing) }()
+		}
 		for _, effect := range c.levels.Step(c.now(), e) {
 			c.carryOutLevel(ctx, effect)
 		}
@@ -22,6 +27,15 @@
 	})
 }
 
+// tellMissing logs which controllers have not shown this version's level, if these are others than were told of.
+func (c *Controller) tellMissing(told []string) []string {
+	missing := c.levels.Missing()
+	if !slices.Equal(missing, told) && c.levels.Final() < c.features.level() {
+		c.log.Info("feature level waits for controllers", "level", c.features.level(), "missing", missing)
+	}
+	return missing
+}
+
 func (c *Controller) carryOutLevel(ctx context.Context, effect featurelevel.Effect) {
 	switch e := effect.(type) {
 	case featurelevel.List:
