--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -103,6 +103,7 @@
 	f.IntVar(&cfg.StateTxnOps, "state-txn-ops", cfg.StateTxnOps, "writes of a transaction")
 	f.Float64Var(&cfg.CloudRPS, "cloud-rps", cfg.CloudRPS, "calls a second that the cloud takes")
 	f.IntVar(&cfg.WorkerProcesses, "worker-processes", cfg.WorkerProcesses, "workers beside the hollow ones that are processes of their own")
+	f.BoolVar(&cfg.Ownership, "ownership", false, "the controllers part the machines among them")
 	f.StringVar(&cfg.LogDir, "log-dir", "", "folder for the controllers' logs")
 	f.StringVar(&out.json, "json", "", "file for the result")
 	f.StringVar(&out.picture, "picture", "", "file for a picture of the slopes (PNG)")
@@ -116,7 +117,7 @@
 	return &scale.Config{
 		Program: "target/pinebay", Sizes: []int{250, 500, 750, 1000},
 		Load: scale.Load{Controllers: 3, Workers: 18_000, Teams: 200, Zones: 3, TasksPerWorker: 240_000. / 18_000, StartsPerS: 3000,
-			ArrayTasks: 500, GangShare: 0.1, GangTasks: 64, UrgentPerS: 10, PipelinesPerS: 2, CancelShare: 0.03, Overcommit: 1.5},
+			ArrayTasks: 500, GangShare: 0.1, GangTasks: 64, UrgentPerS: 10, PipelinesPerS: 30, CancelShare: 0.03, Overcommit: 1.5},
 		Report: 5 * time.Second, Lease: 29 * time.Second, RunTime: 40 * time.Second, Warmup: 45 * time.Second, Measure: 30 * time.Second,
 		Slices: 6, Seed: 1, Port: 21_000, CoreShare: 1, RAMMB: 2048, MaxSockets: 19_000,
 		WorkerProcesses: 3, StateRPS: 600, StateWriteRPS: 180, StateTxnOps: 16, CloudRPS: 4,
--- a/internal/coordination/api/api.go
+++ b/internal/coordination/api/api.go
@@ -58,6 +58,9 @@
 // SetLevel tells which feature level is final.
 func (s *Server) SetLevel(level featurelevel.Level) { s.level.Store(int64(level)) }
 
+// Level returns the feature level that is final, as far as known.
+func (s *Server) Level() featurelevel.Level { return featurelevel.Level(s.level.Load()) }
+
 // Ready says whether the machine types are known.
 func (s *Server) Ready() bool { return s.types.Load() != nil }
 
--- a/internal/coordination/api/awaits.go
+++ b/internal/coordination/api/awaits.go
@@ -62,7 +62,7 @@
 
 // awaitsInForm says why a job can't await what it names, whatever that is, or nil.
 func (s *Server) awaitsInForm(job *protocol.Job) *refusal {
-	if featurelevel.Level(s.level.Load()) < featurelevel.Pipelines {
+	if s.Level() < featurelevel.Pipelines {
 		return &refusal{http.StatusServiceUnavailable, "an upgrade is under way: not all controllers can read awaited jobs yet"}
 	}
 	bytes, longest := 0, 0
--- a/internal/coordination/election/standby.go
+++ b/internal/coordination/election/standby.go
@@ -26,7 +26,13 @@
 // renewed without knowing what it forgot. No other command is given, and a lease is
 // never a proof that a task is gone.
 func MayRenewOnStandby(now time.Duration, t Times, v View, stateOK, whole bool, peers []string, heard map[string]Peer) bool {
-	if !whole || len(peers) == 0 || !Leaderless(now, t, "", v, stateOK, peers, heard) {
+	return len(peers) > 0 && KnowsCancellations(now, t, whole, peers, heard) && Leaderless(now, t, "", v, stateOK, peers, heard)
+}
+
+// KnowsCancellations says whether this controller may renew leases, as far as cancellations go: a majority, with this
+// one, has handed on all its intents within the horizon, and none of it has forgotten any.
+func KnowsCancellations(now time.Duration, t Times, whole bool, peers []string, heard map[string]Peer) bool {
+	if !whole {
 		return false
 	}
 	known := 1
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -129,11 +129,32 @@
 	return protocol.ReportAnswer{}, false
 }
 
+// Alive hands in which machines an owner has heard that told nothing new, and returns those of which the next report
+// is to be passed on; false if no answer came in time.
+func (l *Leader) Alive(ctx context.Context, machines []scheduler.AliveMachine) ([]string, bool) {
+	reply := make(chan []string, 1)
+	l.box.Send(scheduler.Alive{Machines: machines, Reply: func(passOn []string) { reply <- passOn }})
+	select {
+	case passOn := <-reply:
+		return passOn, true
+	case <-l.ctx.Done():
+	case <-ctx.Done():
+	}
+	return nil, false
+}
+
 // Withdrawn tells that a user may be about to hear that the job is cancelled.
 func (l *Leader) Withdrawn(job string, at time.Duration) {
 	l.box.Send(scheduler.Withdrawn{ID: job, Until: at + l.Confirm})
 }
 
+func namesOf(machines []scheduler.AliveMachine) (names []string) {
+	for _, m := range machines {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // Finalise asks that a feature level be made final.
 func (l *Leader) Finalise(level featurelevel.Level) { l.box.Send(scheduler.Finalise{Level: level}) }
 
@@ -179,6 +200,8 @@
 		switch e := e.(type) {
 		case query:
 			e.reply <- nil
+		case scheduler.Alive:
+			e.Reply(namesOf(e.Machines)) // nothing is known of them yet
 		case scheduler.Reported:
 			if t := protocol.TermOf(e.Report.Token); t > l.term {
 				l.Deposed(l.term, scheduler.Depose{Term: t, Reason: "a worker has seen a later term"})
--- /dev/null
+++ b/internal/coordination/ownership/ownership_test.go
@@ -0,0 +1,284 @@
+package ownership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinebay/internal/coordination/suspicion"
+	"pinebay/internal/protocol"
+	"pinebay/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+var times = Times{Interval: time.Second, Fresh: 2 * time.Second, Rejoin: 4 * time.Second}
+
+func member(node string, life, number uint64) Member {
+	return Member{Node: node, Is: suspicion.Incarnation{Life: life, Number: number}}
+}
+
+// leader is a machine that leads and goes by what it writes.
+type leader struct {
+	*Machine
+	now     time.Duration
+	version uint64
+	epochs  []Record
+}
+
+func newLeader(peers ...string) *leader {
+	l := &leader{Machine: New(0, "a", peers, times)}
+	l.step(Is{Incarnation: suspicion.Incarnation{Life: 1}})
+	l.step(InForce{})
+	l.step(Leads{Leading: true})
+	return l
+}
+
+func (l *leader) step(e Event) {
+	for _, effect := range l.Step(l.now, e) {
+		w, ok := effect.(Write)
+		if !ok {
+			continue
+		}
+		l.version++
+		w.Record.Version = l.version
+		l.epochs = append(l.epochs, w.Record)
+		l.step(InForce{Record: w.Record})
+		l.step(WriteDone{})
+	}
+}
+
+// hear lets time pass in which these members are heard every second.
+func (l *leader) hear(d time.Duration, members ...Member) {
+	for end := l.now + d; l.now < end; l.now += times.Interval {
+		for _, m := range members {
+			l.step(Heard{Member: m, Owns: true})
+		}
+		l.step(Tick{})
+	}
+}
+
+// owners lists the nodes of the last epoch.
+func (l *leader) owners() (nodes []string) {
+	for _, m := range l.record.Members {
+		nodes = append(nodes, m.Node)
+	}
+	return nodes
+}
+
+// TestEpochs: a controller owns machines once it is heard, keeps them while it is silent, loses them by a verdict on its
+// incarnation alone, and owns some again as another one, later each time that it fails again.
+func TestEpochs(t *testing.T) {
+	l := newLeader("b", "c")
+	b, c := member("b", 2, 0), member("c", 3, 0)
+	l.hear(5*time.Second, b, c)
+	if got := l.owners(); !slices.Equal(got, []string{"a", "b", "c"}) || len(l.epochs) != 1 {
+		t.Fatalf("owners %v after %d epochs", got, len(l.epochs))
+	}
+	l.hear(time.Minute, b)
+	if len(l.epochs) != 1 {
+		t.Fatalf("silence alone has changed the owners: %+v", l.epochs)
+	}
+	var pauses []time.Duration
+	for number := range uint64(3) {
+		l.step(Verdict{Member: member("c", 3, number), Reason: "verdict"})
+		failed := l.now
+		if got := l.owners(); !slices.Equal(got, []string{"a", "b"}) || l.record.Reason != "verdict" {
+			t.Fatalf("owners %v after the verdict, because of %q", got, l.record.Reason)
+		}
+		l.hear(2*time.Second, b, member("c", 3, number)) // it has not heard of the verdict yet
+		for !slices.Contains(l.owners(), "c") && l.now < failed+time.Hour {
+			l.hear(time.Second, b, member("c", 3, number+1))
+		}
+		pauses = append(pauses, (l.now - failed).Round(time.Second))
+	}
+	if pauses[1] <= pauses[0] || pauses[2] <= pauses[1] {
+		t.Errorf("it owns machines again after %v", pauses)
+	}
+	l.step(Verdict{Member: member("c", 3, 1), Reason: "late"})
+	l.hear(time.Second, b, member("c", 3, 3))
+	if got := l.owners(); !slices.Equal(got, []string{"a", "b", "c"}) {
+		t.Errorf("a verdict on an incarnation that is over long since has cost it its machines: %v", got)
+	}
+}
+
+// TestOnlyWhoMayPropose: nothing is proposed by a controller that does not lead, has not read the record, has just begun
+// to lead, or has a write under way; and what it reads goes before what it wanted.
+func TestOnlyWhoMayPropose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(0, "a", []string{"b", "c"}, times)
+		var now, since time.Duration
+		leads, known, writing := false, false, false
+		version, epoch := uint64(0), uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			var effects []Effect
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				on := rapid.Bool().Draw(t, "leads")
+				if on && !leads {
+					since = now
+				}
+				leads = on
+				effects = m.Step(now, Leads{Leading: on})
+			case 1:
+				node := rapid.SampledFrom([]string{"b", "c", "stranger"}).Draw(t, "from")
+				effects = m.Step(now, Heard{Member: member(node, 5, rapid.Uint64Range(0, 2).Draw(t, "number")), Owns: rapid.Bool().Draw(t, "owns")})
+			case 2:
+				effects = m.Step(now, Verdict{Member: member(rapid.SampledFrom([]string{"b", "c", "stranger"}).Draw(t, "of"), 5, rapid.Uint64Range(0, 2).Draw(t, "number"))})
+			case 3:
+				if rapid.Bool().Draw(t, "newer") {
+					version, epoch = version+1, epoch+1
+				}
+				known = true
+				effects = m.Step(now, InForce{Record: Record{Epoch: epoch, Version: version, Members: []Member{member("c", 5, 0)}}})
+			case 4:
+				writing = false
+				effects = m.Step(now, WriteDone{})
+			default:
+				effects = m.Step(now, Tick{})
+			}
+			for _, e := range effects {
+				w, ok := e.(Write)
+				if !ok {
+					continue
+				}
+				if !leads || !known || writing || now-since < times.Fresh {
+					t.Fatalf("a proposal: leads %v since %v at %v, has read %v, writes %v", leads, since, now, known, writing)
+				}
+				if w.Record.Version != version || w.Record.Epoch != epoch+1 {
+					t.Fatalf("it replaces version %d of epoch %d, want %d of %d", w.Record.Version, w.Record.Epoch-1, version, epoch)
+				}
+				writing = true
+			}
+		}
+	})
+}
+
+// TestFewestMachinesMove: when a controller goes, its machines move and no others; when it comes back they return.
+func TestFewestMachinesMove(t *testing.T) {
+	all := []Member{member("a", 1, 0), member("b", 2, 0), member("c", 3, 0), member("d", 4, 0), member("e", 5, 0)}
+	before := NewTable(1, all)
+	after := NewTable(2, slices.Delete(slices.Clone(all), 2, 3))
+	again := NewTable(3, []Member{all[4], all[2], all[0], all[3], member("b", 9, 0)})
+	const machines = 4000
+	counts := map[string]int{}
+	for i := range machines {
+		name := fmt.Sprintf("host-%06d", i)
+		owner := before.Owner(name)
+		counts[owner]++
+		if owner != "c" && after.Owner(name) != owner {
+			t.Fatalf("%s moves from %s to %s", name, owner, after.Owner(name))
+		}
+		if again.Owner(name) != owner {
+			t.Fatalf("%s is with %s when all are back, and was with %s", name, again.Owner(name), owner)
+		}
+	}
+	for node, n := range counts {
+		if n < machines/len(all)*3/4 || n > machines/len(all)*5/4 {
+			t.Errorf("%s owns %d of %d machines", node, n, machines)
+		}
+	}
+	if NewTable(1, nil).Owner("host-000001") != "" {
+		t.Error("a machine has an owner although there are none")
+	}
+}
+
+// TestReportsThatTellNothingNew: an owner answers a report itself only when it says what the leader has heard already, of
+// the leader's term and not long ago; exits and what the leader asks for are always passed on.
+func TestReportsThatTellNothingNew(t *testing.T) {
+	const term, refresh = 7, 5 * time.Second
+	report := func(change func(*protocol.Report)) *protocol.Report {
+		r := &protocol.Report{Machine: "m1", Session: 2, Seq: 10, Token: protocol.Token(term, 1), Tasks: []protocol.TaskReport{{Name: "j-1/0", Attempt: 1, State: protocol.TaskRunning}}}
+		change(r)
+		return r
+	}
+	same := func(*protocol.Report) {}
+	notice := 3.0
+	for name, x := range map[string]struct {
+		change func(*protocol.Report)
+		after  time.Duration
+		term   uint64
+		asked  bool
+		news   bool
+	}{
+		"the same":               {same, time.Second, term, false, false},
+		"a later number":         {func(r *protocol.Report) { r.Seq = 99 }, time.Second, term, false, false},
+		"another session":        {func(r *protocol.Report) { r.Session = 3 }, time.Second, term, false, true},
+		"a higher token":         {func(r *protocol.Report) { r.Token++ }, time.Second, term, false, true},
+		"a notice":               {func(r *protocol.Report) { r.NoticeS = &notice }, time.Second, term, false, true},
+		"a task more":            {func(r *protocol.Report) { r.Tasks = append(r.Tasks, r.Tasks[0]) }, time.Second, term, false, true},
+		"none any more":          {func(r *protocol.Report) { r.Tasks = nil }, time.Second, term, false, true},
+		"another state":          {func(r *protocol.Report) { r.Tasks[0].State = protocol.Saving }, time.Second, term, false, true},
+		"another attempt":        {func(r *protocol.Report) { r.Tasks[0].Attempt = 2 }, time.Second, term, false, true},
+		"long ago":               {same, refresh, term, false, true},
+		"another leader":         {same, time.Second, term + 1, false, true},
+		"the leader asks for it": {same, time.Second, term, true, true},
+	} {
+		r := NewReports(refresh)
+		if !r.News(0, report(same), term) {
+			t.Fatalf("%s: the first report tells nothing new", name)
+		}
+		r.Passed(0, report(same))
+		if x.asked {
+			r.PassOn([]string{"m1", "unknown"})
+		}
+		if got := r.News(x.after, report(x.change), x.term); got != x.news {
+			t.Errorf("%s: tells something new: %v", name, got)
+		}
+	}
+	r := NewReports(refresh)
+	exited := report(func(r *protocol.Report) { r.Tasks[0].State = protocol.Exited })
+	r.News(0, exited, term)
+	r.Passed(0, exited)
+	if !r.News(time.Second, exited, term) {
+		t.Error("a task that has exited is kept from the leader")
+	}
+	r.Passed(0, report(same))
+	r.Answered(report(func(r *protocol.Report) { r.Seq = 11 }))
+	if got := r.TakeAlive(); !slices.Equal(got, []Alive{{Machine: "m1", Session: 2, Seq: 11}}) || len(r.TakeAlive()) > 0 {
+		t.Errorf("answered: %v", got)
+	}
+}
+
+// TestWhoMayAnswer: an owner stops answering as soon as any one of the things is missing that it may answer by.
+func TestWhoMayAnswer(t *testing.T) {
+	well := Standing{Table: NewTable(4, []Member{member("a", 1, 0), member("b", 2, 0)}), Node: "b", Life: 2, Leader: "a", LeaderEpoch: 4,
+		Acknowledged: time.Second, Fresh: 2 * time.Second, KnowsCancellations: true}
+	if !well.MayAnswer() {
+		t.Fatal("an owner may not answer")
+	}
+	for name, change := range map[string]func(*Standing){
+		"nothing is in force":                  func(s *Standing) { s.Table = nil },
+		"it owns nothing":                      func(s *Standing) { s.Table = NewTable(4, []Member{member("a", 1, 0)}) },
+		"another process of its name owns":     func(s *Standing) { s.Life = 3 },
+		"nobody leads":                         func(s *Standing) { s.Leader = "" },
+		"it leads":                             func(s *Standing) { s.Leader = "b" },
+		"the leader goes by a later epoch":     func(s *Standing) { s.LeaderEpoch = 5 },
+		"the leader goes by none":              func(s *Standing) { s.LeaderEpoch = 0 },
+		"the leader has not heard whom it has": func(s *Standing) { s.Acknowledged = 3 * time.Second },
+		"it may not know of a cancellation":    func(s *Standing) { s.KnowsCancellations = false },
+	} {
+		s := well
+		change(&s)
+		if s.MayAnswer() {
+			t.Errorf("it may answer although %s", name)
+		}
+	}
+}
+
+// TestOwnersAnswer: an owner commands nothing but that what is cancelled ends, under the worker's own token.
+func TestOwnersAnswer(t *testing.T) {
+	rep := &protocol.Report{Machine: "m1", Session: 2, Token: 77, Tasks: []protocol.TaskReport{
+		{Name: "j-1/0", Attempt: 3, State: protocol.TaskRunning}, {Name: "j-2/1", Attempt: 1, State: protocol.Fetching}, {Name: "j-1/1", Attempt: 1, State: protocol.Exited}}}
+	a := Answer(rep, func(job string) bool { return job == "j-1" })
+	if a.Token != 77 || len(a.Commands) != 1 || a.Commands[0].Verb != protocol.Stop || a.Commands[0].Name != "j-1/0" || *a.Commands[0].GraceS != 0 {
+		t.Errorf("%+v", a)
+	}
+	if a := Answer(rep, func(string) bool { return false }); len(a.Commands) != 0 {
+		t.Errorf("commands although nothing is cancelled: %+v", a.Commands)
+	}
+}
--- a/internal/coordination/partition/partition_test.go
+++ b/internal/coordination/partition/partition_test.go
@@ -32,6 +32,32 @@
 		Job: &protocol.Job{ID: "j-1", Image: "i", ImageGB: 1}}
 }
 
+// TestOwnersWord: that an owner has answered a report keeps a machine from counting as silent, if nothing newer is known and
+// it is the session that the leader knows; it proves nothing of tasks. What has commands to take is asked for.
+func TestOwnersWord(t *testing.T) {
+	p := New(3, config.Workers{ReportS: 1, LeaseS: 10})
+	now := time.Second
+	if p.Alive(now, "m1", 1, 1) {
+		t.Error("a machine that was never heard needs no report")
+	}
+	p.Report(now, &protocol.Report{Machine: "m1", Type: "g8", Zone: "a", Session: 2, Seq: 5, Token: 7})
+	now += 5 * time.Second
+	for _, x := range []struct {
+		session, seq uint64
+		ok           bool
+		heard        time.Duration
+	}{{1, 9, false, time.Second}, {3, 1, false, time.Second}, {2, 5, true, time.Second}, {2, 6, true, now}} {
+		if ok := p.Alive(now, "m1", x.session, x.seq); ok != x.ok || p.Machine("m1").Heard != x.heard {
+			t.Errorf("session %d, number %d: %v, heard at %v", x.session, x.seq, ok, p.Machine("m1").Heard)
+		}
+	}
+	pl := &Placement{Task: protocol.TaskID{Job: "j-1"}, Attempt: 1, Machine: "m1", Session: 2, Written: true}
+	p.Adopt(now, pl)
+	if p.Alive(now, "m1", 2, 7) || pl.Gone {
+		t.Errorf("a machine with a start to take: no report is asked for, or the task is gone: %v", pl.Gone)
+	}
+}
+
 // TestRoomIsNeverPromisedTwice grants, starts, stops and ends at random: what
 // is granted always fits, and the books close at nothing.
 func TestRoomIsNeverPromisedTwice(t *testing.T) {
--- a/internal/coordination/partition/reports.go
+++ b/internal/coordination/partition/reports.go
@@ -73,6 +73,22 @@
 	return m, facts, newer
 }
 
+// Alive takes in that an owner has answered a report which told nothing new, and says whether it knows as much of the
+// machine: if not, or if the machine has commands to take, the next report is to be passed on.
+func (p *Partition) Alive(now time.Duration, name string, session, seq uint64) bool {
+	m := p.machines[name]
+	if m == nil || !m.Up || m.Session != session {
+		return false
+	}
+	if seq > m.Seq {
+		if !p.Open(now, m) {
+			defer p.touch(m) // it may be open now
+		}
+		m.Seq, m.Heard, m.Relayed = seq, now, false
+	}
+	return p.commandsDue[name] != m && len(m.stray) == 0 && len(m.exits) == 0
+}
+
 // absent finds the placements that are to end and are proven not to be there.
 // A worker refuses runs whose token is below the highest that it has seen. So
 // when it reports a token above all those that a run of the attempt was sent
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -173,6 +173,8 @@
 		c.tick(now)
 	case Reported:
 		c.reported(now, e)
+	case Alive:
+		c.alive(now, e)
 	case JobSet:
 		c.accept(now, now, e.Record, e.Stamp)
 	case JobDropped:
@@ -249,7 +251,7 @@
 		return protocol.JobStatus{}, false
 	}
 	status := j.standing()
-	status.Free = !j.blocked
+	status.Free = !j.blocked && c.level >= featurelevel.Pipelines
 	return status, true
 }
 
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -24,6 +24,12 @@
 		Report  *protocol.Report
 		Relayed bool
 	}
+	// Alive tells of machines whose reports an owner has answered, as they told nothing new; Reply takes those of which
+	// the next report is to be passed on. It must not wait.
+	Alive struct {
+		Machines []AliveMachine
+		Reply    func(passOn []string)
+	}
 	// JobSet is an accepted job.
 	JobSet struct {
 		Record storage.LiveRecord
@@ -85,6 +91,12 @@
 	}
 )
 
+// AliveMachine is the last report of a machine that told nothing new.
+type AliveMachine struct {
+	Name         string
+	Session, Seq uint64
+}
+
 // Purpose says what a write is for, and so which of them goes first.
 type Purpose uint8
 
@@ -142,6 +154,7 @@
 
 func (Tick) event()       {}
 func (Reported) event()   {}
+func (Alive) event()      {}
 func (JobSet) event()     {}
 func (JobDropped) event() {}
 func (Withdrawn) event()  {}
--- a/internal/coordination/scheduler/workers.go
+++ b/internal/coordination/scheduler/workers.go
@@ -30,6 +30,17 @@
 	c.emit(Answer{e.Tag, answer})
 }
 
+// alive takes in that owners have answered reports that told nothing new.
+func (c *Core) alive(now time.Duration, e Alive) {
+	var passOn []string
+	for _, m := range e.Machines {
+		if !c.machines.Alive(now, m.Name, m.Session, m.Seq) {
+			passOn = append(passOn, m.Name)
+		}
+	}
+	e.Reply(passOn)
+}
+
 func (c *Core) ordersDone(now time.Duration, e OrdersDone) {
 	m := c.machines.Machine(e.Machine)
 	if m == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,7 @@
 	fencing     *fencing.Monitor
 	intents     *cancellation.Log
 	suspicions  *suspicions              // nil: off
+	owners      *owners                  // nil: off
 	wakes       map[string]chan struct{} // make the beat to a peer leave at once
 	peersMu     sync.Mutex
 	peers       map[string]election.Peer // what each last answered of itself
@@ -96,7 +97,7 @@
 type Features struct {
 	// ZoneReturn is the order in which work returns when a zone is lost; nil: off.
 	ZoneReturn *zones.Order
-	// Ownership watches the other controllers for failures, and logs suspicions and verdicts.
+	// Ownership watches the other controllers for failures, and parts the machines among those that live.
 	Ownership bool
 	// Timing measures the leader's steps and heartbeats and logs them; nil: off.
 	Timing *timing.Recorder
@@ -140,6 +141,7 @@
 		func(node string) { c.box.Send(election.Lost{Peer: node}) })
 	if features.Ownership {
 		c.suspicions = &suspicions{box: actor.NewMailbox[suspicion.Event](), refusals: rate.Sometimes{Interval: c.times.Silent}}
+		c.owners = c.newOwners()
 	}
 	c.levelBox = actor.NewMailbox[featurelevel.Event]()
 	c.levels = featurelevel.New(cfg.Node, names, features.level(), c.times.Silent/2)
@@ -186,6 +188,9 @@
 	g.Go(func() error { c.runElection(ctx); return nil })
 	g.Go(func() error { c.runFencing(ctx); return nil })
 	g.Go(func() error { c.runSuspicions(ctx); return nil })
+	g.Go(func() error { c.runOwnership(ctx); return nil })
+	g.Go(func() error { c.watchOwnership(ctx); return nil })
+	g.Go(func() error { c.runDigests(ctx); return nil })
 	g.Go(func() error { c.runLevels(ctx); return nil })
 	g.Go(func() error { c.watchLeader(ctx); return nil })
 	g.Go(func() error { c.learnTypes(ctx); return nil })
--- /dev/null
+++ b/internal/daemon/owners.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinebay/internal/actor"
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/featurelevel"
+	"pinebay/internal/coordination/ownership"
+	"pinebay/internal/coordination/suspicion"
+	"pinebay/internal/protocol"
+	"pinebay/internal/storage"
+)
+
+// owners is a controller's part in ownership.
+type owners struct {
+	box *actor.Mailbox[ownership.Event]
+	// table is what is in force, as far as this controller has read; nil: nothing.
+	table atomic.Pointer[ownership.Table]
+	// leader is what the last heartbeat of a leader said of ownership.
+	leader atomic.Pointer[leaderEpoch]
+	// acknowledged is the steady time of the last digest that the leader has acknowledged.
+	acknowledged atomic.Int64
+
+	mu      sync.Mutex // guards what follows
+	reports *ownership.Reports
+	digests map[string]time.Duration // at the leader: when each owner's last digest came
+	bounces *RedirectTracker         // machines that were sent to their owner
+}
+
+// leaderEpoch is the epoch by which a leader goes; 0: none.
+type leaderEpoch struct {
+	node  string
+	epoch uint64
+}
+
+func (c *Controller) newOwners() *owners {
+	lease := config.Seconds(c.cfg.Deploy.Workers.LeaseS)
+	return &owners{box: actor.NewMailbox[ownership.Event](), reports: ownership.NewReports(lease / 2),
+		digests: map[string]time.Duration{}, bounces: NewRedirectTracker(lease)}
+}
+
+// ownershipTimes derives the times of ownership from those of the election.
+func (c *Controller) ownershipTimes() ownership.Times {
+	return ownership.Times{Interval: followerPace * c.times.Beat, Fresh: c.times.Silent, Rejoin: 2 * c.times.Silent}
+}
+
+// runOwnership is the actor that keeps the ownership record; it ends at once while ownership is off.
+func (c *Controller) runOwnership(ctx context.Context) {
+	if c.owners == nil {
+		return
+	}
+	times := c.ownershipTimes()
+	machine := ownership.New(c.now(), c.cfg.Node, c.mesh.Peers(), times)
+	step := func(e ownership.Event) {
+		for _, effect := range machine.Step(c.now(), e) {
+			c.carryOutOwnership(ctx, effect)
+		}
+	}
+	c.owners.box.Run(ctx, times.Interval, step, func() {
+		l := c.leading.Load()
+		step(ownership.Leads{Leading: l != nil && l.Ready() && c.api.Level() >= featurelevel.Pipelines})
+		step(ownership.Is{Incarnation: c.incarnation()})
+		step(ownership.Tick{})
+	})
+}
+
+// incarnation is the one that this process is in.
+func (c *Controller) incarnation() suspicion.Incarnation {
+	if s := c.suspicions.said.Load(); s != nil {
+		return s.is
+	}
+	return suspicion.Incarnation{Life: c.intents.Life()}
+}
+
+func (c *Controller) carryOutOwnership(ctx context.Context, effect ownership.Effect) {
+	switch e := effect.(type) {
+	case ownership.Write:
+		go func() {
+			if err := c.writeOwnership(ctx, e.Record); err != nil {
+				c.log.Info("ownership record not written", "epoch", e.Record.Epoch, "err", err)
+			}
+			c.owners.box.Send(ownership.WriteDone{})
+		}()
+	case ownership.Adopt:
+		c.adopt(e.Record)
+	}
+}
+
+var (
+	errNotLeading = errors.New("this controller does not lead any more")
+	errOvertaken  = errors.New("another record is in force")
+)
+
+// writeOwnership replaces the record, if this controller still leads and the record is the one that it goes by.
+func (c *Controller) writeOwnership(ctx context.Context, r ownership.Record) error {
+	l := c.leading.Load()
+	if l == nil {
+		return errNotLeading
+	}
+	term, err := c.store.Get(ctx, storage.Decide, storage.TermKey)
+	if err != nil {
+		return err
+	}
+	rec, err := storage.DecodeTerm(term.Value)
+	if err != nil {
+		return err
+	}
+	if rec.Term != l.Term() {
+		return errNotLeading
+	}
+	entry := storage.OwnershipRecord{Format: storage.OwnershipFormat, Epoch: r.Epoch, Term: rec.Term, Reason: r.Reason}
+	for _, m := range r.Members {
+		entry.Members = append(entry.Members, storage.OwnershipEntry{Node: m.Node, Life: m.Is.Life, Number: m.Is.Number})
+	}
+	value, err := protocol.Encode(entry)
+	if err != nil {
+		return err
+	}
+	// Two survivors that hold the same verdict write on the same versions: one of them fails, and so does a
+	// transaction that comes late.
+	_, ok, err := c.store.Txn(ctx, storage.Decide, protocol.Txn{
+		If:   []protocol.Cond{{Key: storage.TermKey, Version: term.Version}, {Key: storage.OwnershipKey, Version: r.Version}},
+		Then: []protocol.Op{{Put: storage.OwnershipKey, Value: value}},
+	})
+	if err == nil && !ok {
+		err = errOvertaken
+	}
+	return err
+}
+
+// adopt takes in the record that is in force.
+func (c *Controller) adopt(r ownership.Record) {
+	old := c.owners.table.Load()
+	if r.Epoch == 0 {
+		c.owners.table.Store(nil)
+		return
+	}
+	table := ownership.NewTable(r.Epoch, r.Members)
+	c.owners.table.Store(table)
+	var nodes []string
+	for _, m := range table.Members() {
+		nodes = append(nodes, m.Node)
+	}
+	c.log.Info("ownership epoch in force", "epoch", r.Epoch, "owners", nodes, "reason", r.Reason)
+	if _, now := table.Member(c.cfg.Node); old != nil && !now {
+		if _, before := old.Member(c.cfg.Node); before {
+			c.log.Info("this controller's ownership epoch is over", "epoch", old.Epoch, "now", r.Epoch)
+		}
+	}
+}
+
+// watchOwnership follows the ownership record; it ends at once while ownership is off.
+func (c *Controller) watchOwnership(ctx context.Context) {
+	if c.owners == nil {
+		return
+	}
+	var rev uint64
+	fresh := false
+	wait := config.Seconds(c.cfg.Deploy.Workers.LeaseS)
+	for ctx.Err() == nil {
+		if !fresh {
+			pairs, r, err := c.store.ListFor(ctx, storage.Consult, storage.OwnershipKey)
+			if err != nil {
+				c.random.Pause(ctx, "watch ownership", c.times.Beat)
+				continue
+			}
+			if len(pairs) == 0 {
+				c.owners.box.Send(ownership.InForce{})
+			}
+			for _, p := range pairs {
+				c.ownershipRead(p.Value, p.Version)
+			}
+			rev, fresh = r, true
+		}
+		ev, err := c.store.Watch(ctx, storage.OwnershipKey, rev, wait)
+		if err != nil {
+			fresh = !errors.Is(err, storage.ErrCompacted)
+			c.random.Pause(ctx, "watch ownership", c.times.Beat)
+			continue
+		}
+		rev = max(rev, ev.Revision)
+		for _, e := range ev.Events {
+			if e.Put == storage.OwnershipKey {
+				c.ownershipRead(e.Value, e.Version)
+			}
+		}
+	}
+}
+
+// ownershipRead takes in the record as the state service has it. One that can't be read is reported and left alone:
+// what was in force before stays, and this controller proposes nothing.
+func (c *Controller) ownershipRead(value []byte, version uint64) {
+	rec, err := storage.DecodeOwnership(value)
+	if err != nil {
+		c.log.Error("ownership record left alone", "err", err)
+		return
+	}
+	r := ownership.Record{Epoch: rec.Epoch, Reason: rec.Reason, Version: version}
+	for _, e := range rec.Members {
+		r.Members = append(r.Members, ownership.Member{Node: e.Node, Is: suspicion.Incarnation{Life: e.Life, Number: e.Number}})
+	}
+	c.owners.box.Send(ownership.InForce{Record: r})
+}
+
+// addOwnership puts into a heartbeat, or its answer, that this controller can own machines, and if it leads, by which
+// epoch it goes.
+func (c *Controller) addOwnership(m *protocol.MeshMessage) {
+	if c.owners == nil {
+		return
+	}
+	m.Owns = true
+	if t := c.owners.table.Load(); t != nil && c.leading.Load() != nil {
+		m.Epoch = t.Epoch
+	}
+}
+
+// hearOwnership takes in what a peer's heartbeat says of ownership.
+func (c *Controller) hearOwnership(m *protocol.MeshMessage) {
+	if c.owners == nil || m.Life == 0 {
+		return
+	}
+	c.owners.box.Send(ownership.Heard{Owns: m.Owns, Member: ownership.Member{Node: m.From, Is: suspicion.Incarnation{Life: m.Life, Number: m.Incarnation}}})
+	if m.Leader == m.From {
+		c.owners.leader.Store(&leaderEpoch{node: m.From, epoch: m.Epoch})
+	}
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -128,6 +128,7 @@
 	case protocol.MeshBeat:
 		c.heardPeer(m)
 		c.hearSuspicions(m)
+		c.hearOwnership(m)
 		c.takeIntents(m, false)
 		c.box.Send(election.Beat{From: m.From, Term: m.Term, Leader: m.Leader})
 		reply.Term, reply.Leader = v.Term, v.Leader
@@ -138,6 +139,7 @@
 		reply.Level = int(c.features.level())
 		c.intents.Fill(c.now(), m.From, m.Life, reply)
 		c.addSuspicions(reply)
+		c.addOwnership(reply)
 	case protocol.MeshStatus:
 		if m.Target != "" {
 			c.answerProbe(m, reply)
@@ -155,6 +157,8 @@
 		}
 	case protocol.MeshHeard:
 		reply.Machines = c.machinesHeard(m.Machines)
+	case protocol.MeshAlive:
+		c.takeDigest(m, reply)
 	case protocol.MeshReport:
 		reply.Body = c.answerReport(m)
 	}
@@ -218,6 +222,7 @@
 		m := protocol.MeshMessage{Kind: protocol.MeshBeat, Term: v.Term, Leader: v.Leader, StateOK: c.stateOK(), Renews: c.renews(), Level: int(c.features.level())}
 		c.intents.Fill(sent, peer, 0, &m)
 		c.addSuspicions(&m)
+		c.addOwnership(&m)
 		r, err := c.mesh.Call(ctx, peer, m)
 		if err == nil {
 			c.features.Timing.Record(timing.Heartbeat, c.now()-sent)
@@ -253,6 +258,7 @@
 func (c *Controller) answeredBeat(r *protocol.MeshMessage, sent time.Duration) {
 	c.heardPeer(r)
 	c.hearSuspicions(r)
+	c.hearOwnership(r)
 	t := c.takeIntents(r, true)
 	c.peersMu.Lock()
 	p := election.Peer{At: sent, StateOK: r.StateOK, Leader: r.Leader, Known: c.peers[r.From].Known}
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -47,6 +47,9 @@
 		transport.Answer(w, http.StatusOK, protocol.ReportAnswer{Token: rep.Token, Commands: rep.StopsOf(c.withdrawn)})
 		return
 	}
+	if c.ownerReport(w, r, l, view, rep, raw) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), reportPatience)
 	defer cancel()
 	if l == nil {
@@ -71,14 +74,20 @@
 // relay passes a report to the leader and its answer to the worker, so the 200
 // carries the leader's word.
 func (c *Controller) relay(ctx context.Context, w http.ResponseWriter, leader string, raw []byte) {
-	reply, err := c.mesh.Call(ctx, leader, protocol.MeshMessage{Kind: protocol.MeshReport, Body: raw})
+	c.passOn(ctx, w, leader, protocol.MeshMessage{Kind: protocol.MeshReport, Body: raw})
+}
+
+// passOn passes a report to the leader and its answer to the worker, and says whether there was one.
+func (c *Controller) passOn(ctx context.Context, w http.ResponseWriter, leader string, m protocol.MeshMessage) bool {
+	reply, err := c.mesh.Call(ctx, leader, m)
 	if err != nil || len(reply.Body) == 0 {
 		c.redirect(w, "")
-		return
+		return false
 	}
 	w.Header().Set("Content-Type", protocol.ContentType)
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write(reply.Body) // a worker that is gone reports again
+	return true
 }
 
 // answerReport answers a report that another controller passed on.
@@ -94,7 +103,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportPatience)
 	defer cancel()
-	a, ok := l.Report(ctx, rep, true)
+	// An owner ends the connections of machines that may well be in our reach; others pass on what can't reach us.
+	a, ok := l.Report(ctx, rep, m.Epoch == 0)
 	if !ok || c.leading.Load() != l || !c.aware() {
 		return nil
 	}
--- a/internal/daemon/suspicion.go
+++ b/internal/daemon/suspicion.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"pinebay/internal/actor"
+	"pinebay/internal/coordination/ownership"
 	"pinebay/internal/coordination/suspicion"
 	"pinebay/internal/protocol"
 )
@@ -80,6 +81,9 @@
 	switch e := effect.(type) {
 	case suspicion.Decided:
 		c.log.Info("suspicion", "decision", e.Decision.Describe())
+		if v, ok := e.Decision.(suspicion.Verdict); ok {
+			c.owners.box.Send(ownership.Verdict{Member: ownership.Member{Node: v.Node, Is: v.Of}, Reason: v.Describe()})
+		}
 	case suspicion.Probe:
 		for _, through := range e.Through {
 			go c.probeThrough(ctx, e.Target, through)
--- a/internal/protocol/mesh.go
+++ b/internal/protocol/mesh.go
@@ -12,6 +12,7 @@
 	MeshReply  = 3
 	MeshReport = 4 // a worker's report, from a controller that it can reach
 	MeshHeard  = 5 // which of the named machines report to the receiver; the reply names those
+	MeshAlive  = 6 // machines whose reports an owner has answered; the reply names those to be passed on
 )
 
 // MeshMessage is a frame between controllers. Numbers name its fields, so that
@@ -65,6 +66,14 @@
 	Target  string `cbor:"26,keyasint,omitempty"`
 	Reached *bool  `cbor:"27,keyasint,omitempty"`
 
+	// What follows is there only while ownership is on. Owns says that the sender can own machines; Epoch is the one
+	// that the leader goes by, in its heartbeats, and the sender's, in what an owner passes on.
+	Owns  bool   `cbor:"29,keyasint,omitempty"`
+	Epoch uint64 `cbor:"30,keyasint,omitempty"`
+	// Sessions and Numbers are those of the last reports of Machines, in a MeshAlive.
+	Sessions []uint64 `cbor:"31,keyasint,omitempty"`
+	Numbers  []uint64 `cbor:"32,keyasint,omitempty"`
+
 	// Level is the feature level that the sender speaks, in beats and their replies; versions before the
 	// levels state none.
 	Level int `cbor:"28,keyasint,omitempty"`
@@ -104,12 +113,15 @@
 	if m.Version != MeshVersion {
 		return nil, fmt.Errorf("%w: mesh version %d", ErrMalformed, m.Version)
 	}
-	if m.Kind < MeshBeat || m.Kind > MeshHeard || m.From == "" {
+	if m.Kind < MeshBeat || m.Kind > MeshAlive || m.From == "" {
 		return nil, fmt.Errorf("%w: mesh kind %d from %q", ErrMalformed, m.Kind, m.From)
 	}
 	if len(m.Machines) > MaxMeshMachines {
 		return nil, fmt.Errorf("%w: mesh message with %d machines", ErrMalformed, len(m.Machines))
 	}
+	if len(m.Sessions) != len(m.Numbers) || len(m.Sessions) > 0 && len(m.Sessions) != len(m.Machines) {
+		return nil, fmt.Errorf("%w: mesh message with %d machines, %d sessions and %d numbers", ErrMalformed, len(m.Machines), len(m.Sessions), len(m.Numbers))
+	}
 	// What is out of form must never pass for consent.
 	if len(m.Intents) > MaxIntents || m.Life == 0 && (m.Whole || len(m.Intents) > 0 || m.Held > 0) ||
 		m.Base+uint64(len(m.Intents)) < m.Base || m.Expired > m.Base {
--- a/internal/scale/config.go
+++ b/internal/scale/config.go
@@ -74,6 +74,7 @@
 	WorkerProgram   string
 	WorkerArgs      []string
 	LogDir          string // where the controllers' logs go; empty: nowhere
+	Ownership       bool   // the controllers part the machines among them
 }
 
 // Bounds of what a run may take of the machine it runs on.
--- a/internal/scale/controllers.go
+++ b/internal/scale/controllers.go
@@ -26,6 +26,7 @@
 	addr     string
 	settings string // path
 	program  string
+	features []string // flags
 	logFile  io.Writer
 
 	mu     sync.Mutex
@@ -105,6 +106,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	p := &controllerProcess{node: s.Node, addr: s.Listen, settings: path, program: c.Program, logFile: io.Discard}
+	if c.Ownership {
+		p.features = []string{"--ownership"}
+	}
 	if c.LogDir != "" {
 		f, err := os.Create(filepath.Join(c.LogDir, s.Node+".log"))
 		if err != nil {
@@ -127,7 +131,7 @@
 func (p *controllerProcess) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cmd := exec.Command(p.program, "--step-times", "--config", p.settings)
+	cmd := exec.Command(p.program, append(p.features, "--step-times", "--config", p.settings)...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := cmd.StderrPipe()
 	if err != nil {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -137,6 +137,44 @@
 	roundTrip(t, result)
 }
 
+// TestOwnersAsProcesses has real processes part the machines among them, and kills and freezes the leader and owners: no
+// rule is broken, an epoch is in force on every controller, and no process is left. How long anything takes decides
+// nothing.
+func TestOwnersAsProcesses(t *testing.T) {
+	cfg := tiny(t)
+	cfg.Sizes, cfg.Ownership, cfg.LogDir = []int{12}, true, t.TempDir()
+	cfg.Troubles = []Trouble{FreezeOwner, KillOwner, FreezeLeader, KillLeader}
+	result, err := Run(t.Context(), cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range result.Sizes {
+		if s.Starts == 0 || s.Answers == 0 || len(s.Troubles) != len(cfg.Troubles) {
+			t.Errorf("%d starts, %d answers judged, %d troubles", s.Starts, s.Answers, len(s.Troubles))
+		}
+	}
+	logs, err := filepath.Glob(filepath.Join(cfg.LogDir, "*.log"))
+	if err != nil || len(logs) != cfg.Load.Controllers {
+		t.Fatalf("%d logs, %v", len(logs), err)
+	}
+	handovers := 0
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		epochs := strings.Count(string(text), "ownership epoch in force")
+		if epochs == 0 {
+			t.Errorf("no epoch is in force on %s", filepath.Base(path))
+		}
+		handovers = max(handovers, epochs-1)
+	}
+	t.Logf("%d handovers", handovers)
+	if n := left(t, cfg.Program); n > 0 {
+		t.Errorf("%d processes are left", n)
+	}
+}
+
 // roundTrip writes a result and reads it again: its tables are the same.
 func roundTrip(t *testing.T, result *Result) {
 	t.Helper()
--- a/internal/scale/trouble.go
+++ b/internal/scale/trouble.go
@@ -17,27 +17,18 @@
 	KillLeader    Trouble = "kill-leader"
 	FreezeLeader  Trouble = "freeze-leader"
 	SilentWorkers Trouble = "silent-workers"
+	KillOwner     Trouble = "kill-owner"
+	FreezeOwner   Trouble = "freeze-owner"
 	StateOutage   Trouble = "state-outage"
 	AllBack       Trouble = "all-back"
 )
 
 // troubles break something and return what mends it.
 var troubles = map[Trouble]func(r *run) (mend func() error, err error){
-	KillLeader: func(r *run) (func() error, error) {
-		p := r.leader()
-		if p == nil {
-			return nil, nil
-		}
-		p.kill()
-		return p.start, nil
-	},
-	FreezeLeader: func(r *run) (func() error, error) {
-		p := r.leader()
-		if p == nil {
-			return nil, nil
-		}
-		return func() error { return p.signal(syscall.SIGCONT) }, p.signal(syscall.SIGSTOP)
-	},
+	KillLeader:   func(r *run) (func() error, error) { return kill(r.leader()) },
+	FreezeLeader: func(r *run) (func() error, error) { return freeze(r.leader()) },
+	KillOwner:    func(r *run) (func() error, error) { return kill(r.follower()) },
+	FreezeOwner:  func(r *run) (func() error, error) { return freeze(r.follower()) },
 	SilentWorkers: func(r *run) (func() error, error) {
 		const part = 10
 		return r.mute(func(i int) bool { return i%part == 0 }), nil
@@ -51,6 +42,37 @@
 	},
 }
 
+// kill ends a controller's process, which is started again when it is mended; nil: none.
+func kill(p *controllerProcess) (func() error, error) {
+	if p == nil {
+		return nil, nil
+	}
+	p.kill()
+	return p.start, nil
+}
+
+// freeze has a controller's process stand still; nil: none.
+func freeze(p *controllerProcess) (func() error, error) {
+	if p == nil {
+		return nil, nil
+	}
+	return func() error { return p.signal(syscall.SIGCONT) }, p.signal(syscall.SIGSTOP)
+}
+
+// follower returns a controller that does not lead, or nil if nobody is known to lead.
+func (r *run) follower() *controllerProcess {
+	leader := r.leader()
+	if leader == nil {
+		return nil
+	}
+	for _, p := range r.controllers {
+		if p != leader {
+			return p
+		}
+	}
+	return nil
+}
+
 // TroubleNames lists all troubles.
 func TroubleNames() []Trouble { return slices.Sorted(maps.Keys(troubles)) }
 
