--- a/internal/coordination/ownership/ownership_test.go
+++ b/internal/coordination/ownership/ownership_test.go
@@ -46,7 +46,7 @@
 		l.version++
 		w.Record.Version = l.version
 		l.epochs = append(l.epochs, w.Record)
-		l.step(InForce{Record: w.Record})
+		l.step(InForce(w))
 		l.step(WriteDone{})
 	}
 }
