--- a/internal/daemon/owners.go
+++ b/internal/daemon/owners.go
@@ -213,7 +213,8 @@
 	if c.owners == nil {
 		return
 	}
-	m.Owns = true
+	// One that has just begun may have forgotten cancellations, and could not answer anybody.
+	m.Owns = c.intents.Whole(c.now())
 	if t := c.owners.table.Load(); t != nil && c.leading.Load() != nil {
 		m.Epoch = t.Epoch
 	}
