--- a/internal/simulation/owners_test.go
+++ b/internal/simulation/owners_test.go
@@ -101,6 +101,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
 			play(t, uint64(900+i), x.controllers, x.w, func(l *live) {
+				time.Sleep(60 * s) // until all count for majorities, and own machines
 				l.carryOut(x.steps, x.happened)
 				l.checkOwnership()
 				for _, line := range append(x.told, inForce) {
