--- a/internal/protocol/compatibility_test.go
+++ b/internal/protocol/compatibility_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"bytes"
-	"encoding/hex"
-	"os"
-	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
+
+	"pinebay/internal/testkit"
 )
 
 // TestProductionMesh: every message between controllers as the version in production sends it is read, and
@@ -22,14 +21,7 @@
 		"report":       {Kind: MeshReport, ID: 11, From: "bothy-2", Body: []byte{0x80}},
 		"heard":        {Kind: MeshHeard, ID: 12, From: "bothy-2", Machines: []string{"host-000231"}},
 	} {
-		text, err := os.ReadFile(filepath.Join("testdata", "production", name+".hex"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		raw, err := hex.DecodeString(strings.TrimSpace(string(text)))
-		if err != nil {
-			t.Fatal(err)
-		}
+		raw := testkit.Production(t, name)
 		written, err := EncodeMesh(&want)
 		if err != nil || !bytes.Equal(written, raw) {
 			t.Errorf("%s is written otherwise: %x, want %x, %v", name, written, raw, err)
--- a/internal/storage/compatibility_test.go
+++ b/internal/storage/compatibility_test.go
@@ -2,31 +2,14 @@
 
 import (
 	"bytes"
-	"encoding/hex"
-	"os"
-	"path/filepath"
 	"reflect"
-	"strings"
 	"testing"
 
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
+	"pinebay/internal/testkit"
 )
 
-// golden returns bytes as the version in production wrote them.
-func golden(t *testing.T, name string) []byte {
-	t.Helper()
-	text, err := os.ReadFile(filepath.Join("testdata", "production", name+".hex"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	raw, err := hex.DecodeString(strings.TrimSpace(string(text)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return raw
-}
-
 // TestProductionRecords: every record of the version in production is read, and below the first feature level
 // written the same, byte by byte: both versions work on each other's data.
 func TestProductionRecords(t *testing.T) {
@@ -43,7 +26,7 @@
 		"zone-return": &storage.ZoneReturnRecord{Format: 1, Write: "7.43", Zones: []storage.ZoneRow{{Name: "a", State: 1, SinceMS: 1764682355123, Flaps: 2}},
 			Loans: []storage.LoanRow{{Term: 7, Number: 3, Lender: "j-1", Task: 4, Attempt: 2, Borrower: "j-2", Machine: "host-000231", Zone: "b", LostS: 12.5, AtMS: 5, UntilMS: 6}}},
 	} {
-		raw := golden(t, name)
+		raw := testkit.Production(t, name)
 		got := reflect.New(reflect.TypeOf(want).Elem()).Interface()
 		if err := protocol.Decode(raw, got); err != nil || !reflect.DeepEqual(got, want) {
 			t.Errorf("%s is read as %+v: %v", name, got, err)
@@ -60,7 +43,7 @@
 		Places: []storage.Place{{Task: 5, Machine: "host-000231", Session: 2, Attempt: 3, Zone: 0}, {Task: 7, Machine: "host-000232", Session: 1, Attempt: 1, Zone: 1}},
 		Team:   "vision", CPUs: 8, GPUs: 1, MemoryGB: 64}
 	layout := storage.Layout{Width: storage.ProductionPageTasks(8)}
-	raw := golden(t, "page")
+	raw := testkit.Production(t, "page")
 	got, err := storage.DecodePage(raw, layout)
 	if err != nil || !reflect.DeepEqual(*got, want) {
 		t.Errorf("it is read as %+v: %v", got, err)
@@ -76,7 +59,7 @@
 // TestProductionTerm: the term's record is read and written as in production below the first feature level. From
 // then on a process of production, which expects a number, can't read it: so it can't claim a term.
 func TestProductionTerm(t *testing.T) {
-	raw, plain := golden(t, "term"), storage.TermRecord{Term: 7, Node: "bothy-1", Claim: "912"}
+	raw, plain := testkit.Production(t, "term"), storage.TermRecord{Term: 7, Node: "bothy-1", Claim: "912"}
 	if got, err := storage.DecodeTerm(raw); err != nil || got != plain {
 		t.Errorf("it is read as %+v: %v", got, err)
 	}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -3,9 +3,12 @@
 package testkit
 
 import (
+	"encoding/hex"
 	"flag"
 	"os"
+	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 
 	// Its flags must exist before the seed is set.
@@ -33,3 +36,18 @@
 		}
 	}
 }
+
+// Production returns bytes as the version in production wrote them: those of a file in testdata/production of the
+// package under test, in hexadecimal.
+func Production(t testing.TB, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", "production", name+".hex"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := hex.DecodeString(strings.TrimSpace(string(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
