A controller that is asked to end hands its machines over first (--ownership)

Its workers had found another one only when their connections ended. Four of five controllers leave in turn in a scenario: none is reported to any more when it ends, and no lease ends. Without the flag nothing changes.

--- a/cmd/pinebay/main.go
+++ b/cmd/pinebay/main.go
@@ -76,9 +76,7 @@
 				return fmt.Errorf("%w: %w", errUsage, err)
 			}
 			limit(cfg)
-			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			return daemon.New(transport.TCP{}, random.Seeded(), cfg, features, log).Run(ctx)
+			return run(cmd.Context(), daemon.New(transport.TCP{}, random.Seeded(), cfg, features, log))
 		},
 	}
 	cmd.SetContext(context.Background())
@@ -90,6 +88,20 @@
 	return cmd
 }
 
+// run runs a controller until a signal asks it to end, and has it hand over what it owns first.
+func run(ctx context.Context, controller *daemon.Controller) error {
+	signalled, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	go func() {
+		<-signalled.Done()
+		controller.Drain(ctx)
+		end()
+	}()
+	return controller.Run(ctx)
+}
+
 // zoneReturnFlags are the flags of zone return.
 type zoneReturnFlags struct {
 	on    bool
--- a/internal/daemon/owners.go
+++ b/internal/daemon/owners.go
@@ -23,6 +23,8 @@
 	table atomic.Pointer[ownership.Table]
 	// leader is what the last heartbeat of a leader said of ownership.
 	leader atomic.Pointer[leaderEpoch]
+	// leaving says that this controller is about to end, and should own nothing any more.
+	leaving atomic.Bool
 	// acknowledged is the steady time of the last digest that the leader has acknowledged.
 	acknowledged atomic.Int64
 
@@ -207,6 +209,37 @@
 	c.owners.box.Send(ownership.InForce{Record: r})
 }
 
+// Drain hands the machines of a controller that is about to end to the others, and returns when its workers have had time to
+// move, or when nobody takes them within the time in which a leader would be replaced. A leader's are its successor's.
+func (c *Controller) Drain(ctx context.Context) {
+	if c.owners == nil || c.leading.Load() != nil {
+		return
+	}
+	c.owners.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, 2*c.times.Silent)
+	defer cancel()
+	for {
+		table := c.owners.table.Load()
+		if table == nil {
+			return
+		}
+		if _, owns := table.Member(c.cfg.Node); !owns {
+			break
+		}
+		if actor.Sleep(ctx, c.times.Beat) != nil {
+			c.log.Info("not drained: nobody has taken the machines")
+			return
+		}
+	}
+	c.log.Info("drained: the others own the machines")
+	// A worker that reports once more is sent to its new owner.
+	_ = actor.Sleep(context.WithoutCancel(ctx), config.Seconds(drainReports*c.cfg.Deploy.Workers.ReportS))
+}
+
+// drainReports is for how many intervals of reports a drained controller goes on sending workers to their new owners: they
+// report up to a quarter later, and pause up to half a second.
+const drainReports = 1.5
+
 // addOwnership puts into a heartbeat, or its answer, that this controller can own machines, and if it leads, by which
 // epoch it goes.
 func (c *Controller) addOwnership(m *protocol.MeshMessage) {
@@ -214,7 +247,7 @@
 		return
 	}
 	// One that has just begun may have forgotten cancellations, and could not answer anybody.
-	m.Owns = c.intents.Whole(c.now())
+	m.Owns = c.intents.Whole(c.now()) && !c.owners.leaving.Load()
 	if t := c.owners.table.Load(); t != nil && c.leading.Load() != nil {
 		m.Epoch = t.Epoch
 	}
--- a/internal/simulation/live_test.go
+++ b/internal/simulation/live_test.go
@@ -64,6 +64,7 @@
 	host     *Host
 	stop     context.CancelFunc
 	settings config.Settings
+	process  *daemon.Controller
 	features daemon.Features
 	up       bool
 }
@@ -215,9 +216,10 @@
 	n.host = l.net.Host(n.ip)
 	ctx, stop := context.WithCancel(l.ctx)
 	n.stop, n.up = stop, true
-	host := n.host
+	process := daemon.New(n.host, l.random.Named(fmt.Sprint(n.name, l.now())), &n.settings, n.features, l.log)
+	n.process = process
 	l.go_(func() {
-		if err := daemon.New(host, l.random.Named(fmt.Sprint(n.name, l.now())), &n.settings, n.features, l.log).Run(ctx); err != nil && ctx.Err() == nil {
+		if err := process.Run(ctx); err != nil && ctx.Err() == nil {
 			l.t.Errorf("%s ended: %v", n.name, err)
 		}
 	})
--- a/internal/simulation/owners_test.go
+++ b/internal/simulation/owners_test.go
@@ -172,6 +172,39 @@
 	}
 }
 
+// TestOwnersThatLeave: all controllers but the leader are asked to end, one after the other, and come back. Their workers
+// have moved when they end: nobody reports to them any more, no lease ends, and nothing is started anew.
+func TestOwnersThatLeave(t *testing.T) {
+	play(t, 970, 5, brisk, func(l *live) {
+		time.Sleep(60 * s)
+		l.settle(9)
+		time.Sleep(30 * s)
+		for _, n := range l.others(l.leader()) {
+			n.process.Drain(l.ctx)
+			before := l.reportsTo(n)
+			time.Sleep(2 * s)
+			if got := l.reportsTo(n) - before; got > 0 {
+				t.Errorf("%s gets %d packets of workers after it has left", n.name, got)
+			}
+			l.crash(n, 5*s)
+			time.Sleep(60 * s)
+		}
+		l.mu.Lock()
+		for name, r := range l.rigs {
+			if r.w.Session > 1 {
+				t.Errorf("the lease of %s has ended", name)
+			}
+		}
+		l.mu.Unlock()
+		if n := l.logCount("drained: the others own"); n != 4 {
+			t.Errorf("%d of 4 controllers were drained", n)
+		}
+		l.checkOwnership()
+		time.Sleep(4 * time.Minute)
+		l.calm()
+	}, ownershipOn(everywhere))
+}
+
 // TestVerdictIsInForceOnce: two survivors reach the verdict at once, and the record of one of them alone is in force:
 // epochs follow one another, each with one set of owners, on every controller.
 func TestVerdictIsInForceOnce(t *testing.T) {
