--- a/internal/coordination/api/awaits_test.go
+++ b/internal/coordination/api/awaits_test.go
@@ -127,10 +127,10 @@
 		s := newPipelineSite(t)
 		awaits, ended := map[string][]string{}, map[string]protocol.Standing{}
 		var ids []string
-		var doomed func(id string) bool
-		doomed = func(id string) bool {
+		var cancelledWithNeed func(id string) bool
+		cancelledWithNeed = func(id string) bool {
 			for _, need := range awaits[id] {
-				if ended[need] == protocol.Cancelled || ended[need] == "" && doomed(need) {
+				if ended[need] == protocol.Cancelled || ended[need] == "" && cancelledWithNeed(need) {
 					return true
 				}
 			}
@@ -154,7 +154,7 @@
 					}
 				}
 				want := protocol.Queued
-				if doomed(id) {
+				if cancelledWithNeed(id) {
 					want = protocol.Cancelled
 				}
 				if code, st, why := s.submit(node, awaiting(id, awaits[id]...)); code != 201 || st.Standing != want {
@@ -166,7 +166,7 @@
 			id := rapid.SampledFrom(ids).Draw(rt, "job")
 			switch {
 			case rapid.IntRange(0, 2).Draw(rt, "ask") == 0:
-			case doomed(id) && rapid.Bool().Draw(rt, "record"):
+			case cancelledWithNeed(id) && rapid.Bool().Draw(rt, "record"):
 				if ended[id] == "" {
 					ended[id] = protocol.Cancelled
 					s.end(id, storage.EndedRecord{Standing: protocol.Cancelled, Need: "j-00"})
@@ -189,7 +189,7 @@
 			for _, id := range ids {
 				want := ended[id]
 				switch {
-				case want == "" && doomed(id):
+				case want == "" && cancelledWithNeed(id):
 					want = protocol.Cancelled
 				case want == "":
 					want = protocol.Queued
--- a/internal/coordination/api/reader.go
+++ b/internal/coordination/api/reader.go
@@ -282,7 +282,7 @@
 		if e.Delete != "" {
 			id := e.Delete[len(storage.LivePrefix):]
 			delete(r.live, id)
-			r.graph.Lose(id)
+			r.graph.EndUnknown(id)
 			dropped = true
 		} else {
 			r.enter(e.Put, e.Value)
--- a/internal/coordination/dependency/graph.go
+++ b/internal/coordination/dependency/graph.go
@@ -202,8 +202,8 @@
 	return c
 }
 
-// Lose takes in that a job has ended, and not how: jobs that need it wait until that is known.
-func (g *Graph) Lose(id string) (c Change) {
+// EndUnknown takes in that a job has ended, and not how: jobs that need it wait until that is known.
+func (g *Graph) EndUnknown(id string) (c Change) {
 	n := g.nodes[id]
 	if n == nil || n.state == Unknown {
 		return c
--- a/internal/coordination/dependency/graph_test.go
+++ b/internal/coordination/dependency/graph_test.go
@@ -99,10 +99,10 @@
 				continue
 			}
 			id := fmt.Sprintf("j-%02d", rapid.IntRange(0, step).Draw(t, "which"))
-			open, doomed := r.state(id)
+			open, cancelledWithNeed := r.state(id)
 			switch {
 			case r.jobs[id].ID == "" || r.ended[id] != Unknown:
-			case doomed || rapid.Bool().Draw(t, "cancel"):
+			case cancelledWithNeed || rapid.Bool().Draw(t, "cancel"):
 				r.ended[id] = Cancelled
 				take(g.End(id, Cancelled))
 			case open == 0:
@@ -111,17 +111,17 @@
 			}
 		}
 		for id := range r.jobs {
-			open, doomed := r.state(id)
+			open, cancelledWithNeed := r.state(id)
 			if r.ended[id] != Unknown {
 				continue
 			}
-			if got := g.State(id); (got == Cancelled) != doomed || got == Done || got == Unknown {
-				t.Fatalf("%s is in state %d, cancelled %v", id, got, doomed)
+			if got := g.State(id); (got == Cancelled) != cancelledWithNeed || got == Done || got == Unknown {
+				t.Fatalf("%s is in state %d, cancelled %v", id, got, cancelledWithNeed)
 			}
-			if cancelled[id] != doomed {
-				t.Fatalf("%s was told to be cancelled: %v, want %v", id, cancelled[id], doomed)
+			if cancelled[id] != cancelledWithNeed {
+				t.Fatalf("%s was told to be cancelled: %v, want %v", id, cancelled[id], cancelledWithNeed)
 			}
-			if doomed {
+			if cancelledWithNeed {
 				continue
 			}
 			if got := g.Open(id); got != open {
@@ -170,7 +170,7 @@
 	g.Add(Job{ID: "a", Due: Never})
 	g.Add(Job{ID: "b", Needs: []string{"a"}, Due: Never})
 	g.Add(Job{ID: "c", Needs: []string{"b"}, Due: Never})
-	if c := g.Lose("a"); !slices.Equal(c.Unknown, []string{"a"}) {
+	if c := g.EndUnknown("a"); !slices.Equal(c.Unknown, []string{"a"}) {
 		t.Fatalf("losing it asks for %v", c.Unknown)
 	}
 	if got := g.UnknownBefore("c", 9); !slices.Equal(got, []string{"a"}) {
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -41,11 +41,11 @@
 	level       featurelevel.Level
 	stateLimits config.State
 	// paused says that no writes begin until those under way have ended and the level is final.
-	paused bool
-	target featurelevel.Level // while paused: the level to be made final
-	graph  *dependency.Graph
-	doomed []*job // cancelled with a job that they await, and not recorded yet
-	timers []timer
+	paused  bool
+	target  featurelevel.Level // while paused: the level to be made final
+	graph   *dependency.Graph
+	cascade []*job // cancelled with a job that they await, and not recorded yet
+	timers  []timer
 
 	machines *partition.Partition
 	fleet    *fleet.Fleet
--- a/internal/coordination/scheduler/lifecycle.go
+++ b/internal/coordination/scheduler/lifecycle.go
@@ -196,7 +196,7 @@
 // end takes in that a job is over.
 func (c *Core) end(now time.Duration, j *job) {
 	j.over, j.stamp = true, 0
-	c.needLost(now, j.spec.ID)
+	c.liveRecordGone(now, j.spec.ID)
 	c.queues.update(j)
 	c.due = true
 	if j.counts[done] < len(j.tasks) {
--- a/internal/coordination/scheduler/pipelines.go
+++ b/internal/coordination/scheduler/pipelines.go
@@ -41,10 +41,10 @@
 	c.dependenciesChanged(now, c.graph.End(id, state))
 }
 
-// needLost takes in that a job's live record is gone. How it has ended is read if others await it.
-func (c *Core) needLost(now time.Duration, id string) {
+// liveRecordGone takes in that a job's live record is gone. How it has ended is read if others await it.
+func (c *Core) liveRecordGone(now time.Duration, id string) {
 	if c.graph.State(id) != dependency.Unknown {
-		c.dependenciesChanged(now, c.graph.Lose(id))
+		c.dependenciesChanged(now, c.graph.EndUnknown(id))
 	}
 }
 
@@ -83,7 +83,7 @@
 		if j := c.jobs[id]; j != nil && !j.over {
 			j.blocked = true
 			c.queues.update(j)
-			c.doomed = append(c.doomed, j)
+			c.cascade = append(c.cascade, j)
 		}
 	}
 	c.recordCancelled()
@@ -125,14 +125,14 @@
 // recordCancelled writes the ends of jobs that are cancelled with one that they await. They count as
 // cancelled without that, for every controller derives it; the record spares it the work.
 func (c *Core) recordCancelled() {
-	for len(c.doomed) > 0 && !c.paused && c.underWay[Ends] < c.settlePages() {
+	for len(c.cascade) > 0 && !c.paused && c.underWay[Ends] < c.settlePages() {
 		id, name := c.name()
 		t := protocol.Txn{If: []protocol.Cond{{Key: storage.TermKey, Version: c.termStamp}}}
 		var jobs []*job
-		for len(c.doomed) > 0 && len(t.Then)+cancelOperations <= max(cancelOperations, c.stateLimits.TxnOps) {
-			j := c.doomed[0]
-			c.doomed[0] = nil
-			c.doomed = c.doomed[1:]
+		for len(c.cascade) > 0 && len(t.Then)+cancelOperations <= max(cancelOperations, c.stateLimits.TxnOps) {
+			j := c.cascade[0]
+			c.cascade[0] = nil
+			c.cascade = c.cascade[1:]
 			if j.over || j.writing || j.finishing {
 				continue // it has ended by itself
 			}
@@ -171,18 +171,18 @@
 		case w.OK:
 			for _, j := range jobs {
 				c.log.Debug("cancelled with a job that it awaits", "job", j.spec.ID)
-				c.graph.Lose(j.spec.ID)
+				c.graph.EndUnknown(j.spec.ID)
 				c.end(now, j)
 			}
 		case w.Refused:
 			c.refused(&t)
-			c.after(now+refusedPause, func(time.Duration) { c.doomed = append(c.doomed, jobs...) })
+			c.after(now+refusedPause, func(time.Duration) { c.cascade = append(c.cascade, jobs...) })
 			return
 		case !c.overtakenAny(now, jobs, w):
 			return
 		default:
 			// Some ended by themselves meanwhile; the others are written again.
-			c.doomed = append(c.doomed, jobs...)
+			c.cascade = append(c.cascade, jobs...)
 		}
 		c.recordCancelled()
 	}
