--- a/internal/daemon/ownerreports.go
+++ b/internal/daemon/ownerreports.go
@@ -56,6 +56,11 @@
 	return table
 }
 
+// machinesAreOwned says whether the leader goes by a record of owners.
+func (c *Controller) machinesAreOwned(v *election.View) bool {
+	return c.owners != nil && c.tableInForce(nil, v) != nil
+}
+
 // standing is what decides whether this controller may answer workers as an owner.
 func (c *Controller) standing(table *ownership.Table, v *election.View) ownership.Standing {
 	now := c.now()
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -53,7 +53,8 @@
 	ctx, cancel := context.WithTimeout(r.Context(), reportPatience)
 	defer cancel()
 	if l == nil {
-		met := protocol.TermOf(rep.Token) == view.Term
+		// With owners a worker may have the leader's word from one of those.
+		met := protocol.TermOf(rep.Token) == view.Term && !c.machinesAreOwned(view)
 		if c.redirects.Relay(rep.Machine, leader, met, c.now()) {
 			c.relay(ctx, w, leader, raw)
 		} else {
