--- a/internal/protocol/compatibility_test.go
+++ b/internal/protocol/compatibility_test.go
@@ -75,3 +75,28 @@
 		}
 	}
 }
+
+// TestDigestsInForm: what an owner tells of machines is taken only with a session and a number for each, and no more
+// machines than a message may name.
+func TestDigestsInForm(t *testing.T) {
+	for name, x := range map[string]struct {
+		machines, sessions, numbers int
+		ok                          bool
+	}{
+		"none":              {0, 0, 0, true},
+		"three":             {3, 3, 3, true},
+		"a session missing": {3, 2, 3, false},
+		"a number missing":  {3, 3, 2, false},
+		"both missing":      {3, 2, 2, false},
+		"no machines":       {0, 1, 1, false},
+		"too many":          {MaxMeshMachines + 1, MaxMeshMachines + 1, MaxMeshMachines + 1, false},
+	} {
+		raw, err := EncodeMesh(&MeshMessage{Kind: MeshAlive, From: "b", Epoch: 3, Machines: make([]string, x.machines), Sessions: make([]uint64, x.sessions), Numbers: make([]uint64, x.numbers)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := DecodeMesh(raw); (err == nil) != x.ok {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
