--- a/cmd/pinebay/main.go
+++ b/cmd/pinebay/main.go
@@ -81,7 +81,7 @@
 	}
 	cmd.SetContext(context.Background())
 	cmd.Flags().StringVar(&path, "config", "", "settings file of this controller (TOML)")
-	cmd.Flags().BoolVar(&ownership, "ownership", false, "watch the other controllers for failures, and log suspicions and verdicts")
+	cmd.Flags().BoolVar(&ownership, "ownership", false, "watch the other controllers for failures, and part the machines among those that live")
 	cmd.Flags().BoolVar(&stepTimes, "step-times", false, "log how long the leader's steps and heartbeats take")
 	zoneReturn.add(cmd)
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
