--- a/internal/coordination/api/reader.go
+++ b/internal/coordination/api/reader.go
@@ -98,18 +98,24 @@
 	if _, ok := r.final(id); ok {
 		return nil
 	}
-	p, err := r.store.Get(ctx, storage.Consult, storage.EndedKey(id))
-	if err != nil {
-		return err
+	_, found, err := r.readFinal(ctx, id)
+	if err == nil && !found {
+		err = fmt.Errorf("%w: the end of %s", errUnread, id)
 	}
-	if p.Version == 0 {
-		return fmt.Errorf("%w: the end of %s", errUnread, id)
+	return err
+}
+
+// readFinal reads how a job has ended, if there is a record of that, and remembers it.
+func (r *reader) readFinal(ctx context.Context, id string) (f final, found bool, err error) {
+	p, err := r.store.Get(ctx, storage.Consult, storage.EndedKey(id))
+	if err != nil || p.Version == 0 {
+		return final{}, false, err
 	}
-	f, err := endedStatus(id, p.Value)
-	if err == nil {
-		r.keep(f.st, f.told)
+	if f, err = endedStatus(id, p.Value); err != nil {
+		return final{}, false, err
 	}
-	return err
+	r.keep(f.st, f.told)
+	return f, true, nil
 }
 
 // errUnread says that a job is neither live nor recorded as over, for the moment.
@@ -137,16 +143,8 @@
 		return answer{st: q.st, shape: q.shape, found: q.found}, q.unread, q.err
 	}
 	// It ended before we followed, or nobody submitted it.
-	p, err := r.store.Get(ctx, storage.Consult, storage.EndedKey(id))
-	if err != nil || p.Version == 0 {
-		return answer{}, nil, err
-	}
-	f, err := endedStatus(id, p.Value)
-	if err != nil {
-		return answer{}, nil, err
-	}
-	r.keep(f.st, f.told)
-	return answer{st: f.st, found: true}, nil, nil
+	f, found, err := r.readFinal(ctx, id)
+	return answer{st: f.st, found: found}, nil, err
 }
 
 // endedStatus reads the record of a job that is over. One that was cancelled with a job that it awaited has
