Read once more: one constant for a job's end, no sort of all jobs each second, dead state out

Once the level was final the leader sorted all jobs every second to find those with superseded pages, also with tens of thousands that wait; it sorts just these now. The ownership machine kept a time that nobody read and forgot verdicts in two places; members were looked up by a table made up for it. No behaviour changes.

--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -100,7 +100,6 @@
 	self    string
 	times   Times
 	is      suspicion.Incarnation
-	began   time.Duration
 	leading bool
 	since   time.Duration // when it began to lead
 	peers   map[string]*peer
@@ -111,8 +110,8 @@
 }
 
 // New returns the machine of a controller.
-func New(now time.Duration, self string, peers []string, times Times) *Machine {
-	m := &Machine{self: self, times: times, began: now, peers: map[string]*peer{}}
+func New(self string, peers []string, times Times) *Machine {
+	m := &Machine{self: self, times: times, peers: map[string]*peer{}}
 	for _, name := range peers {
 		m.peers[name] = &peer{failed: map[suspicion.Incarnation]bool{}}
 	}
@@ -151,9 +150,6 @@
 		return
 	}
 	p.is, p.owns, p.heardAt = e.Member.Is, e.Owns, now
-	if p.verdicts > 0 && now >= p.calmAt {
-		p.verdicts = 0
-	}
 }
 
 // verdict takes in that an incarnation is over. The controller owns machines again as another one, after a pause that
@@ -208,7 +204,7 @@
 func (m *Machine) wanted(now time.Duration) []Member {
 	members := []Member{{Node: m.self, Is: m.is}}
 	for name, p := range m.peers {
-		old, owned := Table{members: m.record.Members}.Member(name)
+		old, owned := find(m.record.Members, name)
 		fresh := p.heardAt > 0 && now-p.heardAt <= m.times.Fresh
 		switch {
 		case fresh && p.owns && owned && old.Is.Life == p.is.Life && !p.failed[old.Is]:
--- a/internal/coordination/ownership/ownership_test.go
+++ b/internal/coordination/ownership/ownership_test.go
@@ -30,7 +30,7 @@
 }
 
 func newLeader(peers ...string) *leader {
-	l := &leader{Machine: New(0, "a", peers, times)}
+	l := &leader{Machine: New("a", peers, times)}
 	l.step(Is{Incarnation: suspicion.Incarnation{Life: 1}})
 	l.step(InForce{})
 	l.step(Leads{Leading: true})
@@ -109,7 +109,7 @@
 // to lead, or has a write under way; and what it reads goes before what it wanted.
 func TestOnlyWhoMayPropose(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := New(0, "a", []string{"b", "c"}, times)
+		m := New("a", []string{"b", "c"}, times)
 		var now, since time.Duration
 		leads, known, writing := false, false, false
 		version, epoch := uint64(0), uint64(0)
--- a/internal/coordination/ownership/table.go
+++ b/internal/coordination/ownership/table.go
@@ -39,12 +39,15 @@
 func (t *Table) Members() []Member { return slices.Clone(t.members) }
 
 // Member returns a controller's entry.
-func (t Table) Member(node string) (Member, bool) {
-	i := slices.IndexFunc(t.members, func(m Member) bool { return m.Node == node })
+func (t *Table) Member(node string) (Member, bool) { return find(t.members, node) }
+
+// find returns a controller's entry among members.
+func find(members []Member, node string) (Member, bool) {
+	i := slices.IndexFunc(members, func(m Member) bool { return m.Node == node })
 	if i < 0 {
 		return Member{}, false
 	}
-	return t.members[i], true
+	return members[i], true
 }
 
 // Owner returns the controller that owns a machine, or "" if nobody does.
--- a/internal/coordination/scheduler/core.go
+++ b/internal/coordination/scheduler/core.go
@@ -259,10 +259,15 @@
 func (c *Core) Cycles() uint64 { return c.cycles }
 
 // sorted returns the jobs in an order that does not depend on chance.
-func (c *Core) sorted() []*job {
-	list := make([]*job, 0, len(c.jobs))
+func (c *Core) sorted() []*job { return c.sortedIf(func(*job) bool { return true }) }
+
+// sortedIf is sorted for the jobs that the function names.
+func (c *Core) sortedIf(which func(*job) bool) []*job {
+	var list []*job
 	for _, j := range c.jobs {
-		list = append(list, j)
+		if which(j) {
+			list = append(list, j)
+		}
 	}
 	sort.Slice(list, func(a, b int) bool {
 		if list[a].level != list[b].level {
--- a/internal/coordination/scheduler/level.go
+++ b/internal/coordination/scheduler/level.go
@@ -113,10 +113,7 @@
 		return
 	}
 	left := c.settlePages()
-	for _, j := range c.sorted() {
-		if len(j.superseded) == 0 || j.over || j.finishing || j.writing {
-			continue
-		}
+	for _, j := range c.sortedIf(func(j *job) bool { return len(j.superseded) > 0 && !j.over && !j.finishing && !j.writing }) {
 		j.replaceSuperseded(now)
 		if left--; left <= 0 {
 			return
--- a/internal/coordination/scheduler/pipelines.go
+++ b/internal/coordination/scheduler/pipelines.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"pinebay/internal/config"
@@ -129,7 +130,7 @@
 		id, name := c.name()
 		t := protocol.Txn{If: []protocol.Cond{{Key: storage.TermKey, Version: c.termStamp}}}
 		var jobs []*job
-		for len(c.cascade) > 0 && len(t.Then)+cancelOperations <= max(cancelOperations, c.stateLimits.TxnOps) {
+		for len(c.cascade) > 0 && len(t.Then)+fewestOperations <= max(fewestOperations, c.stateLimits.TxnOps) {
 			j := c.cascade[0]
 			c.cascade[0] = nil
 			c.cascade = c.cascade[1:]
@@ -153,9 +154,6 @@
 	}
 }
 
-// cancelOperations is how many operations the end of a job takes.
-const cancelOperations = 2
-
 // writeCancelled writes the ends of jobs in one transaction.
 func (c *Core) writeCancelled(id uint64, name string, t protocol.Txn, jobs []*job) {
 	c.underWay[Ends] += len(t.Then)
@@ -192,19 +190,14 @@
 // overtakenAny says whether a transaction about several jobs failed because some of them are over, and takes
 // that in.
 func (c *Core) overtakenAny(now time.Duration, jobs []*job, w Written) bool {
+	over := false
 	for _, j := range jobs {
-		for _, key := range w.Failed {
-			if key == storage.LiveKey(j.spec.ID) || key == storage.EndedKey(j.spec.ID) {
-				c.end(now, j)
-			}
-		}
-	}
-	for _, j := range jobs {
-		if j.over {
-			return true
+		if slices.Contains(w.Failed, storage.LiveKey(j.spec.ID)) || slices.Contains(w.Failed, storage.EndedKey(j.spec.ID)) {
+			c.end(now, j)
+			over = true
 		}
 	}
-	return c.overtaken(now, jobs[0], w)
+	return over || c.overtaken(now, jobs[0], w)
 }
 
 // foreseen lists the room that blocked jobs will want before a machine rented now would be up: the jobs that
--- a/internal/daemon/owners.go
+++ b/internal/daemon/owners.go
@@ -57,7 +57,7 @@
 		return
 	}
 	times := c.ownershipTimes()
-	machine := ownership.New(c.now(), c.cfg.Node, c.mesh.Peers(), times)
+	machine := ownership.New(c.cfg.Node, c.mesh.Peers(), times)
 	step := func(e ownership.Event) {
 		for _, effect := range machine.Step(c.now(), e) {
 			c.carryOutOwnership(ctx, effect)
