Log which placement pages a write has stored

Cause: nothing in the logs told why an accepted gang waits for its record. Whether its writes are rejected, whether it is placed again and again, or whether the same pages are written repeatedly looked the same.

Change: at debug level the leader logs the numbers of the pages that each write of a job has stored, and how many of its starts still wait for a record. Job.UnrecordedStarts is that list, and allowRecordedStarts uses it too.

--- a/internal/coordination/jobstate/job.go
+++ b/internal/coordination/jobstate/job.go
@@ -227,6 +227,17 @@
 	}
 }
 
+// UnrecordedStarts returns the placements that wait to be recorded before they may start.
+func (j *Job) UnrecordedStarts() []*machineregistry.Placement {
+	var unrecorded []*machineregistry.Placement
+	for _, pl := range j.Unstarted {
+		if !pl.Recorded {
+			unrecorded = append(unrecorded, pl)
+		}
+	}
+	return unrecorded
+}
+
 // SortedPlacements returns the placements sorted by task.
 func (j *Job) SortedPlacements() []*machineregistry.Placement {
 	list := make([]*machineregistry.Placement, 0, len(j.Placements))
--- a/internal/coordination/placementrecords/jobwrite.go
+++ b/internal/coordination/placementrecords/jobwrite.go
@@ -56,6 +56,9 @@
 // Pages returns the number of pages that are written.
 func (w *JobWrite) Pages() int { return len(w.pages) }
 
+// PageNumbers returns the numbers of the pages that are written, in ascending order.
+func (w *JobWrite) PageNumbers() []int { return w.pages }
+
 // Size returns an upper bound of the total size of the records, in bytes.
 func (w *JobWrite) Size() int { return w.size }
 
--- a/internal/coordination/scheduler/jobcompletion.go
+++ b/internal/coordination/scheduler/jobcompletion.go
@@ -6,7 +6,6 @@
 
 	"pinebay/internal/coordination/dependency"
 	"pinebay/internal/coordination/jobstate"
-	"pinebay/internal/coordination/machineregistry"
 	"pinebay/internal/coordination/placementrecords"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
@@ -135,12 +134,7 @@
 // allowRecordedStarts allows recorded placements to start. The placements of a gang may start only after all of them
 // are recorded.
 func (s *Scheduler) allowRecordedStarts(j *jobstate.Job) {
-	var unrecorded []*machineregistry.Placement
-	for _, pl := range j.Unstarted {
-		if !pl.Recorded {
-			unrecorded = append(unrecorded, pl)
-		}
-	}
+	unrecorded := j.UnrecordedStarts()
 	if j.Spec.Shape == protocol.Gang && len(unrecorded) > 0 {
 		return
 	}
--- a/internal/coordination/scheduler/placementwriter.go
+++ b/internal/coordination/scheduler/placementwriter.go
@@ -247,6 +247,12 @@
 		return
 	}
 	write.MarkStartsRecorded()
+	s.log.Debug(
+		"placement pages recorded",
+		"job", j.Spec.ID,
+		"pages", write.PageNumbers(),
+		"unrecorded_starts", len(j.UnrecordedStarts()),
+	)
 	s.allowRecordedStarts(j)
 	switch {
 	case j.AllTasksDone():
