Record a gang page by page if it has more pages than a write holds

What callers saw: an accepted gang of 300 tasks stayed queued for ever beside free machines, after the key-value store had lowered its limits to 2 KiB and 5 changes a transaction. Meanwhile its leader used its whole budget for placements.

Cause: a gang starts only once all of its placements are recorded, and until then the recorded ones stay in Job.Unstarted. PagesToWrite chose the pages of all of them, from the first, so each write contained the same pages, and those beyond the limit of a transaction were never written. Arrays and services leave Unstarted as they are recorded and were not affected.

Change: a write chooses the pages of unrecorded placements, and then dirty pages. A recorded placement whose page changes again makes that page dirty, so no page is left out, and each write reduces the number of unrecorded placements.

--- a/internal/coordination/jobstate/pages.go
+++ b/internal/coordination/jobstate/pages.go
@@ -77,7 +77,8 @@
 }
 
 // PagesToWrite returns the numbers of the next pages to write in ascending order, at most limit of them. Pages of
-// placements that may start once they are recorded are chosen first.
+// placements that wait to be recorded are chosen first. The recorded placements of a gang, which wait for the rest of
+// the gang, are not written again: with more than limit pages, the last ones would never be written.
 func (j *Job) PagesToWrite(limit int) []int {
 	var numbers []int
 	add := func(number int) {
@@ -85,7 +86,7 @@
 			numbers = append(numbers, number)
 		}
 	}
-	for _, pl := range j.Unstarted {
+	for _, pl := range j.UnrecordedStarts() {
 		add(j.Pages.PageNumber(pl.Task.Index))
 	}
 	for _, number := range j.Pages.Dirty() {
--- a/internal/coordination/placementrecords/jobwrite.go
+++ b/internal/coordination/placementrecords/jobwrite.go
@@ -16,7 +16,7 @@
 
 	pages []int
 	size  int // upper bound of the total size of the records of the pages, in bytes
-	// starting are the placements that may start once this write has succeeded.
+	// starting are the placements that wait for this write to be recorded.
 	starting []*machineregistry.Placement
 	// replaced are superseded pages that are not valid for any task after this write. They are deleted with it.
 	replaced []placementpages.SupersededPage
@@ -37,7 +37,7 @@
 		w.pages = append(w.pages, number)
 		w.size += size
 	}
-	for _, pl := range j.Unstarted {
+	for _, pl := range j.UnrecordedStarts() {
 		if slices.Contains(w.pages, j.Pages.PageNumber(pl.Task.Index)) {
 			w.starting = append(w.starting, pl)
 		}
@@ -63,7 +63,7 @@
 func (w *JobWrite) Size() int { return w.size }
 
 // CoversAllStarts reports whether the write includes all starts of the job that wait for their records.
-func (w *JobWrite) CoversAllStarts() bool { return len(w.starting) == len(w.Job.Unstarted) }
+func (w *JobWrite) CoversAllStarts() bool { return len(w.starting) == len(w.Job.UnrecordedStarts()) }
 
 // AppendTo adds the comparisons and operations of the write to a transaction with the given name.
 func (w *JobWrite) AppendTo(t *protocol.Txn, name string) error {
