Restart a gang whose recorded placements are of different attempts

What callers saw: nothing yet.

Cause: a gang with more pages than a write holds is recorded in steps. If it is stopped and placed again meanwhile, the first pages list its new attempt and the others still the earlier one. A new leader regarded the gang as whole, since every task had a placement, and started the tasks of both attempts.

Evidence: TestGangRecordedInPartRestartsAsAWhole: an attempt is stopped in zone a before any of its tasks has started, while its last write is in flight; the next one is recorded in zone b up to page 1 of 2; then the leader changes. Without this change one task of attempt 1 in zone a and six of attempt 2 in zone b were on machines at the same moment.

Change: a new leader restarts a gang unless all tasks that are not done have placements of the same attempt. The tasks of either attempt are withdrawn as any stopped placement is, and the gang is placed again once they are proven gone.

Tests: the named test failed before.

--- a/internal/coordination/jobstate/job.go
+++ b/internal/coordination/jobstate/job.go
@@ -248,6 +248,18 @@
 	return list
 }
 
+// PlacedAsWhole reports whether every task that is not done is placed, and all placements are of the same attempt.
+func (j *Job) PlacedAsWhole() bool {
+	attempt := uint64(0)
+	for _, pl := range j.Placements {
+		if attempt != 0 && pl.Attempt != attempt {
+			return false
+		}
+		attempt = pl.Attempt
+	}
+	return j.PendingTasks() == 0
+}
+
 // HasStarted reports whether any task of the job was ever placed.
 func (j *Job) HasStarted() bool { return j.Pages.HighestAttempt() > 0 }
 
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -181,8 +181,9 @@
 // resumeInterrupted continues the work that the previous leader left unfinished.
 func (s *Scheduler) resumeInterrupted(now time.Duration) {
 	for _, j := range s.sortedJobs() {
-		// A gang is restarted if only some of its placements were recorded.
-		if j.Spec.Shape == protocol.Gang && len(j.Placements) > 0 && j.PendingTasks() > 0 {
+		// A gang is restarted if only some placements of its latest attempt were recorded. The records of its other
+		// tasks may still list an earlier attempt, possibly in another zone.
+		if j.Spec.Shape == protocol.Gang && len(j.Placements) > 0 && !j.PlacedAsWhole() {
 			s.stopGang(now, j)
 		}
 		if j.Ended {
