Keep the age of a gang in the start queue until all of it is recorded

What callers saw: nothing yet.

Cause: after each write of a gang that has more pages than a write holds, the gang went to the end of the start queue. It waited for the whole queue before each write, while none of its tasks may start before the last one. The bound of the queue, of n jobs each is dequeued after at most 4n others, held for each write and not for the gang.

Change: a gang that is recorded in part keeps its age, takes a new round, and so has at least every fourth turn once it is the oldest. Arrays and services, whose recorded tasks start at once, still go to the end.

TestGangOfSeveralWritesKeepsItsAge failed before.

--- a/internal/coordination/jobstate/startqueue.go
+++ b/internal/coordination/jobstate/startqueue.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"github.com/tidwall/btree"
+
+	"pinebay/internal/protocol"
 )
 
 // StartQueue holds the jobs with placements that wait to be recorded. Jobs are dequeued by priority. Within a priority
 // the teams are served round-robin, and the jobs of a team in the order in which they were added. Every fourth time the
 // job that has been in the queue longest is dequeued instead, so that no job starves: of n jobs in the queue, each is
-// dequeued after at most 4n others, regardless of their priorities.
+// dequeued after at most 4n others, regardless of their priorities. A gang that takes several writes is then dequeued
+// for each further write after at most four others, or four for each gang that has been waiting longer.
 type StartQueue struct {
 	byRound          *btree.BTreeG[*Job]
 	byAge            *btree.BTreeG[*Job]
@@ -59,16 +62,35 @@
 	if q == nil || j.inStartQueue {
 		return
 	}
+	q.enqueuedCount++
+	j.startSequence = q.enqueuedCount
+	q.assignRound(j)
+	q.Requeue(j)
+}
+
+// AddRemaining adds a job again after a write has recorded only some of its placements. None of the tasks of a gang may
+// start until all are recorded, so a gang keeps its age: otherwise it would wait for the whole queue before each write.
+func (q *StartQueue) AddRemaining(j *Job) {
+	if j.Spec.Shape != protocol.Gang {
+		q.Add(j)
+		return
+	}
+	if j.inStartQueue {
+		return
+	}
+	q.assignRound(j)
+	q.Requeue(j)
+}
+
+// assignRound assigns the next round of its team to a job.
+func (q *StartQueue) assignRound(j *Job) {
 	rounds := q.roundsByPriority[j.EffectivePriority]
 	if rounds == nil {
 		rounds = &teamRounds{lastRoundByTeam: map[string]uint64{}}
 		q.roundsByPriority[j.EffectivePriority] = rounds
 	}
-	q.enqueuedCount++
-	j.startSequence = q.enqueuedCount
 	j.startRound = max(rounds.currentRound, rounds.lastRoundByTeam[j.Spec.Team]) + 1
 	rounds.lastRoundByTeam[j.Spec.Team] = j.startRound
-	q.Requeue(j)
 }
 
 // Requeue adds a job again in its previous round, if it still has placements to be recorded.
--- a/internal/coordination/jobstate/startqueue_test.go
+++ b/internal/coordination/jobstate/startqueue_test.go
@@ -94,3 +94,46 @@
 		}
 	}
 }
+
+// TestGangOfSeveralWritesKeepsItsAge guards against a gang that waits for the whole queue before each of its writes.
+// The queue always contains other jobs, and the gang, which is the last to come, needs several writes.
+func TestGangOfSeveralWritesKeepsItsAge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewStartQueue()
+		others := rapid.IntRange(1, 100).Draw(t, "others")
+		writes := rapid.IntRange(1, 20).Draw(t, "writes")
+		priorities := []protocol.Priority{"urgent", "normal", "best_effort"}
+		added := 0
+		addOther := func() {
+			added++
+			priority := rapid.SampledFrom(priorities).Draw(t, "priority")
+			q.Add(newUnstartedJob(fmt.Sprintf("j-%06d", added), priority, "red"))
+		}
+		for range others {
+			addOther()
+		}
+		gang := newUnstartedJob("j-gang", rapid.SampledFrom(priorities).Draw(t, "priority of the gang"), "red")
+		gang.Spec.Shape = protocol.Gang
+		q.Add(gang)
+		maxDequeued := oldestFirstInterval * (others + writes)
+		for dequeued := 0; writes > 0; dequeued++ {
+			if dequeued > maxDequeued {
+				t.Fatalf(
+					"%d writes left after %d jobs were dequeued, want none after %d",
+					writes,
+					dequeued,
+					maxDequeued,
+				)
+			}
+			j := q.Next(0, nil)
+			q.Dequeue(j)
+			if j != gang {
+				addOther()
+				continue
+			}
+			if writes--; writes > 0 {
+				q.AddRemaining(gang)
+			}
+		}
+	})
+}
--- a/internal/coordination/scheduler/placementwriter.go
+++ b/internal/coordination/scheduler/placementwriter.go
@@ -258,7 +258,7 @@
 	case j.AllTasksDone():
 		s.completeJob(j)
 	case len(j.Unstarted) > 0:
-		s.queues.Starts.Add(j)
+		s.queues.Starts.AddRemaining(j)
 	default:
 		j.QueueCompletion(now)
 	}
