Count the remaining starts of a write once

The log line about recorded pages listed the unrecorded starts of a job again after each write, also when debug lines are off. Behaviour is unchanged.

--- a/internal/coordination/placementrecords/jobwrite.go
+++ b/internal/coordination/placementrecords/jobwrite.go
@@ -18,6 +18,8 @@
 	size  int // upper bound of the total size of the records of the pages, in bytes
 	// starting are the placements that wait for this write to be recorded.
 	starting []*machineregistry.Placement
+	// remainingStarts is the number of placements that still wait to be recorded after this write.
+	remainingStarts int
 	// replaced are superseded pages that are not valid for any task after this write. They are deleted with it.
 	replaced []placementpages.SupersededPage
 	// exitsWritten counts by page the placements whose exits are recorded by the write.
@@ -37,11 +39,13 @@
 		w.pages = append(w.pages, number)
 		w.size += size
 	}
-	for _, pl := range j.UnrecordedStarts() {
+	unrecorded := j.UnrecordedStarts()
+	for _, pl := range unrecorded {
 		if slices.Contains(w.pages, j.Pages.PageNumber(pl.Task.Index)) {
 			w.starting = append(w.starting, pl)
 		}
 	}
+	w.remainingStarts = len(unrecorded) - len(w.starting)
 	for _, old := range j.Pages.Superseded() {
 		if w.Operations() < maxOperations && j.Pages.FullyReplaced(old, w.pages) {
 			w.replaced = append(w.replaced, old)
@@ -63,7 +67,10 @@
 func (w *JobWrite) Size() int { return w.size }
 
 // CoversAllStarts reports whether the write includes all starts of the job that wait for their records.
-func (w *JobWrite) CoversAllStarts() bool { return len(w.starting) == len(w.Job.UnrecordedStarts()) }
+func (w *JobWrite) CoversAllStarts() bool { return w.remainingStarts == 0 }
+
+// RemainingStarts returns the number of starts of the job that still wait for their records after the write.
+func (w *JobWrite) RemainingStarts() int { return w.remainingStarts }
 
 // AppendTo adds the comparisons and operations of the write to a transaction with the given name.
 func (w *JobWrite) AppendTo(t *protocol.Txn, name string) error {
--- a/internal/coordination/scheduler/placementwriter.go
+++ b/internal/coordination/scheduler/placementwriter.go
@@ -251,7 +251,7 @@
 		"placement pages recorded",
 		"job", j.Spec.ID,
 		"pages", write.PageNumbers(),
-		"unrecorded_starts", len(j.UnrecordedStarts()),
+		"unrecorded_starts", write.RemainingStarts(),
 	)
 	s.allowRecordedStarts(j)
 	switch {
