Scheduler tests: one function that commits a write

manualStore.succeed carried out a write's effects by a loop of its own. It is replaced by commit, which uses stepWithCommands as the other tests do; TestStartsAreBatched keeps its checks and counts.

--- a/internal/coordination/scheduler/largejob_test.go
+++ b/internal/coordination/scheduler/largejob_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"strings"
 	"testing"
 
@@ -10,22 +9,8 @@
 	"pinebay/internal/config"
 	"pinebay/internal/coordination/featurelevel"
 	"pinebay/internal/protocol"
-	"pinebay/internal/storage"
 )
 
-// commit lets a write succeed and returns the keys of the placement pages that it has stored.
-func (s *manualStore) commit(w Write) (pages []string) {
-	for _, op := range w.Txn.Then {
-		if strings.HasPrefix(op.PutKey, storage.PlacementPrefix) {
-			pages = append(pages, op.PutKey)
-		}
-	}
-	s.inFlight = slices.DeleteFunc(s.inFlight, func(o Write) bool { return o.ID == w.ID })
-	s.revision++
-	s.stepWithCommands(TransactionOutcome{WriteID: w.ID, Succeeded: true, Revision: s.revision})
-	return pages
-}
-
 // maxTestWrites limits the number of writes that a test commits, so that a leader that writes without end fails it.
 const maxTestWrites = 1000
 
--- a/internal/coordination/scheduler/placementwriter_test.go
+++ b/internal/coordination/scheduler/placementwriter_test.go
@@ -48,6 +48,20 @@
 	s.step(outcome)
 }
 
+// commit lets a write succeed, makes the machines execute the resulting commands, and returns the keys of the placement
+// pages that it has stored.
+func (s *manualStore) commit(w Write) (pages []string) {
+	for _, op := range w.Txn.Then {
+		if strings.HasPrefix(op.PutKey, storage.PlacementPrefix) {
+			pages = append(pages, op.PutKey)
+		}
+	}
+	s.inFlight = slices.DeleteFunc(s.inFlight, func(o Write) bool { return o.ID == w.ID })
+	s.revision++
+	s.stepWithCommands(TransactionOutcome{WriteID: w.ID, Succeeded: true, Revision: s.revision})
+	return pages
+}
+
 // startWrites returns the writes in flight of placements that must be recorded before their tasks may start.
 func (s *manualStore) startWrites() (open []Write) {
 	for _, w := range s.inFlight {
@@ -267,7 +281,7 @@
 		if open := s.startWrites(); len(open) > 0 { // one transaction per quarter of a second
 			records += len(open[0].Txn.Then)
 			before := len(s.runs)
-			s.succeed(open[0], uint64(1000+records))
+			s.commit(open[0])
 			starts += len(s.runs) - before
 		}
 	}
@@ -295,22 +309,3 @@
 		}
 	}
 }
-
-// succeed lets a write succeed and makes the machines execute the resulting commands.
-func (s *manualStore) succeed(w Write, revision uint64) {
-	outcome := TransactionOutcome{WriteID: w.ID, Succeeded: true, Revision: revision}
-	for _, e := range s.scheduler.Step(s.now, outcome) {
-		switch e := e.(type) {
-		case Write:
-			s.inFlight = append(s.inFlight, e)
-		case SendCommandBatch:
-			s.executeCommands(e.Machine, e.Batch.FencingToken, e.Batch.Commands)
-			s.step(CommandBatchResult{
-				Machine:      e.Machine,
-				Acknowledged: true,
-				Heartbeat:    s.nextHeartbeat(e.Machine),
-			})
-		}
-	}
-	s.inFlight = slices.DeleteFunc(s.inFlight, func(o Write) bool { return o.ID == w.ID })
-}
