Read once more: one accessor of written pages, one step that lowers limits

JobWrite.Pages was the length of PageNumbers; its only caller takes that. lowerLimitsOnceUpgraded had the body of the step lowerLimits and calls it now. The comment on StartQueue said that a gang waits for at most four others, or four for each older gang, before a further write; with several such gangs a younger one waits for all writes of an older one, so it now says only that every fourth turn is the oldest gang's. Behaviour is unchanged, and no check either.

--- a/internal/coordination/jobstate/startqueue.go
+++ b/internal/coordination/jobstate/startqueue.go
@@ -12,8 +12,8 @@
 // StartQueue holds the jobs with placements that wait to be recorded. Jobs are dequeued by priority. Within a priority
 // the teams are served round-robin, and the jobs of a team in the order in which they were added. Every fourth time the
 // job that has been in the queue longest is dequeued instead, so that no job starves: of n jobs in the queue, each is
-// dequeued after at most 4n others, regardless of their priorities. A gang that takes several writes is then dequeued
-// for each further write after at most four others, or four for each gang that has been waiting longer.
+// dequeued after at most 4n others, regardless of their priorities. A gang that takes several writes keeps its age, so
+// that every fourth turn is its own once it is the oldest.
 type StartQueue struct {
 	byRound          *btree.BTreeG[*Job]
 	byAge            *btree.BTreeG[*Job]
--- a/internal/coordination/placementrecords/jobwrite.go
+++ b/internal/coordination/placementrecords/jobwrite.go
@@ -57,9 +57,6 @@
 // Operations returns the number of operations in the write.
 func (w *JobWrite) Operations() int { return len(w.pages) + len(w.replaced) }
 
-// Pages returns the number of pages that are written.
-func (w *JobWrite) Pages() int { return len(w.pages) }
-
 // PageNumbers returns the numbers of the pages that are written, in ascending order.
 func (w *JobWrite) PageNumbers() []int { return w.pages }
 
--- a/internal/coordination/scheduler/placementwriter.go
+++ b/internal/coordination/scheduler/placementwriter.go
@@ -212,7 +212,7 @@
 	s.log.Error(
 		"placement record rejected",
 		"job", j.Spec.ID,
-		"page_count", write.Pages(),
+		"page_count", len(write.PageNumbers()),
 		"tasks_per_page", j.Pages.Layout().TasksPerPage,
 	)
 }
--- a/internal/simulation/largegang_test.go
+++ b/internal/simulation/largegang_test.go
@@ -39,12 +39,6 @@
 	}
 }
 
-// lowerLimits is a step that lowers the limits of the key-value store to those that the settings announce.
-func lowerLimits(c *cluster) {
-	c.store.SetLimits(c.cfg.Store.Lowest())
-	c.recordOccurrence("limits")
-}
-
 // TestLargeGangs guards against a gang that is never started because its placements take more pages than a transaction
 // may hold, also while leaders change, transactions are late and other jobs start.
 func TestLargeGangs(t *testing.T) {
--- a/internal/simulation/pipeline_test.go
+++ b/internal/simulation/pipeline_test.go
@@ -123,6 +123,12 @@
 	c.store.SetLimits(c.cfg.Store)
 }
 
+// lowerLimits is a step that lowers the limits of the key-value store to those that the settings announce.
+func lowerLimits(c *cluster) {
+	c.store.SetLimits(c.cfg.Store.Lowest())
+	c.recordOccurrence("limits")
+}
+
 // lowerLimitsOnceUpgraded is a step that lowers the limits of the key-value store once all controllers have recorded a
 // feature level.
 func lowerLimitsOnceUpgraded(c *cluster) {
@@ -130,8 +136,7 @@
 		for c.ctx.Err() == nil && c.levelsRecorded() < len(c.controllers) {
 			time.Sleep(10 * ms)
 		}
-		c.store.SetLimits(c.cfg.Store.Lowest())
-		c.recordOccurrence("limits")
+		lowerLimits(c)
 	})
 }
 
