--- a/review/standin2/bulk.go
+++ b/review/standin2/bulk.go
@@ -69,7 +69,7 @@
 	for since := time.Now(); time.Since(since) < 90*time.Second; f.sleep(500 * time.Millisecond) {
 		watch.look(f)
 	}
-	if watch.replicas == 0 {
+	if watch.leases == 0 {
 		return f.finish("")
 	}
 	return f.finish(fmt.Sprintf("%d leases ran out though all machines, links and controllers are sound; %d running "+
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -237,14 +238,9 @@
 
 // start starts the stand-ins, the links and the controllers.
 func (f *fleet) start() error {
-	var addrs [2 * controllerCount]string
-	for i := range addrs {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		addrs[i] = l.Addr().String()
-		defer l.Close()
+	addrs, err := f.freeAddresses(2 * controllerCount)
+	if err != nil {
+		return err
 	}
 	cloud, err := f.serve(f.cloud)
 	if err != nil {
@@ -285,6 +281,24 @@
 	return nil
 }
 
+// freeAddresses returns addresses for the controllers. Their ports are below those that the system gives to outgoing
+// connections, so that none of these takes one before its controller listens.
+func (f *fleet) freeAddresses(n int) (addrs []string, err error) {
+	const first, ports, tries = 10000, 20000, 1000
+	for range tries {
+		if len(addrs) == n {
+			return addrs, nil
+		}
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(ports)))
+		if err != nil {
+			continue // in use
+		}
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
+	}
+	return nil, errors.New("no free ports")
+}
+
 // startControllers starts the machines and all controller processes, and waits until one leads.
 func (f *fleet) startControllers() error {
 	f.mu.Lock()
@@ -303,6 +317,9 @@
 		return errors.New("no leader")
 	}
 	f.log("leader is %s", f.leader().name)
+	if len(f.violations()) > 0 {
+		return errors.New("a controller did not start")
+	}
 	return nil
 }
 
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,9 +24,9 @@
 type caseFunc func(folder string, trouble bool) (broken string, err error)
 
 var cases = map[string]caseFunc{
-	"sick":   runSick,
-	"gangs":  runGangs,
+	"flap":   runFlap,
 	"spread": runSpread,
+	"quota":  runQuota,
 	"late":   runLate,
 	"bulk":   runBulk,
 }
@@ -58,17 +58,6 @@
 	}
 }
 
-// ndiaye returns the options of a small deployment with the settings of ndiaye-pression.
-func ndiaye(folder string, machines ...machineSpec) options {
-	return options{
-		folder: folder, zones: []string{"dakarport", "kaolackinland"}, teams: []config.Team{equipethies},
-		objectives: ndiayeObjectives, machineType: baobab, machines: machines, logDir: os.Getenv("LOG_DIR"),
-		report: 3 * time.Second, lease: 29 * time.Second, cancel: 59 * time.Second, gangWait: 35 * time.Second,
-		gangPeer: 6 * time.Second, listLag: 8 * time.Second, runTime: 4 * time.Second,
-		limits: config.StoreLimits{RPS: 150, WriteRPS: 50, ValueKB: 8, TxnOps: 16},
-	}
-}
-
 // startFleet starts a fleet with its controllers.
 func startFleet(o options) (*fleet, error) {
 	f, err := newFleet(o)
--- a/review/standin2/users.go
+++ b/review/standin2/users.go
@@ -31,50 +31,6 @@
 	}
 )
 
-// The classes of ndiaye-pression, with the sizes of its page.
-var (
-	equipethies = config.Team{Name: "equipethies"}
-	baobab      = protocol.MachineType{
-		Name: "baobab", CPUs: 48, GPUs: 8, MemoryGB: 192, CacheGB: 600, FetchGBPerSecond: 9,
-		HourlyPrice: 18.78, HourlySpotPrice: 8.73, BootSeconds: 40, Zones: []string{"dakarport", "kaolackinland"},
-	}
-	ndiayeObjectives = []config.Objective{
-		{Kind: "wait", Class: "tracereader", WithinSeconds: 15, Fraction: 0.8},
-		{Kind: "finished", Class: "districtsweep", WithinSeconds: 150, Fraction: 0.88},
-		{Kind: "wait", Class: "vanquery", WithinSeconds: 1, Fraction: 0.88},
-		{Kind: "wait", Class: "burstcast", WithinSeconds: 50, Fraction: 0.72},
-		{Kind: "finished", Class: "burstcast", WithinSeconds: 300, Fraction: 0.88},
-	}
-)
-
-func vanquery(id string, tasks int) protocol.Job {
-	return protocol.Job{
-		ID: id, Class: "vanquery", Team: "equipethies", Shape: protocol.Service, Priority: "critical", TaskCount: tasks,
-		CPUs: 4, GPUs: 1, MemoryGB: 12, Image: "img-van", ImageGB: 16.1, MachineTypes: []string{"baobab"}, Spread: true,
-	}
-}
-
-func districtsweep(id string, tasks int) protocol.Job {
-	return protocol.Job{
-		ID:                        id,
-		Class:                     "districtsweep",
-		Team:                      "equipethies",
-		Shape:                     protocol.Array,
-		Priority:                  "normal",
-		TaskCount:                 tasks,
-		CPUs:                      8,
-		GPUs:                      2,
-		MemoryGB:                  25,
-		Image:                     "img-district",
-		ImageGB:                   34.3,
-		MachineTypes:              []string{"baobab"},
-		SpotAllowed:               true,
-		EstimateSeconds:           80,
-		CheckpointIntervalSeconds: 20,
-		CheckpointSaveSeconds:     5,
-	}
-}
-
 func cluesmith(id string, tasks int) protocol.Job {
 	return protocol.Job{
 		ID:           id,
@@ -101,14 +57,6 @@
 	}
 }
 
-func cryptvet(id string) protocol.Job {
-	return protocol.Job{
-		ID: id, Class: "cryptvet", Team: "liffeydesk", Shape: protocol.Gang, Priority: "urgent", TaskCount: 1,
-		CPUs: 86, GPUs: 8, MemoryGB: 460, Image: "img-crypt", ImageGB: 118, MachineTypes: []string{"bogoak"},
-		SameZone: true, EstimateSeconds: 150, CheckpointIntervalSeconds: 15, CheckpointSaveSeconds: 5,
-	}
-}
-
 // ask sends one request of a user to a controller and records it with its answer.
 func (f *fleet) ask(c *controller, kind, id string, j *protocol.Job) (int, protocol.JobStatus) {
 	status, answer := f.users.Request(f.ctx, c.userLink.addr(), kind, id, j)
