Log how long a command batch waits for a slot and for a connection

The log could not tell apart a batch that waits for a slot of the client, one that waits for a connection, a start that is decided after the cancellation, and an intent that reaches the leader late.

Change: the client reports both waiting times, and the leader logs them for each batch (debug).

--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -11,6 +11,7 @@
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
+	"pinebay/internal/transport"
 )
 
 // applyEffects carries out effects. Operations that block run on their own goroutines, which send the outcome to the
@@ -161,21 +162,29 @@
 }
 
 func (l *Leader) sendCommands(ctx context.Context, o scheduler.SendCommandBatch) {
-	status, raw, err := l.deps.Workers.Do(
-		ctx,
-		commandTimeout(l.options.Deployment),
-		http.MethodPost,
-		"http://"+o.Addr+"/commands",
-		o.Batch,
+	start := l.deps.Now()
+	response, err := l.deps.Workers.Send(ctx, transport.Request{
+		Method:  http.MethodPost,
+		URL:     "http://" + o.Addr + "/commands",
+		Timeout: commandTimeout(l.options.Deployment),
+		Body:    o.Batch,
+	})
+	l.log.Debug("command batch sent",
+		"machine", o.Machine,
+		"task_count", len(o.Batch.Commands),
+		"slot_wait", response.SlotWait,
+		"connection_wait", response.ConnectionWait,
+		"duration", l.deps.Now()-start,
+		"status", response.Status,
 	)
 	result := scheduler.CommandBatchResult{Machine: o.Machine}
-	if err == nil && (status == http.StatusOK || status == http.StatusConflict) {
-		if r, err := protocol.DecodeWorkerHeartbeat(raw); err == nil {
-			result.Acknowledged, result.Heartbeat = status == http.StatusOK, r
+	if err == nil && (response.Status == http.StatusOK || response.Status == http.StatusConflict) {
+		if r, err := protocol.DecodeWorkerHeartbeat(response.Body); err == nil {
+			result.Acknowledged, result.Heartbeat = response.Status == http.StatusOK, r
 		}
 	}
 	if result.Heartbeat == nil {
-		l.log.Info("command failed", "machine", o.Machine, "status", status, "error", err)
+		l.log.Info("command failed", "machine", o.Machine, "status", response.Status, "error", err)
 	}
 	l.mailbox.Send(result)
 }
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -54,33 +55,70 @@
 	}
 }
 
-// Do sends a request and returns the status and the body of the response. A non-nil body is sent as MessagePack.
-//
-// Do waits for a free slot until ctx ends; timeout limits only the request itself. Do never sends a request twice. An
-// error means that no complete response was received; the server may have executed the request nevertheless.
+// Request describes a request of a Client.
+type Request struct {
+	Method string
+	URL    string
+	// Timeout limits the request, from the moment at which it has a slot.
+	Timeout time.Duration
+	// Body is sent as MessagePack; nil means none.
+	Body any
+}
+
+// Response is the response to a Request, and what the request has waited for.
+type Response struct {
+	Status int // 0 if no complete response was received
+	Body   []byte
+	// SlotWait is the time that the request waited for a slot of the client.
+	SlotWait time.Duration
+	// ConnectionWait is the time that it then waited for a connection. It is 0 if it got none.
+	ConnectionWait time.Duration
+}
+
+// Do sends a request and returns the status and the body of the response. See [Client.Send].
 func (c *Client) Do(ctx context.Context, timeout time.Duration, method, url string, body any) (int, []byte, error) {
-	if err := c.slots.Acquire(ctx, 1); err != nil {
-		return 0, nil, fmt.Errorf("%s %s: %w", method, url, err)
+	response, err := c.Send(ctx, Request{Method: method, URL: url, Timeout: timeout, Body: body})
+	return response.Status, response.Body, err
+}
+
+// Send sends a request and returns the response. If it returns an error, the response contains only the waiting times.
+//
+// Send waits for a free slot until ctx ends; the timeout limits only the request itself. Send never sends a request
+// twice. An error means that no complete response was received; the server may have executed the request nevertheless.
+func (c *Client) Send(ctx context.Context, r Request) (Response, error) {
+	var response Response
+	start := time.Now()
+	err := c.slots.Acquire(ctx, 1)
+	response.SlotWait = time.Since(start)
+	if err != nil {
+		return response, r.wrapError(err)
 	}
 	defer c.slots.Release(1)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
-	req, err := newRequest(ctx, method, url, body)
+	gotSlot := time.Now()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { response.ConnectionWait = time.Since(gotSlot) },
+	})
+	req, err := newRequest(ctx, r.Method, r.URL, r.Body)
 	if err != nil {
-		return 0, nil, err
+		return response, err
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return 0, nil, fmt.Errorf("%s %s: %w", method, url, err)
+		return response, r.wrapError(err)
 	}
 	defer func() { _ = res.Body.Close() }()
 	raw, err := readResponse(res)
 	if err != nil {
-		return 0, nil, fmt.Errorf("%s %s: %w", method, url, err)
+		return response, r.wrapError(err)
 	}
-	return res.StatusCode, raw, nil
+	response.Status, response.Body = res.StatusCode, raw
+	return response, nil
 }
 
+func (r *Request) wrapError(err error) error { return fmt.Errorf("%s %s: %w", r.Method, r.URL, err) }
+
 // newRequest returns a request with body encoded as MessagePack, or without a body if it is nil.
 func newRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
 	var payload io.Reader
