--- a/internal/daemon/logmessages_test.go
+++ b/internal/daemon/logmessages_test.go
@@ -20,12 +20,12 @@
 
 // logKeys lists the keys allowed in log lines. Add a new one only if none of these fits.
 var logKeys = []string{
-	"address", "attempt", "class", "connection_wait", "controller", "created", "decision", "duration", "epoch", "error", "image",
-	"job", "job_count", "key", "later_term", "level", "machine", "machine_count", "machines", "missing",
-	"new_epoch", "operation_limit", "operations", "owners", "page_count", "pages", "peer", "preemptor", "reason",
-	"refused", "request_id", "since_placed", "slot_wait", "status", "succeeded", "supported_level", "target_machine", "task",
-	"task_count", "tasks_per_page", "term", "tries", "unrecorded_starts", "value_limit_kb", "waited",
-	"writes_in_flight",
+	"address", "attempt", "class", "connection_wait", "controller", "created", "decision", "duration", "epoch",
+	"error", "image", "job", "job_count", "key", "later_term", "level", "machine", "machine_count", "machines",
+	"missing", "new_epoch", "operation_limit", "operations", "owners", "page_count", "pages", "peer", "preemptor",
+	"reason", "refused", "request_id", "since_placed", "slot_wait", "status", "succeeded", "supported_level",
+	"target_machine", "task", "task_count", "tasks_per_page", "term", "tries", "unrecorded_starts", "value_limit_kb",
+	"waited", "writes_in_flight",
 	// Durations of steps.
 	"kind", "count", "mean_us", "p50_us", "p99_us", "max_us",
 	// Usage of machines.
