--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -151,6 +151,16 @@
 	MaxSockets int     `toml:"max_sockets"`
 }
 
+// workerRequestSocketShare is the share of a process's sockets for requests to the addresses of workers. As many more
+// connections to workers may be idle.
+const workerRequestSocketShare = 1. / 16
+
+// MaxWorkerRequests returns how many requests to the addresses of workers may be in flight at a time. Each takes a
+// socket.
+func (q *Quota) MaxWorkerRequests() int {
+	return max(1, int(float64(q.MaxSockets)*workerRequestSocketShare))
+}
+
 // Seconds converts a setting in seconds to a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
--- a/internal/coordination/machineregistry/commands.go
+++ b/internal/coordination/machineregistry/commands.go
@@ -177,11 +177,13 @@
 	return false
 }
 
-// MachinesToCommand returns, in name order, the machines to which due commands should be sent directly, because
-// waiting for the next heartbeat would delay a start or a stop. It is called after every event and therefore examines
-// only machines for which a command may be due.
-func (r *Registry) MachinesToCommand(now time.Duration) []*Machine {
-	var list []*Machine
+// MachinesToCommand returns, in name order, at most limit machines to which due commands should be sent directly,
+// because waiting for the next heartbeat would delay a start or a stop. It reports whether there are more. It is called
+// after every event and therefore examines only machines for which a command may be due.
+//
+// If there are too many machines, those that have sent a heartbeat most recently go first, because they are the most
+// likely to answer. Each of the others may be unreachable, and would take up a request until its timeout.
+func (r *Registry) MachinesToCommand(now time.Duration, limit int) (list []*Machine, more bool) {
 	for name, m := range r.commandsDue {
 		if r.machines[name] != m {
 			delete(r.commandsDue, name)
@@ -195,8 +197,27 @@
 			list = append(list, m)
 		}
 	}
+	if more = len(list) > limit; more {
+		list = mostRecentlyHeard(list, limit)
+	}
 	slices.SortFunc(list, func(a, b *Machine) int { return cmp.Compare(a.Name, b.Name) })
-	return list
+	return list, more
+}
+
+// mostRecentlyHeard returns the n machines with the newest heartbeats, ordered by them and then by name. It is fast if
+// n is small.
+func mostRecentlyHeard(machines []*Machine, n int) []*Machine {
+	newestFirst := func(a, b *Machine) int {
+		return cmp.Or(cmp.Compare(b.LastHeartbeat, a.LastHeartbeat), cmp.Compare(a.Name, b.Name))
+	}
+	selected := make([]*Machine, 0, n+1)
+	for _, m := range machines {
+		if i, _ := slices.BinarySearchFunc(selected, m, newestFirst); i < n {
+			selected = slices.Insert(selected, i, m)
+			selected = selected[:min(n, len(selected))]
+		}
+	}
+	return selected
 }
 
 // placementsNeedCommand reports whether a command is due for any placement, and whether one is due for any placement
--- a/internal/coordination/machineregistry/commands_test.go
+++ b/internal/coordination/machineregistry/commands_test.go
@@ -1,6 +1,7 @@
 package machineregistry
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +17,12 @@
 	return verbs
 }
 
+// machinesToCommand returns the machines to command, with a limit that does not apply.
+func machinesToCommand(registry *Registry, now time.Duration) []*Machine {
+	machines, _ := registry.MachinesToCommand(now, registry.Len())
+	return machines
+}
+
 // TestCommandsBeyondReplyLimit checks that commands that exceed the limit of one reply are sent in the next
 // replies, each command once.
 func TestCommandsBeyondReplyLimit(t *testing.T) {
@@ -168,15 +175,15 @@
 	mustReserve(t, registry, now, first)
 	mustReserve(t, registry, now, second)
 	registry.AllowStart(first)
-	if len(registry.MachinesToCommand(now)) != 1 || len(registry.TakeDueCommands(now, m)) != 1 {
+	if len(machinesToCommand(registry, now)) != 1 || len(registry.TakeDueCommands(now, m)) != 1 {
 		t.Fatal("first run command not sent")
 	}
 	registry.RecordCommandResult(now, m, true)
-	if now += 10 * time.Millisecond; len(registry.MachinesToCommand(now)) != 0 {
+	if now += 10 * time.Millisecond; len(machinesToCommand(registry, now)) != 0 {
 		t.Error("run command repeated immediately")
 	}
 	registry.AllowStart(second)
-	if len(registry.MachinesToCommand(now)) != 1 || len(registry.TakeDueCommands(now, m)) == 0 {
+	if len(machinesToCommand(registry, now)) != 1 || len(registry.TakeDueCommands(now, m)) == 0 {
 		t.Error("new start delayed by the pause after the last command")
 	}
 	// The same applies to a start that becomes due while a command is in flight.
@@ -185,7 +192,34 @@
 	mustReserve(t, registry, now, third)
 	registry.AllowStart(third)
 	registry.RecordCommandResult(now, m, true)
-	if len(registry.MachinesToCommand(now)) != 1 {
+	if len(machinesToCommand(registry, now)) != 1 {
 		t.Error("new start delayed by the pause after the command that was in flight")
 	}
 }
+
+// TestCommandsGoFirstToMachinesHeardLast checks that, if only some machines can be sent commands at once, those with
+// the newest heartbeats go first, and that the others are reported to be waiting.
+func TestCommandsGoFirstToMachinesHeardLast(t *testing.T) {
+	registry := newTestRegistry(1)
+	names := []string{"m1", "m2", "m3", "m4", "m5"}
+	heardAt := []time.Duration{3, 5, 1, 5, 2}
+	for i, name := range names {
+		heartbeat := testHeartbeat(1, 1, 0)
+		heartbeat.Machine = name
+		registry.HandleHeartbeat(heardAt[i], heartbeat)
+		pl := newTestPlacement(i, 1)
+		pl.Machine = name
+		mustReserve(t, registry, heardAt[i], pl)
+		registry.AllowStart(pl)
+	}
+	for limit, want := range map[int]string{1: "m2", 2: "m2 m4", 3: "m1 m2 m4", 4: "m1 m2 m4 m5", 5: "m1 m2 m3 m4 m5"} {
+		machines, more := registry.MachinesToCommand(10, limit)
+		var got []string
+		for _, m := range machines {
+			got = append(got, m.Name)
+		}
+		if strings.Join(got, " ") != want || more != (limit < len(names)) {
+			t.Errorf("limit %d: machines %v, more waiting: %v; want %s", limit, got, more, want)
+		}
+	}
+}
--- a/internal/coordination/machineregistry/heartbeat_test.go
+++ b/internal/coordination/machineregistry/heartbeat_test.go
@@ -109,7 +109,7 @@
 		if commands := registry.TakeDueCommands(now, m); len(commands) > 0 {
 			t.Fatalf("unexpected commands: %v", commands)
 		}
-		registry.MachinesToCommand(now)
+		registry.MachinesToCommand(now, 1)
 	})
 	if allocations > maxAllocations {
 		t.Errorf("%v allocations, want at most %d", allocations, maxAllocations)
--- a/internal/coordination/scheduler/fleet_bench_test.go
+++ b/internal/coordination/scheduler/fleet_bench_test.go
@@ -52,7 +52,7 @@
 			TxnOps:   16,
 		},
 		Cloud: config.Cloud{RPS: 4, ListLagSeconds: 8},
-		Quota: config.Quota{CoreShare: 1},
+		Quota: config.Quota{CoreShare: 1, MaxSockets: 2086},
 	}
 	for i := range teams {
 		cfg.Teams = append(cfg.Teams, config.Team{Name: fmt.Sprintf("team-%03d", i)})
--- a/internal/coordination/scheduler/harness_test.go
+++ b/internal/coordination/scheduler/harness_test.go
@@ -52,7 +52,7 @@
 			TxnOps:   16,
 		},
 		Cloud: config.Cloud{RPS: 2, ListLagSeconds: 5},
-		Quota: config.Quota{CoreShare: 0.1},
+		Quota: config.Quota{CoreShare: 0.1, MaxSockets: 500},
 	}
 	types := []protocol.MachineType{
 		{
--- a/internal/coordination/scheduler/heartbeats.go
+++ b/internal/coordination/scheduler/heartbeats.go
@@ -51,20 +51,19 @@
 // not answer gets no new tasks until it has had time for another heartbeat, since heartbeats can arrive even if
 // commands do not.
 func (s *Scheduler) handleCommandBatchResult(now time.Duration, e CommandBatchResult) {
-	m := s.machines.Machine(e.Machine)
-	if m == nil {
-		return
-	}
 	if e.Heartbeat != nil && s.stepDownForLaterTerm(e.Heartbeat) {
 		return
 	}
-	if e.Heartbeat != nil && e.Heartbeat.Machine == e.Machine {
-		s.applyHeartbeat(now, e.Heartbeat)
-	}
-	s.machines.RecordCommandResult(now, m, e.Acknowledged || e.Heartbeat != nil)
-	if e.Heartbeat == nil {
-		m.MarkUnresponsive(now + config.Seconds(2*s.cfg.Workers.HeartbeatSeconds))
+	if m := s.machines.Machine(e.Machine); m != nil {
+		if e.Heartbeat != nil && e.Heartbeat.Machine == e.Machine {
+			s.applyHeartbeat(now, e.Heartbeat)
+		}
+		s.machines.RecordCommandResult(now, m, e.Acknowledged || e.Heartbeat != nil)
+		if e.Heartbeat == nil {
+			m.MarkUnresponsive(now + config.Seconds(2*s.cfg.Workers.HeartbeatSeconds))
+		}
 	}
+	s.commandBatchEnded(now)
 }
 
 // stepDownForLaterTerm ends the term if the fencing token in a heartbeat is of a later term, and reports whether it is.
@@ -101,24 +100,23 @@
 	}
 }
 
-// sendUrgentCommands sends the commands that should not wait for the next heartbeat of their machine.
-func (s *Scheduler) sendUrgentCommands(now time.Duration) {
-	for _, m := range s.machines.MachinesToCommand(now) {
-		commands := s.machines.TakeDueCommands(now, m)
-		if len(commands) == 0 {
-			continue
-		}
-		s.machines.RecordCommandSent(m)
-		s.emit(SendCommandBatch{
-			Machine: m.Name,
-			Addr:    m.Addr,
-			Batch: protocol.CommandBatch{
-				FencingToken: s.machines.FencingToken(m),
-				Incarnation:  m.Incarnation,
-				Commands:     commands,
-			},
-		})
+// sendCommandBatch sends the commands that are due for a machine.
+func (s *Scheduler) sendCommandBatch(now time.Duration, m *machineregistry.Machine) {
+	commands := s.machines.TakeDueCommands(now, m)
+	if len(commands) == 0 {
+		return
 	}
+	s.machines.RecordCommandSent(m)
+	s.workerRequests.commands++
+	s.emit(SendCommandBatch{
+		Machine: m.Name,
+		Addr:    m.Addr,
+		Batch: protocol.CommandBatch{
+			FencingToken: s.machines.FencingToken(m),
+			Incarnation:  m.Incarnation,
+			Commands:     commands,
+		},
+	})
 }
 
 // The leadership is transferred if more than minRelayedMachines machines, and more than relayedRatio times as many as
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -57,12 +57,13 @@
 	// expires.
 	cancellationIntents map[string]time.Duration
 
-	effects      []Effect
-	cycle        cycleClock
-	forecast     *demand.Forecast
-	imageHints   *imagehints.Writer
-	prober       prober
-	zoneFailover *zonefailover.Manager // nil if zone failover is off
+	effects        []Effect
+	cycle          cycleClock
+	forecast       *demand.Forecast
+	imageHints     *imagehints.Writer
+	prober         prober
+	workerRequests workerRequests
+	zoneFailover   *zonefailover.Manager // nil if zone failover is off
 }
 
 // Term identifies a term of leadership.
@@ -147,6 +148,7 @@
 		cycle:               newCycleClock(now),
 		forecast:            demand.NewForecast(now),
 		imageHints:          imagehints.NewWriter(now),
+		workerRequests:      workerRequests{limit: cfg.Quota.MaxWorkerRequests()},
 	}
 	s.rules = &placement.Rules{
 		Machines:     machines,
--- /dev/null
+++ b/internal/coordination/scheduler/workerrequests_test.go
@@ -0,0 +1,79 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"pinebay/internal/protocol"
+)
+
+// unansweredCommands passes events to a scheduler and holds the command batches that it sends, so that a test decides
+// when they are answered. Writes succeed immediately.
+type unansweredCommands struct {
+	*harness
+	inFlight []SendCommandBatch
+}
+
+func (u *unansweredCommands) step(e Event) {
+	for _, effect := range u.scheduler.Step(u.now, e) {
+		switch o := effect.(type) {
+		case Write:
+			u.revision++
+			u.step(TransactionOutcome{WriteID: o.ID, Succeeded: true, Revision: u.revision})
+		case SendCommandBatch:
+			u.inFlight = append(u.inFlight, o)
+		}
+	}
+}
+
+// answerOldest lets the machine of the oldest batch execute and answer it.
+func (u *unansweredCommands) answerOldest() {
+	batch := u.inFlight[0]
+	u.inFlight = u.inFlight[1:]
+	u.executeCommands(batch.Machine, batch.Batch.FencingToken, batch.Batch.Commands)
+	u.step(CommandBatchResult{Machine: batch.Machine, Acknowledged: true, Heartbeat: u.nextHeartbeat(batch.Machine)})
+}
+
+// TestCommandsAreDecidedWhenTheyCanBeSent guards against start commands that are decided before they can be sent, and
+// are sent although their job has been cancelled or has lost a task meanwhile (review/6).
+func TestCommandsAreDecidedWhenTheyCanBeSent(t *testing.T) {
+	const machines, limit = 12, 4
+	for _, shape := range []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service} {
+		h := newHarness(nil, "a")
+		h.scheduler.workerRequests.limit = limit
+		for i := range machines {
+			h.heartbeat(fmt.Sprintf("m%02d", i), "a", false)
+		}
+		u := &unansweredCommands{harness: h}
+		h.addJob(jobSpec("j-0", shape, "normal", 1, 1)) // placed alone, so that the scheduler is idle afterwards
+		h.runCycle()
+		h.addJob(jobSpec("j-1", shape, "normal", machines-1, 8))
+		h.now += CycleInterval
+		u.step(Tick{})
+		if len(u.inFlight) != limit {
+			t.Fatalf("%s: %d command batches in flight, want %d", shape, len(u.inFlight), limit)
+		}
+		u.answerOldest()
+		if len(u.inFlight) != limit {
+			t.Errorf("%s: %d batches in flight after one was answered, want %d", shape, len(u.inFlight), limit)
+		}
+		started := h.startedTasks("j-1") + len(u.inFlight)
+		u.step(CancellationIntent{ID: "j-1", ValidUntil: h.now + CycleInterval})
+		for range 10 * machines {
+			if len(u.inFlight) == 0 {
+				break
+			}
+			u.answerOldest()
+			u.step(Tick{})
+			if len(u.inFlight) > limit {
+				t.Fatalf("%s: %d command batches in flight, want at most %d", shape, len(u.inFlight), limit)
+			}
+		}
+		if n := h.startedTasks("j-1"); n > started || n >= machines-1 {
+			t.Errorf("%s: %d tasks started, %d of them after the cancellation", shape, n, n-started)
+		}
+		if h.scheduler.workerRequests.commands != 0 {
+			t.Errorf("%s: %d requests counted, want none", shape, h.scheduler.workerRequests.commands)
+		}
+	}
+}
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -25,12 +25,10 @@
 	"pinebay/internal/transport"
 )
 
-// Shares of the process's socket limit. The remaining sockets are for connections to the key-value store (see package
-// storage), the cloud and the other controllers.
-const (
-	serverSocketShare  = 0.75    // connections accepted from users and workers
-	commandSocketShare = 1. / 16 // concurrent commands to workers, and as many idle connections
-)
+// serverSocketShare is the share of the process's sockets for connections from users and workers. The remaining sockets
+// are for requests to workers (see config.Quota), and for connections to the key-value store (see package storage), the
+// cloud and the other controllers.
+const serverSocketShare = 0.75
 
 // Limits of the HTTP server for users and workers.
 const (
@@ -152,8 +150,7 @@
 
 // newCommandClient returns the HTTP client that sends commands to workers.
 func newCommandClient(network transport.Network, d *config.Deployment) *transport.Client {
-	sockets := max(1, int(float64(d.Quota.MaxSockets)*commandSocketShare))
-	return transport.NewClient(network, 1, sockets, config.Seconds(d.Workers.LeaseSeconds))
+	return transport.NewClient(network, 1, d.Quota.MaxWorkerRequests(), config.Seconds(d.Workers.LeaseSeconds))
 }
 
 func newMesh(
--- /dev/null
+++ b/internal/simulation/latestart_test.go
@@ -0,0 +1,85 @@
+package simulation
+
+import (
+	"testing"
+	"time"
+
+	"pinebay/internal/protocol"
+)
+
+// Settings of the scenarios in which commands to unreachable machines take up all sockets for requests to workers.
+const (
+	fewSockets      = 64 // of a controller; allows four concurrent requests to workers
+	machinesPerZone = 12
+	cancelDelay     = 150 * ms // time from the acceptance of a job to its cancellation
+)
+
+// withFewSockets limits the sockets of the controllers, and the cloud to the machines that the scenario adds.
+func withFewSockets(c *cluster) {
+	c.cfg.Quota.MaxSockets = fewSockets
+	c.cloudCapacity = 2 * machinesPerZone
+}
+
+// addRunningMachines adds running machines to both zones and waits until all of them have sent heartbeats.
+func (c *cluster) addRunningMachines() {
+	c.mu.Lock()
+	for range machinesPerZone {
+		for _, zone := range c.types[0].Zones {
+			c.cloud.AddRunningMachine(c.types[0].Name, zone, false)
+		}
+	}
+	c.mu.Unlock()
+	time.Sleep(8 * time.Second)
+}
+
+// isolateWorkers partitions the workers of a zone from everything. The returned function ends the partition.
+func (c *cluster) isolateWorkers(zone string) func() {
+	var unblocks []func()
+	inZone := func(r *workerProcess) bool { return r.machine.Zone == zone }
+	for _, r := range c.selectWorkers(len(c.workers), inZone) {
+		unblocks = append(unblocks, c.blockLink("*", r.ip), c.blockLink(r.ip, "*"))
+	}
+	return func() {
+		for _, f := range unblocks {
+			f()
+		}
+	}
+}
+
+// submitToZone submits a job whose tasks take a whole machine of a zone each.
+func (c *cluster) submitToZone(shape protocol.Shape, tasks int, zone string) string {
+	j := c.newJob(shape, tasks, 0)
+	j.CPUs, j.Zone = c.types[0].CPUs, zone
+	c.submit(j)
+	return j.ID
+}
+
+// TestNoLateStartBehindUnreachableMachines guards against start commands that wait behind commands to unreachable
+// machines and are sent although their job has been cancelled meanwhile (review/6).
+func TestNoLateStartBehindUnreachableMachines(t *testing.T) {
+	for _, shape := range []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service} {
+		t.Run(string(shape), func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, 1, defaultControllers, fastTimings, func(c *cluster) {
+				c.addRunningMachines()
+				repair := c.isolateWorkers("b")
+				c.submitToZone(protocol.Array, machinesPerZone, "b")
+				time.Sleep(200 * ms)
+				for range machinesPerZone / 2 {
+					id := c.submitToZone(shape, 2, "a")
+					time.Sleep(cancelDelay)
+					c.spawn(func() { c.cancelUntilFinal(id, c.controllers, time.Minute) })
+				}
+				time.Sleep(10 * time.Second)
+				repair()
+				time.Sleep(time.Minute)
+				if n := c.occurrences("cancelled"); n != machinesPerZone/2 {
+					t.Errorf("%d jobs were cancelled, want %d", n, machinesPerZone/2)
+				}
+				if c.world.Starts == 0 {
+					t.Error("no task was started")
+				}
+			}, withFewSockets)
+		})
+	}
+}
