Count probes as requests to workers, beside command batches

What it means for callers: after a change of leader, commands that were already decided could wait for up to a timeout behind probes of machines that don't answer, as both share the slots of one client. A job that was cancelled meanwhile could still be started.

Cause: probes had a queue of their own in the leader, with half of the client's slots, and the scheduler did not know how many were in flight.

Change: a probe is answered by an event in any case, and counts as a request until then. The scheduler sends the next one, within the rate of before, when there is room; a machine that has sent a heartbeat while it was queued is skipped. The client's slots can't be taken up by probes any more, so a decided command doesn't wait for one.

Test harnesses answer probes now, if only with a failure, as the leader does.

--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -33,8 +33,7 @@
 		case scheduler.SendCommandBatch:
 			l.goroutines.Go(func() { l.sendCommands(ctx, e) })
 		case scheduler.Probe:
-			l.goroutines.Add(1)
-			l.probes.Add(e)
+			l.goroutines.Go(func() { l.probe(ctx, e) })
 		case scheduler.ReadFinalState:
 			l.goroutines.Go(func() { l.readEndedJob(ctx, e) })
 		case scheduler.FeatureLevelFinal:
@@ -189,12 +188,9 @@
 	l.mailbox.Send(result)
 }
 
-// probe requests the current state of a machine. A new leader probes all machines; the pool limits how many
-// concurrently.
+// probe requests the current state of a machine.
 func (l *Leader) probe(ctx context.Context, e scheduler.Probe) {
-	if ctx.Err() != nil {
-		return
-	}
+	reply := scheduler.ProbeReply{Machine: e.Machine}
 	status, raw, err := l.deps.Workers.Do(
 		ctx,
 		commandTimeout(l.options.Deployment),
@@ -202,13 +198,14 @@
 		"http://"+e.Addr+"/inspect",
 		nil,
 	)
-	if err != nil || status != http.StatusOK {
+	if err == nil && status == http.StatusOK {
+		if r, err := protocol.DecodeWorkerHeartbeat(raw); err == nil && r.Machine == e.Machine {
+			reply.Heartbeat = r
+		}
+	} else {
 		l.log.Debug("probe failed", "machine", e.Machine, "status", status, "error", err)
-		return
-	}
-	if r, err := protocol.DecodeWorkerHeartbeat(raw); err == nil && r.Machine == e.Machine {
-		l.mailbox.Send(scheduler.ProbeReply{Heartbeat: r})
 	}
+	l.mailbox.Send(reply)
 }
 
 // commandTimeout limits how long a direct command may take. It is about the heartbeat interval: after that, the reply
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -81,7 +81,6 @@
 	term       scheduler.Term
 	log        *slog.Logger
 	mailbox    *actor.Mailbox[any] // holds scheduler.Event, statusQuery and loadedRecords
-	probes     *actor.Pool[scheduler.Probe]
 	cancel     context.CancelFunc
 	done       <-chan struct{} // closed when the term is over
 	goroutines sync.WaitGroup  // all goroutines of this term except the main loop
@@ -95,10 +94,6 @@
 	reply chan []protocol.JobStatus
 }
 
-// probeSocketDivisor limits concurrent probes: the process's sockets divided by it may be used at a time. That is fewer
-// than for commands, so that probes don't delay commands.
-const probeSocketDivisor = 32
-
 // Start begins a term. The term lasts until the context ends, Stop is called or the leader steps down.
 func Start(ctx context.Context, deps Dependencies, options Options, term scheduler.Term) *Leader {
 	ctx, cancel := context.WithCancel(ctx)
@@ -112,11 +107,6 @@
 		done:    ctx.Done(),
 		stopped: make(chan struct{}),
 	}
-	concurrentProbes := max(1, options.Deployment.Quota.MaxSockets/probeSocketDivisor)
-	l.probes = actor.NewPool(concurrentProbes, func(p scheduler.Probe) {
-		defer l.goroutines.Done()
-		l.probe(ctx, p)
-	})
 	go func() {
 		defer close(l.stopped)
 		l.run(ctx)
--- a/internal/coordination/scheduler/effects.go
+++ b/internal/coordination/scheduler/effects.go
@@ -52,7 +52,7 @@
 	Batch         protocol.CommandBatch
 }
 
-// Probe asks a machine for a heartbeat. If the machine answers, a ProbeReply follows.
+// Probe asks a machine for a heartbeat. It is answered by a ProbeReply.
 type Probe struct{ Machine, Addr string }
 
 // ReadFinalState reads the state in which a job has ended. It is answered by a FinalStateRead.
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -83,8 +83,11 @@
 	Heartbeat    *protocol.WorkerHeartbeat
 }
 
-// ProbeReply is the answer of a machine to a Probe.
-type ProbeReply struct{ Heartbeat *protocol.WorkerHeartbeat }
+// ProbeReply is the outcome of a Probe. Heartbeat is nil if the machine did not answer with a heartbeat of its own.
+type ProbeReply struct {
+	Machine   string
+	Heartbeat *protocol.WorkerHeartbeat
+}
 
 // MachineTypesUpdated reports the price list of the cloud.
 type MachineTypesUpdated struct{ Types []protocol.MachineType }
--- a/internal/coordination/scheduler/harness_test.go
+++ b/internal/coordination/scheduler/harness_test.go
@@ -116,6 +116,8 @@
 		case SendCommandBatch:
 			h.executeCommands(o.Machine, o.Batch.FencingToken, o.Batch.Commands)
 			h.apply(CommandBatchResult{Machine: o.Machine, Acknowledged: true, Heartbeat: h.nextHeartbeat(o.Machine)})
+		case Probe:
+			h.apply(ProbeReply{Machine: o.Machine}) // machines answer no probes unless the test lets them
 		case HeartbeatReply:
 			h.executeReply(o)
 		}
--- a/internal/coordination/scheduler/heartbeats.go
+++ b/internal/coordination/scheduler/heartbeats.go
@@ -51,6 +51,7 @@
 // not answer gets no new tasks until it has had time for another heartbeat, since heartbeats can arrive even if
 // commands do not.
 func (s *Scheduler) handleCommandBatchResult(now time.Duration, e CommandBatchResult) {
+	s.workerRequests.commands--
 	if e.Heartbeat != nil && s.stepDownForLaterTerm(e.Heartbeat) {
 		return
 	}
@@ -63,7 +64,7 @@
 			m.MarkUnresponsive(now + config.Seconds(2*s.cfg.Workers.HeartbeatSeconds))
 		}
 	}
-	s.commandBatchEnded(now)
+	s.sendWaitingCommands(now)
 }
 
 // stepDownForLaterTerm ends the term if the fencing token in a heartbeat is of a later term, and reports whether it is.
--- a/internal/coordination/scheduler/largefleet_test.go
+++ b/internal/coordination/scheduler/largefleet_test.go
@@ -137,7 +137,7 @@
 	}
 	for i := 1; i < largeFleetSize; i += 2 {
 		h.tasks[machineName(i)][protocol.TaskID{JobID: fmt.Sprintf("j-%06d", i)}] = running(i)
-		h.apply(ProbeReply{Heartbeat: h.nextHeartbeat(machineName(i))})
+		h.apply(ProbeReply{Machine: machineName(i), Heartbeat: h.nextHeartbeat(machineName(i))})
 	}
 	for i := range largeFleetSize {
 		if status, ok := h.scheduler.Status(fmt.Sprintf("j-%06d", i)); !ok || status.RunningTasks != 1 {
--- a/internal/coordination/scheduler/prober.go
+++ b/internal/coordination/scheduler/prober.go
@@ -10,7 +10,7 @@
 	// probesPerSecondPerCore is the number of machines per second that a controller with a whole core can probe in
 	// addition to its other work. Each probe opens a connection and decodes a heartbeat.
 	probesPerSecondPerCore = 1000
-	// probeInterval is the time between two rounds of probes.
+	// probeInterval is the time between the beginnings of two rounds of probes.
 	probeInterval = time.Second
 )
 
@@ -23,6 +23,7 @@
 	machinesListed bool    // the first machine list of the term has arrived
 	queue          []Probe // probes to be sent
 	nextRoundAt    time.Duration
+	leftInRound    int // probes that may still be sent in this round
 }
 
 // enqueue queues a probe of a machine.
@@ -45,12 +46,17 @@
 	return true
 }
 
-// roundDue reports whether probes may be sent now.
-func (p *prober) roundDue(now time.Duration) bool { return len(p.queue) > 0 && now >= p.nextRoundAt }
+// beginRoundIfDue begins a round of at most size probes if one is due.
+func (p *prober) beginRoundIfDue(now time.Duration, size int) {
+	if now >= p.nextRoundAt {
+		p.nextRoundAt = now + probeInterval
+		p.leftInRound = size
+	}
+}
 
-// next removes and returns the first probe in the queue.
+// next removes and returns the first probe in the queue, if the round allows another one.
 func (p *prober) next() (probe Probe, ok bool) {
-	if len(p.queue) == 0 {
+	if p.leftInRound == 0 || len(p.queue) == 0 {
 		return Probe{}, false
 	}
 	probe = p.queue[0]
@@ -58,21 +64,36 @@
 	return probe, true
 }
 
-// sendProbes sends one round of probes, skipping machines that have sent a heartbeat in the meantime.
+// sendProbes sends queued probes as far as the round and the limit of requests allow. It skips machines that have sent
+// a heartbeat in the meantime.
 func (s *Scheduler) sendProbes(now time.Duration) {
-	if !s.prober.roundDue(now) {
+	if len(s.prober.queue) == 0 {
 		return
 	}
-	s.prober.nextRoundAt = now + probeInterval
-	remaining := max(1, int(probesPerSecondPerCore*s.cfg.Quota.CoreShare))
-	for remaining > 0 {
+	s.prober.beginRoundIfDue(now, max(1, int(probesPerSecondPerCore*s.cfg.Quota.CoreShare)))
+	for s.workerRequests.mayProbe() {
 		probe, ok := s.prober.next()
 		if !ok {
 			return
 		}
 		if !s.machines.Registered(probe.Machine) && !s.autoscaler.RecentlyReleased(probe.Machine) {
 			s.emit(probe)
-			remaining--
+			s.workerRequests.probes[probe.Machine] = true
+			s.prober.leftInRound--
+		}
+	}
+}
+
+// handleProbeReply applies the heartbeat with which a machine has answered a probe, if it has, and sends the requests
+// that waited for the end of this one.
+func (s *Scheduler) handleProbeReply(now time.Duration, e ProbeReply) {
+	delete(s.workerRequests.probes, e.Machine)
+	if e.Heartbeat != nil {
+		if s.stepDownForLaterTerm(e.Heartbeat) {
+			return
 		}
+		s.applyHeartbeat(now, e.Heartbeat)
 	}
+	s.sendWaitingCommands(now)
+	s.sendProbes(now)
 }
--- a/internal/coordination/scheduler/recovery_test.go
+++ b/internal/coordination/scheduler/recovery_test.go
@@ -230,11 +230,11 @@
 	}
 	h.zoneOf["m1"], h.tasks["m1"] = "a", map[protocol.TaskID]protocol.TaskStatus{}
 	r := h.nextHeartbeat("m1")
-	h.apply(ProbeReply{Heartbeat: r})
+	h.apply(ProbeReply{Machine: "m1", Heartbeat: r})
 	h.heartbeat("m0", "a", false)
 	h.addJob(jobSpec("j-1", protocol.Array, "normal", 16, 1))
 	h.runCycle()
-	h.apply(ProbeReply{Heartbeat: r})
+	h.apply(ProbeReply{Machine: "m1", Heartbeat: r})
 	if n := h.startedTasks("j-1"); n != 16 {
 		t.Errorf("%d of 16 tasks started on two machines, want all", n)
 	}
@@ -246,6 +246,7 @@
 	h := newHarness([]config.Team{{Name: "red"}}, "a")
 	h.scheduler.cfg.Quota.CoreShare = 0.02
 	const machines = 100
+	h.scheduler.workerRequests.limit = 2 * machines // does not apply: the probes are not answered
 	perSecond := int(probesPerSecondPerCore * h.scheduler.cfg.Quota.CoreShare)
 	var list []protocol.ListedMachine
 	for i := range machines {
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -148,7 +148,7 @@
 		cycle:               newCycleClock(now),
 		forecast:            demand.NewForecast(now),
 		imageHints:          imagehints.NewWriter(now),
-		workerRequests:      workerRequests{limit: cfg.Quota.MaxWorkerRequests()},
+		workerRequests:      newWorkerRequests(cfg.Quota.MaxWorkerRequests()),
 	}
 	s.rules = &placement.Rules{
 		Machines:     machines,
@@ -231,7 +231,7 @@
 	case CommandBatchResult:
 		s.handleCommandBatchResult(now, e)
 	case ProbeReply:
-		s.applyHeartbeat(now, e.Heartbeat)
+		s.handleProbeReply(now, e)
 	case MachineTypesUpdated:
 		s.machines.SetMachineTypes(e.Types)
 	case MachinesListed:
--- a/internal/coordination/scheduler/workerrequests.go
+++ b/internal/coordination/scheduler/workerrequests.go
@@ -8,12 +8,25 @@
 // do not answer, could reach its machine after the job was cancelled.
 type workerRequests struct {
 	limit    int
-	commands int // command batches in flight
+	commands int             // command batches in flight
+	probes   map[string]bool // machines with a probe in flight
 	// commandsWaiting is set if machines may have to wait for commands because of the limit.
 	commandsWaiting bool
 }
 
-func (r *workerRequests) free() int { return r.limit - r.commands }
+// probeDivisor limits the probes in flight to a fraction of all requests, so that probes do not delay commands.
+const probeDivisor = 2
+
+func newWorkerRequests(limit int) workerRequests {
+	return workerRequests{limit: limit, probes: map[string]bool{}}
+}
+
+func (r *workerRequests) free() int { return r.limit - r.commands - len(r.probes) }
+
+// mayProbe reports whether another probe may be sent now.
+func (r *workerRequests) mayProbe() bool {
+	return r.free() > 0 && len(r.probes) < max(1, r.limit/probeDivisor)
+}
 
 // sendUrgentCommands sends the commands that should not wait for the next heartbeat of their machine, as far as the
 // limit of requests allows.
@@ -30,9 +43,8 @@
 	}
 }
 
-// commandBatchEnded records that a command batch is no longer in flight, and sends commands that waited for that.
-func (s *Scheduler) commandBatchEnded(now time.Duration) {
-	s.workerRequests.commands--
+// sendWaitingCommands sends commands that waited for the end of another request. It is called when a request has ended.
+func (s *Scheduler) sendWaitingCommands(now time.Duration) {
 	if s.workerRequests.commandsWaiting {
 		s.sendUrgentCommands(now)
 	}
--- a/internal/coordination/scheduler/workerrequests_test.go
+++ b/internal/coordination/scheduler/workerrequests_test.go
@@ -12,6 +12,7 @@
 type unansweredCommands struct {
 	*harness
 	inFlight []SendCommandBatch
+	probes   []Probe // in flight
 }
 
 func (u *unansweredCommands) step(e Event) {
@@ -22,6 +23,8 @@
 			u.step(TransactionOutcome{WriteID: o.ID, Succeeded: true, Revision: u.revision})
 		case SendCommandBatch:
 			u.inFlight = append(u.inFlight, o)
+		case Probe:
+			u.probes = append(u.probes, o)
 		}
 	}
 }
@@ -34,6 +37,54 @@
 	u.step(CommandBatchResult{Machine: batch.Machine, Acknowledged: true, Heartbeat: u.nextHeartbeat(batch.Machine)})
 }
 
+// TestProbesAndCommandsShareLimit guards against commands that wait behind probes of machines that do not answer: a
+// probe counts as a request until its outcome is known, and probes leave half of the requests to commands.
+func TestProbesAndCommandsShareLimit(t *testing.T) {
+	const machines, limit = 12, 4
+	h := newHarness(nil, "a")
+	h.scheduler.workerRequests.limit = limit
+	u := &unansweredCommands{harness: h}
+	var list []protocol.ListedMachine
+	for i := range machines {
+		h.heartbeat(fmt.Sprintf("m%02d", i), "a", false)
+		name := fmt.Sprintf("silent-%02d", i)
+		list = append(list, protocol.ListedMachine{Name: name, Addr: "x", State: protocol.MachineRunning})
+	}
+	u.step(MachinesListed{RequestedAt: h.now, Machines: list})
+	if len(u.probes) != limit/probeDivisor {
+		t.Fatalf("%d probes in flight, want %d", len(u.probes), limit/probeDivisor)
+	}
+	h.addJob(jobSpec("j-1", protocol.Array, "normal", machines, 8))
+	h.now += CycleInterval
+	u.step(Tick{})
+	if len(u.probes)+len(u.inFlight) != limit {
+		t.Fatalf("%d probes and %d command batches in flight, want %d in all", len(u.probes), len(u.inFlight), limit)
+	}
+	probed := map[string]bool{}
+	for range 10 * machines {
+		if len(u.probes)+len(u.inFlight) == 0 {
+			break
+		}
+		if len(u.probes) > 0 {
+			probe := u.probes[0]
+			u.probes = u.probes[1:]
+			probed[probe.Machine] = true
+			u.step(ProbeReply{Machine: probe.Machine})
+		}
+		if len(u.inFlight) > 0 {
+			u.answerOldest()
+		}
+		h.now += CycleInterval
+		u.step(Tick{})
+		if n := len(u.probes) + len(u.inFlight); n > limit || len(u.probes) > limit/probeDivisor {
+			t.Fatalf("%d requests in flight, %d of them probes", n, len(u.probes))
+		}
+	}
+	if len(probed) != machines || h.startedTasks("j-1") != machines {
+		t.Errorf("%d of %d machines probed, %d tasks started", len(probed), machines, h.startedTasks("j-1"))
+	}
+}
+
 // TestCommandsAreDecidedWhenTheyCanBeSent guards against start commands that are decided before they can be sent, and
 // are sent although their job has been cancelled or has lost a task meanwhile (review/6).
 func TestCommandsAreDecidedWhenTheyCanBeSent(t *testing.T) {
--- a/internal/simulation/system_test.go
+++ b/internal/simulation/system_test.go
@@ -206,10 +206,11 @@
 	case scheduler.SendCommandBatch:
 		s.sendCommands(l, e)
 	case scheduler.Probe:
+		reply := scheduler.ProbeReply{Machine: e.Machine}
 		if m := s.world.Workers[e.Machine]; m != nil && !s.unreachable(e.Machine) && !s.chance(0.1) {
-			r := m.NextHeartbeat()
-			s.callAfter(s.randomDuration(3*time.Second), func() { s.step(l, scheduler.ProbeReply{Heartbeat: r}) })
+			reply.Heartbeat = m.NextHeartbeat()
 		}
+		s.callAfter(s.randomDuration(3*time.Second), func() { s.step(l, reply) })
 	case scheduler.CloudRequest:
 		s.callCloud(l, e.Effect)
 	default:
