Check a command batch again when it has a connection to its machine

What callers saw: with a connection that takes long, a job that was cancelled 0.15 s after its submission was still started 0.8 s later. A leader that was suspended for a while, or replaced, sent its batches in the same way when it got a connection.

Cause: nothing looked at a batch again between its decision and the moment at which it is written.

Change: a request of the HTTP client may have a precondition, which is checked when there is a connection, new or idle, immediately before anything is written. The leader's is: the term goes on and is confirmed, the scheduler has not revoked the batch, and no intent to cancel a job that it starts has arrived. The last two differ while the main loop is busy with a cycle. The scheduler revokes a batch in flight when a placement that it starts is stopped, whatever the reason (cancellation, end, preemption, the rest of a gang). A batch that was not sent doesn't count against its machine; the commands that are due by then follow at once, with a higher token.

TestPreconditionIsCheckedAfterWaiting, TestStopRevokesStartInFlight.

--- a/internal/coordination/cancellation/intentlog.go
+++ b/internal/coordination/cancellation/intentlog.go
@@ -147,6 +147,14 @@
 	return ok && now-at <= l.retention
 }
 
+// HasIntentSince reports whether the log holds an intent for the job that arrived at the given time or later.
+func (l *IntentLog) HasIntentSince(since time.Duration, job string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, ok := l.newestByJob[job]
+	return ok && at >= since
+}
+
 // NewestByJob returns, for each job with an intent, when its newest intent arrived.
 func (l *IntentLog) NewestByJob(now time.Duration) map[string]time.Duration {
 	l.mu.Lock()
--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -3,15 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"time"
 
-	"pinebay/internal/config"
 	"pinebay/internal/coordination/autoscaler"
 	"pinebay/internal/coordination/scheduler"
 	"pinebay/internal/protocol"
 	"pinebay/internal/storage"
-	"pinebay/internal/transport"
 )
 
 // applyEffects carries out effects. Operations that block run on their own goroutines, which send the outcome to the
@@ -31,7 +27,9 @@
 			admission := l.deps.Store.Admit(writeBudget(e.Priority), &e.Txn)
 			l.goroutines.Go(func() { l.write(ctx, e, admission) })
 		case scheduler.SendCommandBatch:
-			l.goroutines.Go(func() { l.sendCommands(ctx, e) })
+			l.startCommandBatch(ctx, e)
+		case scheduler.RevokeCommandBatch:
+			l.revokeCommandBatch(e.Machine)
 		case scheduler.Probe:
 			l.goroutines.Go(func() { l.probe(ctx, e) })
 		case scheduler.ReadFinalState:
@@ -160,60 +158,6 @@
 	l.mailbox.Send(read)
 }
 
-func (l *Leader) sendCommands(ctx context.Context, o scheduler.SendCommandBatch) {
-	start := l.deps.Now()
-	response, err := l.deps.Workers.Send(ctx, transport.Request{
-		Method:  http.MethodPost,
-		URL:     "http://" + o.Addr + "/commands",
-		Timeout: commandTimeout(l.options.Deployment),
-		Body:    o.Batch,
-	})
-	l.log.Debug("command batch sent",
-		"machine", o.Machine,
-		"task_count", len(o.Batch.Commands),
-		"slot_wait", response.SlotWait,
-		"connection_wait", response.ConnectionWait,
-		"duration", l.deps.Now()-start,
-		"status", response.Status,
-	)
-	result := scheduler.CommandBatchResult{Machine: o.Machine}
-	if err == nil && (response.Status == http.StatusOK || response.Status == http.StatusConflict) {
-		if r, err := protocol.DecodeWorkerHeartbeat(response.Body); err == nil {
-			result.Acknowledged, result.Heartbeat = response.Status == http.StatusOK, r
-		}
-	}
-	if result.Heartbeat == nil {
-		l.log.Info("command failed", "machine", o.Machine, "status", response.Status, "error", err)
-	}
-	l.mailbox.Send(result)
-}
-
-// probe requests the current state of a machine.
-func (l *Leader) probe(ctx context.Context, e scheduler.Probe) {
-	reply := scheduler.ProbeReply{Machine: e.Machine}
-	status, raw, err := l.deps.Workers.Do(
-		ctx,
-		commandTimeout(l.options.Deployment),
-		http.MethodGet,
-		"http://"+e.Addr+"/inspect",
-		nil,
-	)
-	if err == nil && status == http.StatusOK {
-		if r, err := protocol.DecodeWorkerHeartbeat(raw); err == nil && r.Machine == e.Machine {
-			reply.Heartbeat = r
-		}
-	} else {
-		l.log.Debug("probe failed", "machine", e.Machine, "status", status, "error", err)
-	}
-	l.mailbox.Send(reply)
-}
-
-// commandTimeout limits how long a direct command may take. It is about the heartbeat interval: after that, the reply
-// to the machine's next heartbeat is the better way to deliver the command.
-func commandTimeout(cfg *config.Deployment) time.Duration {
-	return config.Seconds(min(cfg.Workers.HeartbeatSeconds*1.5, cfg.Workers.GangPeerSeconds/2))
-}
-
 func (l *Leader) listMachines(ctx context.Context, slot CallSlot) {
 	requestedAt := l.deps.Now()
 	machines, err := l.deps.Cloud.List(ctx, slot)
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -37,6 +37,8 @@
 	NewestByJob(now time.Duration) map[string]time.Duration
 	// HasIntent reports whether there is an intent to cancel the job.
 	HasIntent(now time.Duration, job string) bool
+	// HasIntentSince reports whether an intent to cancel the job has arrived at the given time or later.
+	HasIntentSince(since time.Duration, job string) bool
 }
 
 // Observer is notified of the results of a leader that concern the whole controller.
@@ -80,7 +82,8 @@
 	options    Options
 	term       scheduler.Term
 	log        *slog.Logger
-	mailbox    *actor.Mailbox[any] // holds scheduler.Event, statusQuery and loadedRecords
+	mailbox    *actor.Mailbox[any]      // holds scheduler.Event, statusQuery and loadedRecords
+	batches    map[string]*commandBatch // in flight, by machine; used by the main loop only
 	cancel     context.CancelFunc
 	done       <-chan struct{} // closed when the term is over
 	goroutines sync.WaitGroup  // all goroutines of this term except the main loop
@@ -103,6 +106,7 @@
 		term:    term,
 		log:     deps.Log.With("term", term.Number),
 		mailbox: actor.NewMailbox[any](),
+		batches: map[string]*commandBatch{},
 		cancel:  cancel,
 		done:    ctx.Done(),
 		stopped: make(chan struct{}),
--- a/internal/coordination/leader/leader_test.go
+++ b/internal/coordination/leader/leader_test.go
@@ -102,6 +102,7 @@
 
 func (noIntents) NewestByJob(time.Duration) map[string]time.Duration { return nil }
 func (noIntents) HasIntent(time.Duration, string) bool               { return false }
+func (noIntents) HasIntentSince(time.Duration, string) bool          { return false }
 
 // noObserver is an Observer that ignores all calls.
 type noObserver struct{}
--- a/internal/coordination/leader/term.go
+++ b/internal/coordination/leader/term.go
@@ -50,6 +50,9 @@
 	case statusQuery:
 		m.reply <- t.scheduler.Statuses(m.jobs)
 	case scheduler.Event:
+		if result, ok := m.(scheduler.CommandBatchResult); ok {
+			delete(t.batches, result.Machine)
+		}
 		t.step(ctx, now, m)
 		t.recordStepTime(m, now)
 	}
--- a/internal/coordination/machineregistry/commands.go
+++ b/internal/coordination/machineregistry/commands.go
@@ -20,6 +20,9 @@
 type commandState struct {
 	inFlight bool          // a direct command has not been answered yet
 	retryAt  time.Duration // earliest time of the next direct command
+	// runsTaken holds the placements whose run commands are in the batch that was taken last, and runsInFlight those
+	// whose run commands are in the batch in flight.
+	runsTaken, runsInFlight []*Placement
 	// newCommandDue is set if a command has become due since the last batch was taken.
 	newCommandDue bool
 
@@ -65,7 +68,7 @@
 // Commands that exceed the limit of a batch are left for the next batch.
 func (r *Registry) TakeDueCommands(now time.Duration, m *Machine) []protocol.Command {
 	r.incrementEpochIfNeeded(now, m)
-	m.commands.newCommandDue = false
+	m.commands.newCommandDue, m.commands.runsTaken = false, nil
 	var batch commandBatch
 	if len(m.placements) > 0 {
 		for _, pl := range sortedPlacements(m.placements) {
@@ -97,6 +100,7 @@
 	case !pl.Stopping:
 		pl.runSent = true
 		pl.runFencingToken = r.FencingToken(m)
+		m.commands.runsTaken = append(m.commands.runsTaken, pl)
 		batch.addRun(pl.Task, pl.Attempt)
 	case pl.Reported:
 		batch.addStop(pl.Task, pl.Attempt, pl.GraceSeconds)
@@ -237,9 +241,24 @@
 	return m.Registered && !m.Relayed && m.Addr != "" && !m.commands.inFlight && now >= m.commands.retryAt
 }
 
-// RecordCommandSent records that a direct command has been sent to the machine. No other is sent until
-// RecordCommandResult is called.
-func (r *Registry) RecordCommandSent(m *Machine) { m.commands.inFlight = true }
+// RecordCommandSent records that the commands that were taken last are being sent to the machine directly. No others
+// are sent until RecordCommandResult or RecordCommandNotSent is called.
+func (r *Registry) RecordCommandSent(m *Machine) {
+	m.commands.inFlight, m.commands.runsInFlight = true, m.commands.runsTaken
+}
+
+// TakeOutdatedBatches returns the machines whose batch in flight contains the run command of a placement that was
+// stopped since the last call. If the batch has not been written to a connection yet, it must not be sent.
+func (r *Registry) TakeOutdatedBatches() []*Machine {
+	machines := r.outdatedBatches
+	r.outdatedBatches = nil
+	return machines
+}
+
+// RecordCommandNotSent records that the batch in flight was not sent. Commands that are still due may be sent at once.
+func (r *Registry) RecordCommandNotSent(m *Machine) {
+	m.commands.inFlight, m.commands.runsInFlight = false, nil
+}
 
 // RecordCommandResult records the outcome of a direct command. After a success, unconfirmed commands are repeated only
 // after a pause, so that a heartbeat can confirm them first. After a failure, the next attempt is made at about the
@@ -247,7 +266,7 @@
 // hundreds of machines are unreachable, they would delay commands to the others.
 func (r *Registry) RecordCommandResult(now time.Duration, m *Machine, ok bool) {
 	const repeatsPerHeartbeat = 4
-	m.commands.inFlight = false
+	m.commands.inFlight, m.commands.runsInFlight = false, nil
 	heartbeat := r.workerSettings.HeartbeatSeconds
 	switch {
 	case ok && m.commands.newCommandDue:
--- a/internal/coordination/machineregistry/placement.go
+++ b/internal/coordination/machineregistry/placement.go
@@ -1,6 +1,7 @@
 package machineregistry
 
 import (
+	"slices"
 	"time"
 
 	"pinebay/internal/protocol"
@@ -111,6 +112,7 @@
 	}
 	pl.GraceSeconds = min(pl.GraceSeconds, graceSeconds)
 	r.expediteCommand(pl)
+	r.markBatchOutdated(pl)
 	if !pl.runSent {
 		r.Unreserve(now, pl)
 		return true
@@ -118,6 +120,14 @@
 	return false
 }
 
+// markBatchOutdated records that a placement was stopped while its run command may be in a batch in flight.
+func (r *Registry) markBatchOutdated(pl *Placement) {
+	m := r.machines[pl.Machine]
+	if m != nil && slices.Contains(m.commands.runsInFlight, pl) {
+		r.outdatedBatches = append(r.outdatedBatches, m)
+	}
+}
+
 // MarkOutcomeRecorded records that the outcome of an exited placement is stored, so that the machine may forget the
 // task.
 func (r *Registry) MarkOutcomeRecorded(pl *Placement) {
--- a/internal/coordination/machineregistry/registry.go
+++ b/internal/coordination/machineregistry/registry.go
@@ -28,7 +28,8 @@
 	sortedMachines []*Machine
 	teamUsage      map[string]Resources
 	// commandsDue holds the machines with placements for which a command may be due.
-	commandsDue map[string]*Machine
+	commandsDue     map[string]*Machine
+	outdatedBatches []*Machine // see TakeOutdatedBatches
 	// imageHints holds the images that machines had in an earlier term, for machines that have not been created yet.
 	imageHints map[string][]CachedImage
 	indexes    indexes
--- a/internal/coordination/scheduler/effects.go
+++ b/internal/coordination/scheduler/effects.go
@@ -52,6 +52,10 @@
 	Batch         protocol.CommandBatch
 }
 
+// RevokeCommandBatch asks that the command batch to a machine is not sent if it has not been written to a connection
+// yet, because it contains an outdated start command. The batch is answered in any case.
+type RevokeCommandBatch struct{ Machine string }
+
 // Probe asks a machine for a heartbeat. It is answered by a ProbeReply.
 type Probe struct{ Machine, Addr string }
 
@@ -73,12 +77,13 @@
 	TransferLeadership bool
 }
 
-func (HeartbeatReply) effect()    {}
-func (Write) effect()             {}
-func (SendCommandBatch) effect()  {}
-func (Probe) effect()             {}
-func (StepDown) effect()          {}
-func (CloudRequest) effect()      {}
-func (ZoneDecision) effect()      {}
-func (ReadFinalState) effect()    {}
-func (FeatureLevelFinal) effect() {}
+func (HeartbeatReply) effect()     {}
+func (Write) effect()              {}
+func (SendCommandBatch) effect()   {}
+func (RevokeCommandBatch) effect() {}
+func (Probe) effect()              {}
+func (StepDown) effect()           {}
+func (CloudRequest) effect()       {}
+func (ZoneDecision) effect()       {}
+func (ReadFinalState) effect()     {}
+func (FeatureLevelFinal) effect()  {}
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -81,6 +81,8 @@
 	Machine      string
 	Acknowledged bool
 	Heartbeat    *protocol.WorkerHeartbeat
+	// NotSent is set if nothing of the batch was sent, because it was revoked or had become outdated.
+	NotSent bool
 }
 
 // ProbeReply is the outcome of a Probe. Heartbeat is nil if the machine did not answer with a heartbeat of its own.
--- a/internal/coordination/scheduler/heartbeats.go
+++ b/internal/coordination/scheduler/heartbeats.go
@@ -56,17 +56,25 @@
 		return
 	}
 	if m := s.machines.Machine(e.Machine); m != nil {
-		if e.Heartbeat != nil && e.Heartbeat.Machine == e.Machine {
-			s.applyHeartbeat(now, e.Heartbeat)
-		}
-		s.machines.RecordCommandResult(now, m, e.Acknowledged || e.Heartbeat != nil)
-		if e.Heartbeat == nil {
-			m.MarkUnresponsive(now + config.Seconds(2*s.cfg.Workers.HeartbeatSeconds))
-		}
+		s.applyCommandBatchResult(now, m, e)
 	}
 	s.sendWaitingCommands(now)
 }
 
+func (s *Scheduler) applyCommandBatchResult(now time.Duration, m *machineregistry.Machine, e CommandBatchResult) {
+	if e.NotSent {
+		s.machines.RecordCommandNotSent(m)
+		return
+	}
+	if e.Heartbeat != nil && e.Heartbeat.Machine == e.Machine {
+		s.applyHeartbeat(now, e.Heartbeat)
+	}
+	s.machines.RecordCommandResult(now, m, e.Acknowledged || e.Heartbeat != nil)
+	if e.Heartbeat == nil {
+		m.MarkUnresponsive(now + config.Seconds(2*s.cfg.Workers.HeartbeatSeconds))
+	}
+}
+
 // stepDownForLaterTerm ends the term if the fencing token in a heartbeat is of a later term, and reports whether it is.
 func (s *Scheduler) stepDownForLaterTerm(heartbeat *protocol.WorkerHeartbeat) bool {
 	term := protocol.TermOfToken(heartbeat.FencingToken)
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -200,6 +200,7 @@
 func (s *Scheduler) Step(now time.Duration, event Event) []Effect {
 	s.handle(now, event)
 	s.emitDecisions()
+	s.revokeOutdatedBatches()
 	effects := s.effects // the first Step of a term also returns the effects of the recovery
 	s.effects = nil
 	return effects
--- a/internal/coordination/scheduler/workerrequests.go
+++ b/internal/coordination/scheduler/workerrequests.go
@@ -49,3 +49,11 @@
 		s.sendUrgentCommands(now)
 	}
 }
+
+// revokeOutdatedBatches revokes the command batches in flight with a start command of a placement that has been stopped
+// in the meantime. A batch may still be waiting for a connection to its machine.
+func (s *Scheduler) revokeOutdatedBatches() {
+	for _, m := range s.machines.TakeOutdatedBatches() {
+		s.emit(RevokeCommandBatch{Machine: m.Name})
+	}
+}
--- a/internal/coordination/scheduler/workerrequests_test.go
+++ b/internal/coordination/scheduler/workerrequests_test.go
@@ -12,7 +12,8 @@
 type unansweredCommands struct {
 	*harness
 	inFlight []SendCommandBatch
-	probes   []Probe // in flight
+	probes   []Probe  // in flight
+	revoked  []string // machines whose batches were revoked
 }
 
 func (u *unansweredCommands) step(e Event) {
@@ -25,6 +26,8 @@
 			u.inFlight = append(u.inFlight, o)
 		case Probe:
 			u.probes = append(u.probes, o)
+		case RevokeCommandBatch:
+			u.revoked = append(u.revoked, o.Machine)
 		}
 	}
 }
@@ -128,3 +131,59 @@
 		}
 	}
 }
+
+// TestStopRevokesStartInFlight guards against start commands that wait for a connection to their machine and are sent
+// although their placement was stopped meanwhile, whatever the reason. The machine itself is not to blame for a batch
+// that was not sent, so it goes on getting tasks.
+func TestStopRevokesStartInFlight(t *testing.T) {
+	for name, stop := range map[string]func(u *unansweredCommands){
+		"intent": func(u *unansweredCommands) {
+			u.step(CancellationIntent{ID: "j-1", ValidUntil: u.now + CycleInterval})
+		},
+		"job end":  func(u *unansweredCommands) { u.step(JobEnded{ID: "j-1"}) },
+		"eviction": func(u *unansweredCommands) { u.scheduler.evict(u.now, u.scheduler.jobs["j-1"].Placements[0], 0) },
+		"gang stop": func(u *unansweredCommands) {
+			u.scheduler.stopGang(u.now, u.scheduler.jobs["j-1"])
+		},
+	} {
+		h := newHarness(nil, "a")
+		h.heartbeat("m1", "a", false)
+		u := &unansweredCommands{harness: h}
+		h.addJob(jobSpec("j-1", protocol.Gang, "normal", 1, 1))
+		h.now += CycleInterval
+		u.step(Tick{})
+		if len(u.inFlight) != 1 || len(u.revoked) > 0 {
+			t.Fatalf(
+				"%s: %d command batches in flight and %v revoked before the stop",
+				name,
+				len(u.inFlight),
+				u.revoked,
+			)
+		}
+		stop(u)
+		u.step(Tick{})
+		if len(u.revoked) != 1 || u.revoked[0] != "m1" {
+			t.Errorf("%s: revoked batches of %v, want m1", name, u.revoked)
+		}
+		outdated := u.inFlight[0].Batch
+		u.inFlight = nil
+		u.step(CommandBatchResult{Machine: "m1", NotSent: true})
+		u.step(Tick{})
+		if len(u.inFlight) != 1 || u.inFlight[0].Batch.FencingToken <= outdated.FencingToken {
+			t.Fatalf("%s: batches %+v, want one with a higher token than %d", name, u.inFlight, outdated.FencingToken)
+		}
+		for _, c := range u.inFlight[0].Batch.Commands {
+			if c.Verb != protocol.VerbStop {
+				t.Errorf("%s: command %s, want only stops", name, c.Verb)
+			}
+		}
+		m := h.scheduler.machines.Machine("m1")
+		if !h.scheduler.machines.Schedulable(h.now, m) {
+			t.Errorf("%s: the machine gets no tasks after a batch that was not sent", name)
+		}
+		u.answerOldest()
+		if m.PlacementCount() > 0 {
+			t.Errorf("%s: %d placements left", name, m.PlacementCount())
+		}
+	}
+}
--- a/internal/simulation/faults_test.go
+++ b/internal/simulation/faults_test.go
@@ -149,15 +149,17 @@
 func loseHeartbeats(n int) fault {
 	return func(c *cluster) func() {
 		workers := c.selectWorkers(n, hasTasks)
-		set := func(on bool) {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			for _, r := range workers {
-				r.HeartbeatsLost = on
-			}
-		}
-		set(true)
-		return func() { set(false) }
+		c.setHeartbeatsLost(workers, true)
+		return func() { c.setHeartbeatsLost(workers, false) }
+	}
+}
+
+// setHeartbeatsLost sets whether the heartbeats of workers are dropped.
+func (c *cluster) setHeartbeatsLost(workers []*workerProcess, lost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range workers {
+		r.HeartbeatsLost = lost
 	}
 }
 
--- a/internal/simulation/latestart_test.go
+++ b/internal/simulation/latestart_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"pinebay/internal/config"
 	"pinebay/internal/protocol"
 )
 
@@ -14,11 +15,11 @@
 	cancelDelay     = 150 * ms // time from the acceptance of a job to its cancellation
 )
 
-// withFewSockets limits the sockets of the controllers, and the cloud to the machines that the scenario adds.
-func withFewSockets(c *cluster) {
-	c.cfg.Quota.MaxSockets = fewSockets
-	c.cloudCapacity = 2 * machinesPerZone
-}
+// withFewSockets limits the sockets of the controllers.
+func withFewSockets(c *cluster) { c.cfg.Quota.MaxSockets = fewSockets }
+
+// withoutRentals limits the cloud to the machines that the scenario adds.
+func withoutRentals(c *cluster) { c.cloudCapacity = 2 * machinesPerZone }
 
 // addRunningMachines adds running machines to both zones and waits until all of them have sent heartbeats.
 func (c *cluster) addRunningMachines() {
@@ -79,7 +80,60 @@
 				if c.world.Starts == 0 {
 					t.Error("no task was started")
 				}
-			}, withFewSockets)
+			}, withFewSockets, withoutRentals)
+		})
+	}
+}
+
+// holdConnections makes the heartbeats of the workers in a zone time out and their connections, of which none may be
+// open, wait. The returned function ends both. Unlike other links that were blocked, these have no commands under way
+// that may arrive late.
+func (c *cluster) holdConnections(zone string) func() {
+	inZone := func(r *workerProcess) bool { return r.machine.Zone == zone }
+	workers := c.selectWorkers(len(c.workers), inZone)
+	var unblocks []func()
+	c.setHeartbeatsLost(workers, true)
+	for _, r := range workers {
+		unblocks = append(unblocks, c.blockLink("*", r.ip))
+	}
+	return func() {
+		for _, f := range unblocks {
+			f()
+		}
+		c.setHeartbeatsLost(workers, false)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, r := range workers {
+			r.model.LateCommandsAllowedUntil = 0
+		}
+	}
+}
+
+// TestNoLateStartAfterSlowConnection guards against start commands that wait for a connection to their machine and are
+// sent although their job has been cancelled meanwhile.
+func TestNoLateStartAfterSlowConnection(t *testing.T) {
+	for _, shape := range []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service} {
+		t.Run(string(shape), func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, 1, defaultControllers, fastTimings, func(c *cluster) {
+				c.addRunningMachines()
+				time.Sleep(config.Seconds(c.cfg.Workers.LeaseSeconds)) // connections of probes are closed by then
+				release := c.holdConnections("a")
+				id := c.submitToZone(shape, machinesPerZone/2, "a")
+				time.Sleep(cancelDelay)
+				c.spawn(func() { c.cancelUntilFinal(id, c.controllers, time.Minute) })
+				time.Sleep(800 * ms) // less than commands may take
+				release()
+				time.Sleep(10 * time.Second)
+				if n := c.occurrences("cancelled"); n != 1 {
+					t.Errorf("%d jobs were cancelled, want 1", n)
+				}
+				c.submitToZone(shape, machinesPerZone, "a")
+				time.Sleep(10 * time.Second)
+				if c.world.Starts != machinesPerZone {
+					t.Errorf("%d tasks started after the cancellation, want all %d", c.world.Starts, machinesPerZone)
+				}
+			}, withoutRentals)
 		})
 	}
 }
--- a/internal/simulation/system_test.go
+++ b/internal/simulation/system_test.go
@@ -205,6 +205,7 @@
 		s.write(l, e, false)
 	case scheduler.SendCommandBatch:
 		s.sendCommands(l, e)
+	case scheduler.RevokeCommandBatch: // this model sends batches at once
 	case scheduler.Probe:
 		reply := scheduler.ProbeReply{Machine: e.Machine}
 		if m := s.world.Workers[e.Machine]; m != nil && !s.unreachable(e.Machine) && !s.chance(0.1) {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +23,9 @@
 // clientBufferBytes is the size of the read buffer and of the write buffer of each connection.
 const clientBufferBytes = 4 << 10
 
+// ErrNotSent matches the errors of requests of which nothing was sent.
+var ErrNotSent = errors.New("not sent")
+
 // ErrResponseTooLarge matches the error for a response that was received but exceeds the size limit.
 var ErrResponseTooLarge = fmt.Errorf("%w: answer too long", protocol.ErrMalformed)
 
@@ -63,6 +67,9 @@
 	Timeout time.Duration
 	// Body is sent as MessagePack; nil means none.
 	Body any
+	// Precondition, if set, is called when the request has a connection, immediately before the request is written. If
+	// it returns an error, the request is not sent.
+	Precondition func() error
 }
 
 // Response is the response to a Request, and what the request has waited for.
@@ -84,7 +91,8 @@
 // Send sends a request and returns the response. If it returns an error, the response contains only the waiting times.
 //
 // Send waits for a free slot until ctx ends; the timeout limits only the request itself. Send never sends a request
-// twice. An error means that no complete response was received; the server may have executed the request nevertheless.
+// twice. An error means that no complete response was received; the server may have executed the request nevertheless,
+// unless the error matches [ErrNotSent].
 func (c *Client) Send(ctx context.Context, r Request) (Response, error) {
 	var response Response
 	start := time.Now()
@@ -97,14 +105,23 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
 	gotSlot := time.Now()
+	var refusal error
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { response.ConnectionWait = time.Since(gotSlot) },
+		GotConn: func(conn httptrace.GotConnInfo) {
+			response.ConnectionWait = time.Since(gotSlot)
+			if refusal = r.checkPrecondition(); refusal != nil {
+				_ = conn.Conn.Close() // so that net/http cannot write the request to it
+			}
+		},
 	})
 	req, err := newRequest(ctx, r.Method, r.URL, r.Body)
 	if err != nil {
 		return response, err
 	}
 	res, err := c.http.Do(req)
+	if refusal != nil {
+		return response, r.wrapError(fmt.Errorf("%w: %w", ErrNotSent, refusal))
+	}
 	if err != nil {
 		return response, r.wrapError(err)
 	}
@@ -117,6 +134,13 @@
 	return response, nil
 }
 
+func (r *Request) checkPrecondition() error {
+	if r.Precondition == nil {
+		return nil
+	}
+	return r.Precondition()
+}
+
 func (r *Request) wrapError(err error) error { return fmt.Errorf("%s %s: %w", r.Method, r.URL, err) }
 
 // newRequest returns a request with body encoded as MessagePack, or without a body if it is nil.
--- a/internal/transport/client_test.go
+++ b/internal/transport/client_test.go
@@ -1,6 +1,9 @@
 package transport
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -40,3 +43,67 @@
 		t.Errorf("%d concurrent requests, want at most 3", m)
 	}
 }
+
+// gatedNetwork is TCP with connection attempts that wait for a value in the channel.
+type gatedNetwork struct {
+	TCP
+	dials chan struct{}
+}
+
+func (n gatedNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	select {
+	case <-n.dials:
+		return n.TCP.Dial(ctx, addr)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// TestPreconditionIsCheckedAfterWaiting guards against requests that are sent although they have become outdated while
+// they waited for a connection: the precondition is checked when there is one, new or idle.
+func TestPreconditionIsCheckedAfterWaiting(t *testing.T) {
+	var received atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer srv.Close()
+	network := gatedNetwork{dials: make(chan struct{}, 3)}
+	c := NewClient(network, 1, 1, time.Minute)
+	errOutdated := errors.New("outdated")
+	var outdated atomic.Bool
+	request := Request{
+		Method:  http.MethodPost,
+		URL:     srv.URL,
+		Timeout: time.Minute,
+		Body:    struct{}{},
+		Precondition: func() error {
+			if outdated.Load() {
+				return errOutdated
+			}
+			return nil
+		},
+	}
+	result := make(chan error)
+	send := func() {
+		_, err := c.Send(t.Context(), request)
+		result <- err
+	}
+	go send()
+	outdated.Store(true)
+	network.dials <- struct{}{}
+	if err := <-result; !errors.Is(err, ErrNotSent) || !errors.Is(err, errOutdated) {
+		t.Errorf("outdated while it waited for a connection: error %v, want ErrNotSent and the reason", err)
+	}
+	outdated.Store(false)
+	network.dials <- struct{}{}
+	go send()
+	if err := <-result; err != nil {
+		t.Errorf("valid request: %v", err)
+	}
+	outdated.Store(true) // the connection is idle now
+	go send()
+	if err := <-result; !errors.Is(err, ErrNotSent) {
+		t.Errorf("outdated request with an idle connection: error %v, want ErrNotSent", err)
+	}
+	if n := received.Load(); n != 1 {
+		t.Errorf("%d requests received, want the valid one only", n)
+	}
+}
