Drop starts of cancelled jobs from the replies to heartbeats

What callers saw: a worker that can't reach the leader gets its replies through another controller. If the link from the leader to that controller is slow, for up to a second, tasks were started after their user had been told that the job is cancelled. Shown in simulated time, seen on no deployment.

Change: both the leader's controller, when it has the reply, and the controller that forwards it, before it answers the worker, remove the start commands of jobs that have a valid intent to cancel. Other commands stay. A forwarded reply is written again only if something was removed.

--- a/internal/coordination/leader/workerrequests.go
+++ b/internal/coordination/leader/workerrequests.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -90,16 +91,8 @@
 // startsCancelledJob reports whether there is a start command of a job that a user may have been told is cancelled.
 func (l *Leader) startsCancelledJob(commands []protocol.Command) bool {
 	since := l.deps.Now() - l.options.IntentValidity
-	for i := range commands {
-		if commands[i].Verb != protocol.VerbRun {
-			continue
-		}
-		id, err := protocol.ParseTaskID(commands[i].TaskName)
-		if err == nil && l.deps.Intents.HasIntentSince(since, id.JobID) {
-			return true
-		}
-	}
-	return false
+	cancelled := func(job string) bool { return l.deps.Intents.HasIntentSince(since, job) }
+	return slices.ContainsFunc(commands, func(c protocol.Command) bool { return c.StartsTaskOf(cancelled) })
 }
 
 // probe requests the current state of a machine.
--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -53,6 +53,12 @@
 	return e.intents.HasIntent(e.now(), job)
 }
 
+// startForbidden reports whether no task of the job may be started, because a user may have been told that the job is
+// cancelled. If no cancellation is confirmed while an intent is valid, the scheduler starts the job again after that.
+func (e *environment) startForbidden(job string) bool {
+	return e.intents.HasIntentSince(e.now()-e.times.CancellationTimeout, job)
+}
+
 // mayRenewAsLeader reports whether this controller leads and may renew leases. A leader may renew leases only while it
 // knows of every cancellation that a user may have been told of.
 func (e *environment) mayRenewAsLeader() bool {
--- a/internal/daemon/heartbeats.go
+++ b/internal/daemon/heartbeats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"pinebay/internal/coordination/election"
@@ -199,9 +200,20 @@
 	relayed bool,
 ) (protocol.WorkerHeartbeatReply, bool) {
 	reply, ok := l.Heartbeat(ctx, heartbeat, relayed)
+	h.dropForbiddenStarts(&reply)
 	return reply, ok && h.localLeader.Load() == l && h.mayRenewAsLeader()
 }
 
+// dropForbiddenStarts removes the start commands of cancelled jobs from a reply, and reports whether there were any. An
+// intent to cancel a job may have arrived since the leader decided the reply.
+func (h *workerHeartbeats) dropForbiddenStarts(reply *protocol.WorkerHeartbeatReply) bool {
+	before := len(reply.Commands)
+	reply.Commands = slices.DeleteFunc(reply.Commands, func(c protocol.Command) bool {
+		return c.StartsTaskOf(h.startForbidden)
+	})
+	return len(reply.Commands) < before
+}
+
 // forwardToLeader forwards a heartbeat to the leader's controller and the reply to the worker. Without a reply it asks
 // the worker to retry and returns false.
 func (h *workerHeartbeats) forwardToLeader(
@@ -215,6 +227,16 @@
 		h.redirect(w, "")
 		return false
 	}
+	var body protocol.WorkerHeartbeatReply
+	if err := protocol.Decode(reply.Body, &body); err != nil {
+		h.log.Error("malformed heartbeat reply", "peer", leader, "error", err)
+		h.redirect(w, "")
+		return false
+	}
+	if h.dropForbiddenStarts(&body) {
+		transport.WriteResponse(w, http.StatusOK, body)
+		return true
+	}
 	w.Header().Set("Content-Type", protocol.ContentType)
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write(reply.Body) // a worker that lost the response sends another heartbeat
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -19,6 +19,15 @@
 	GraceSeconds *float64 `msgpack:"leave_s,omitempty"`
 }
 
+// StartsTaskOf reports whether the command starts a task of one of the selected jobs.
+func (c *Command) StartsTaskOf(selected func(jobID string) bool) bool {
+	if c.Verb != VerbRun {
+		return false
+	}
+	id, err := ParseTaskID(c.TaskName)
+	return err == nil && selected(id.JobID)
+}
+
 // CommandBatch is the body of a request that delivers commands to a worker. The worker executes them only if
 // FencingToken is not lower than the highest token that it has seen and Incarnation is its current incarnation.
 type CommandBatch struct {
--- a/internal/simulation/latestart_test.go
+++ b/internal/simulation/latestart_test.go
@@ -137,3 +137,53 @@
 		})
 	}
 }
+
+// relayWorkers cuts the connections between the leader and the workers of a zone, and waits until their heartbeats
+// reach the leader through other controllers.
+func (c *cluster) relayWorkers(leader *controller, zone string) {
+	inZone := func(r *workerProcess) bool { return r.machine.Zone == zone }
+	for _, r := range c.selectWorkers(len(c.workers), inZone) {
+		c.blockLink(r.ip, leader.ip)
+		c.blockLink(leader.ip, r.ip)
+	}
+	time.Sleep(30 * time.Second)
+}
+
+// TestNoLateStartInRelayedReply guards against start commands in the reply to a relayed heartbeat that is delayed
+// between the controllers, and is passed on to the worker although the job has been cancelled meanwhile.
+func TestNoLateStartInRelayedReply(t *testing.T) {
+	for _, shape := range []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service} {
+		t.Run(string(shape), func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, 1, defaultControllers, fastTimings, func(c *cluster) {
+				c.addRunningMachines()
+				leader := c.leader()
+				followers := c.others(leader)
+				c.relayWorkers(leader, "a")
+				var unblocks []func()
+				id := c.submitToZone(shape, machinesPerZone, "a")
+				for _, follower := range followers {
+					unblocks = append(unblocks, c.blockLink(leader.ip, follower.ip))
+				}
+				time.Sleep(500 * ms)
+				c.spawn(func() { c.cancelUntilFinal(id, followers, time.Minute) })
+				time.Sleep(400 * ms) // less than a call between controllers may take in all
+				for _, f := range unblocks {
+					f()
+				}
+				time.Sleep(10 * time.Second)
+				if n := c.occurrences("cancelled"); n != 1 {
+					t.Errorf("%d jobs were cancelled, want 1", n)
+				}
+				if c.leader() != leader {
+					t.Error("the leader has changed")
+				}
+				c.submitToZone(shape, machinesPerZone, "a")
+				time.Sleep(10 * time.Second)
+				if c.world.Starts < machinesPerZone {
+					t.Errorf("%d tasks started, want at least %d", c.world.Starts, machinesPerZone)
+				}
+			}, withoutRentals)
+		})
+	}
+}
