Send no release or rental after the term has ended or is unconfirmed

What it means for callers: a leader that was suspended sent its waiting releases when it resumed, before it noticed that its term was over. Machines that another leader uses by then would be lost, with the tasks on them. The same holds for controllers that release unreachable machines while there is no leader.

They wait for their turn within the rate limit, and nothing looked at them again.

Change: releases and rentals have a precondition, which is checked when they have a connection: the leader's term goes on and is confirmed, or, without a leader, a quorum still agrees that none can be elected.

--- a/internal/coordination/leader/cloud.go
+++ b/internal/coordination/leader/cloud.go
@@ -71,29 +71,42 @@
 	return CallSlot{now.Add(c.limiter.ReserveN(now, 1).DelayFrom(now))}
 }
 
+// cloudCall is a request to the cloud.
+type cloudCall struct {
+	method, path string
+	body         any          // nil means none
+	precondition func() error // see transport.Request
+}
+
 // call sends a request at its reserved time, and decodes the response into out unless out is nil.
-func (c *CloudClient) call(ctx context.Context, slot CallSlot, method, path string, body, out any) error {
+func (c *CloudClient) call(ctx context.Context, slot CallSlot, call cloudCall, out any) error {
 	if err := actor.Sleep(ctx, time.Until(slot.at)); err != nil {
 		return err
 	}
-	status, raw, err := c.client.Do(ctx, c.timeout, method, c.baseURL+path, body)
+	response, err := c.client.Send(ctx, transport.Request{
+		Method:       call.method,
+		URL:          c.baseURL + call.path,
+		Timeout:      c.timeout,
+		Body:         call.body,
+		Precondition: call.precondition,
+	})
 	if err != nil {
 		return err
 	}
-	if status != http.StatusOK {
+	if response.Status != http.StatusOK {
 		var p protocol.ErrorResponse
-		_ = protocol.Decode(raw, &p) // the status is sufficient if the body cannot be decoded
-		return &CloudError{Path: path, Status: status, Problem: p.Error}
+		_ = protocol.Decode(response.Body, &p) // the status is sufficient if the body cannot be decoded
+		return &CloudError{Path: call.path, Status: response.Status, Problem: p.Error}
 	}
 	if out == nil {
 		return nil
 	}
-	return protocol.Decode(raw, out)
+	return protocol.Decode(response.Body, out)
 }
 
 func (c *CloudClient) fetchMachineTypes(ctx context.Context) ([]protocol.MachineType, error) {
 	var t protocol.MachineTypes
-	if err := c.call(ctx, c.Reserve(), http.MethodGet, "/machine_types", nil, &t); err != nil {
+	if err := c.call(ctx, c.Reserve(), cloudCall{method: http.MethodGet, path: "/machine_types"}, &t); err != nil {
 		return nil, err
 	}
 	if len(t.Types) == 0 {
@@ -134,7 +147,7 @@
 			path += "&from=" + from
 		}
 		var page protocol.MachineList
-		if err := c.call(ctx, slot, http.MethodGet, path, nil, &page); err != nil {
+		if err := c.call(ctx, slot, cloudCall{method: http.MethodGet, path: path}, &page); err != nil {
 			return nil, err
 		}
 		all = append(all, page.Machines...)
@@ -146,10 +159,17 @@
 }
 
 // Rent rents machines and returns their names. It returns ErrRentalRefused if the cloud refuses the rental. After any
-// other error the machines may have been rented.
-func (c *CloudClient) Rent(ctx context.Context, slot CallSlot, r protocol.RentalRequest) ([]string, error) {
+// other error the machines may have been rented, unless the error matches transport.ErrNotSent. The precondition is
+// that of transport.Request.
+func (c *CloudClient) Rent(
+	ctx context.Context,
+	slot CallSlot,
+	r protocol.RentalRequest,
+	precondition func() error,
+) ([]string, error) {
 	var out protocol.MachineNames
-	err := c.call(ctx, slot, http.MethodPost, "/machines", r, &out)
+	call := cloudCall{method: http.MethodPost, path: "/machines", body: r, precondition: precondition}
+	err := c.call(ctx, slot, call, &out)
 	var refusal *CloudError
 	if errors.As(err, &refusal) && refusal.refusesRental() {
 		return nil, fmt.Errorf("%w: %w", ErrRentalRefused, err)
@@ -162,7 +182,13 @@
 		e.Status == http.StatusServiceUnavailable && e.Problem == problemNoCapacity
 }
 
-// Release returns machines to the cloud. If it returns no error, they have been released.
-func (c *CloudClient) Release(ctx context.Context, slot CallSlot, names []string) error {
-	return c.call(ctx, slot, http.MethodPost, "/machines/release", protocol.MachineNames{Machines: names}, nil)
+// Release returns machines to the cloud. If it returns no error, they have been released. The precondition is that of
+// transport.Request.
+func (c *CloudClient) Release(ctx context.Context, slot CallSlot, names []string, precondition func() error) error {
+	return c.call(ctx, slot, cloudCall{
+		method:       http.MethodPost,
+		path:         "/machines/release",
+		body:         protocol.MachineNames{Machines: names},
+		precondition: precondition,
+	}, nil)
 }
--- a/internal/coordination/leader/cloud_test.go
+++ b/internal/coordination/leader/cloud_test.go
@@ -1,8 +1,10 @@
 package leader
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,8 +13,11 @@
 	"testing"
 	"time"
 
+	"pinebay/internal/actor"
 	"pinebay/internal/config"
+	"pinebay/internal/coordination/autoscaler"
 	"pinebay/internal/protocol"
+	"pinebay/internal/random"
 	"pinebay/internal/simulation"
 	"pinebay/internal/transport"
 )
@@ -76,7 +81,7 @@
 			defer srv.Close()
 			addr := strings.TrimPrefix(srv.URL, "http://")
 			c := NewCloudClient(transport.TCP{}, addr, config.Cloud{RPS: 1e6, ListLagSeconds: 10})
-			names, err := c.Rent(t.Context(), c.Reserve(), protocol.RentalRequest{})
+			names, err := c.Rent(t.Context(), c.Reserve(), protocol.RentalRequest{}, nil)
 			if errors.Is(err, ErrRentalRefused) != test.refused || (err != nil) != test.failed ||
 				test.failed == (len(names) > 0) {
 				t.Errorf("machines %v, error %v", names, err)
@@ -88,3 +93,74 @@
 		})
 	}
 }
+
+// countedLeadership is a Leadership that sends to a channel whenever it is asked whether it is confirmed.
+type countedLeadership struct {
+	fakeLeadership
+	asked chan<- struct{}
+}
+
+func (c countedLeadership) Confirmed() bool {
+	confirmed := c.fakeLeadership.Confirmed()
+	select {
+	case c.asked <- struct{}{}:
+	default:
+	}
+	return confirmed
+}
+
+// TestUnconfirmedLeaderChangesNoMachines guards against releases and rentals that were decided before the leader was
+// suspended or replaced, and are sent when their turn within the rate limit comes: another leader may use the machines.
+func TestUnconfirmedLeaderChangesNoMachines(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		for name, send := range map[string]func(l *Leader, ctx context.Context){
+			"release": func(l *Leader, ctx context.Context) {
+				l.releaseMachines(ctx, autoscaler.ScaleIn{Machines: []string{"m1"}}, l.deps.Cloud.Reserve())
+			},
+			"rental": func(l *Leader, ctx context.Context) {
+				l.rentMachines(ctx, autoscaler.ScaleOut{}, l.deps.Cloud.Reserve())
+			},
+		} {
+			t.Run(fmt.Sprintf("%s, confirmed: %v", name, confirmed), func(t *testing.T) {
+				var received atomic.Int64
+				srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					received.Add(1)
+					transport.WriteResponse(w, http.StatusOK, protocol.MachineNames{})
+				}))
+				defer srv.Close()
+				var unconfirmed atomic.Bool
+				unconfirmed.Store(!confirmed)
+				asked := make(chan struct{}, 1)
+				addr := strings.TrimPrefix(srv.URL, "http://")
+				l := &Leader{
+					deps: Dependencies{
+						Leadership: countedLeadership{fakeLeadership{unconfirmed: &unconfirmed}, asked},
+						Cloud:      NewCloudClient(transport.TCP{}, addr, config.Cloud{RPS: 1e6, ListLagSeconds: 10}),
+						Random:     random.New(1),
+						Now:        func() time.Duration { return 0 },
+					},
+					log:     slog.New(slog.DiscardHandler),
+					mailbox: actor.NewMailbox[any](),
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					send(l, ctx)
+				}()
+				select {
+				case <-asked:
+				case <-ended:
+				}
+				if !confirmed {
+					cancel()
+				}
+				<-ended
+				cancel()
+				if got := received.Load() > 0; got != confirmed {
+					t.Errorf("request sent: %v, want %v", got, confirmed)
+				}
+			})
+		}
+	}
+}
--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -170,7 +170,7 @@
 func (l *Leader) rentMachines(ctx context.Context, e autoscaler.ScaleOut, slot CallSlot) {
 	requestedAt := l.deps.Now()
 	for ; ctx.Err() == nil; slot = l.deps.Cloud.Reserve() {
-		names, err := l.deps.Cloud.Rent(ctx, slot, e.Rental)
+		names, err := l.deps.Cloud.Rent(ctx, slot, e.Rental, func() error { return l.checkTerm(ctx) })
 		refused := errors.Is(err, ErrRentalRefused)
 		if err == nil || refused {
 			l.mailbox.Send(
@@ -191,7 +191,7 @@
 
 func (l *Leader) releaseMachines(ctx context.Context, e autoscaler.ScaleIn, slot CallSlot) {
 	for ; ctx.Err() == nil; slot = l.deps.Cloud.Reserve() {
-		err := l.deps.Cloud.Release(ctx, slot, e.Machines)
+		err := l.deps.Cloud.Release(ctx, slot, e.Machines, func() error { return l.checkTerm(ctx) })
 		if err == nil {
 			l.mailbox.Send(scheduler.ScaleInResult{Machines: e.Machines, Succeeded: true})
 			return
--- a/internal/coordination/leader/workerrequests.go
+++ b/internal/coordination/leader/workerrequests.go
@@ -77,9 +77,9 @@
 // checkBatch returns an error if a command batch must not be sent any more. The main loop may be busy, or suspended
 // with the whole process, when the reason becomes known, so the check does not rely on it alone.
 func (l *Leader) checkBatch(ctx context.Context, batch *commandBatch) error {
-	switch {
-	case ctx.Err() != nil, !l.deps.Leadership.Confirmed():
-		return errTermOver
+	switch err := l.checkTerm(ctx); {
+	case err != nil:
+		return err
 	case batch.revoked.Load():
 		return errBatchRevoked
 	case l.startsCancelledJob(batch.Batch.Commands):
@@ -88,6 +88,15 @@
 	return nil
 }
 
+// checkTerm returns an error if the term is over or not confirmed at this moment. Requests that the leader has decided
+// on, but has not sent yet, must not be sent then: another controller may lead.
+func (l *Leader) checkTerm(ctx context.Context) error {
+	if ctx.Err() != nil || !l.deps.Leadership.Confirmed() {
+		return errTermOver
+	}
+	return nil
+}
+
 // startsCancelledJob reports whether there is a start command of a job that a user may have been told is cancelled.
 func (l *Leader) startsCancelledJob(commands []protocol.Command) bool {
 	since := l.deps.Now() - l.options.IntentValidity
--- a/internal/daemon/fencing.go
+++ b/internal/daemon/fencing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -101,12 +102,24 @@
 	return reply
 }
 
+// errLeaderPossible is the reason for not releasing machines that were found to be unreachable.
+var errLeaderPossible = errors.New("a leader may have been elected")
+
+// checkLeaderless returns an error if a leader may have been elected in the meantime. This process may have been
+// suspended since it found that there was none.
+func (a *fencingActor) checkLeaderless() error {
+	if a.peers.leaderless(a.now()) {
+		return nil
+	}
+	return errLeaderPossible
+}
+
 // releaseUnreachableMachines releases machines to the cloud. It stops at the first failure; the remaining machines are
 // released after a later assessment.
 func (a *fencingActor) releaseUnreachableMachines(ctx context.Context, machines []string) {
 	for machineNames := range slices.Chunk(machines, protocol.MaxMachinesPerRelease) {
 		a.log.Info("fencing machines without a leader", "machines", machineNames)
-		if err := a.cloud.Release(ctx, a.cloud.Reserve(), machineNames); err != nil {
+		if err := a.cloud.Release(ctx, a.cloud.Reserve(), machineNames, a.checkLeaderless); err != nil {
 			a.log.Info("failed to release machines", "machine_count", len(machineNames), "error", err)
 			return
 		}
