Limit the wait of a request for a slot

What it means for callers: a request to the key-value store or the cloud that found all slots taken, for example while a link holds everything back, waited without a limit and was sent whenever the link was back, however outdated. A transaction that had never left the process counted as one that may have been executed.

Change: the timeout of a request limits its wait for a slot too. The error says that nothing was sent; the store's client reports it as 'not executed' instead of 'outcome unknown'.

Tests: TestSlotWaitIsLimited failed before (it waited for the 5 s of its context), TestRequestWithoutSlotWasNotExecuted failed before (outcome unknown).

--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -111,6 +112,9 @@
 		client = c.urgent
 	}
 	status, raw, err = client.Do(ctx, c.timeout, method, c.baseURL+path, body)
+	if errors.Is(err, transport.ErrNotSent) {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
 	if err != nil {
 		return 0, nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -439,3 +439,32 @@
 		t.Errorf("watch: got %v, want ErrCompacted", err)
 	}
 }
+
+// TestRequestWithoutSlotWasNotExecuted guards against transactions whose outcome counts as unknown although they were
+// never sent, because all slots were taken by requests without an answer.
+func TestRequestWithoutSlotWasNotExecuted(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	c := newTestClient(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-release
+	}))
+	const slots = 4 // of urgent requests
+	done := make(chan struct{})
+	for range slots {
+		go func() {
+			_, _ = c.Txn(t.Context(), storage.BudgetUrgent, protocol.Txn{}) // the server answers with an empty body
+			done <- struct{}{}
+		}()
+		<-arrived
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.Txn(ctx, storage.BudgetUrgent, protocol.Txn{})
+	if !errors.Is(err, storage.ErrUnavailable) || errors.Is(err, storage.ErrOutcomeUnknown) {
+		t.Errorf("transaction that got no slot: %v, want ErrUnavailable", err)
+	}
+	close(release)
+	for range slots {
+		<-done
+	}
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -63,7 +63,7 @@
 type Request struct {
 	Method string
 	URL    string
-	// Timeout limits the request, from the moment at which it has a slot.
+	// Timeout limits the wait for a slot, and again the request itself from the moment at which it has one.
 	Timeout time.Duration
 	// Body is sent as MessagePack; nil means none.
 	Body any
@@ -90,13 +90,12 @@
 
 // Send sends a request and returns the response. If it returns an error, the response contains only the waiting times.
 //
-// Send waits for a free slot until ctx ends; the timeout limits only the request itself. Send never sends a request
-// twice. An error means that no complete response was received; the server may have executed the request nevertheless,
-// unless the error matches [ErrNotSent].
+// Send never sends a request twice. An error means that no complete response was received; the server may have executed
+// the request nevertheless, unless the error matches [ErrNotSent].
 func (c *Client) Send(ctx context.Context, r Request) (Response, error) {
 	var response Response
 	start := time.Now()
-	err := c.slots.Acquire(ctx, 1)
+	err := c.acquireSlot(ctx, r.Timeout)
 	response.SlotWait = time.Since(start)
 	if err != nil {
 		return response, r.wrapError(err)
@@ -134,6 +133,17 @@
 	return response, nil
 }
 
+// acquireSlot waits for a free slot, but no longer than the timeout. A request that would be sent much later than it
+// was decided on may be outdated by then.
+func (c *Client) acquireSlot(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := c.slots.Acquire(ctx, 1); err != nil {
+		return fmt.Errorf("%w: wait for a slot: %w", ErrNotSent, err)
+	}
+	return nil
+}
+
 func (r *Request) checkPrecondition() error {
 	if r.Precondition == nil {
 		return nil
--- a/internal/transport/client_test.go
+++ b/internal/transport/client_test.go
@@ -107,3 +107,40 @@
 		t.Errorf("%d requests received, want the valid one only", n)
 	}
 }
+
+// TestSlotWaitIsLimited guards against requests that wait without a limit behind requests that are not answered, and
+// are sent long after they were decided on.
+func TestSlotWaitIsLimited(t *testing.T) {
+	var received atomic.Int64
+	arrived, release := make(chan struct{}), make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		received.Add(1)
+		close(arrived)
+		<-release
+	}))
+	defer srv.Close()
+	c := NewClient(TCP{}, 8, 1, time.Minute)
+	done := make(chan error)
+	go func() {
+		_, _, err := c.Do(t.Context(), time.Minute, http.MethodGet, srv.URL, nil)
+		done <- err
+	}()
+	<-arrived
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	const timeout = 20 * time.Millisecond
+	response, err := c.Send(ctx, Request{Method: http.MethodGet, URL: srv.URL, Timeout: timeout})
+	if !errors.Is(err, ErrNotSent) || response.SlotWait < timeout {
+		t.Errorf("error %v after %v, want ErrNotSent after %v", err, response.SlotWait, timeout)
+	}
+	if ctx.Err() != nil {
+		t.Error("the wait for a slot was not limited by the timeout")
+	}
+	close(release)
+	if err := <-done; err != nil {
+		t.Errorf("the request with the slot: %v", err)
+	}
+	if n := received.Load(); n != 1 {
+		t.Errorf("%d requests received, want 1", n)
+	}
+}
