--- a/internal/simulation/latestart_test.go
+++ b/internal/simulation/latestart_test.go
@@ -1,11 +1,14 @@
 package simulation
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"pinebay/internal/config"
 	"pinebay/internal/protocol"
+	"pinebay/internal/testutil"
 )
 
 // Settings of the scenarios in which commands to unreachable machines take up all sockets for requests to workers.
@@ -36,8 +39,7 @@
 // isolateWorkers partitions the workers of a zone from everything. The returned function ends the partition.
 func (c *cluster) isolateWorkers(zone string) func() {
 	var unblocks []func()
-	inZone := func(r *workerProcess) bool { return r.machine.Zone == zone }
-	for _, r := range c.selectWorkers(len(c.workers), inZone) {
+	for _, r := range c.selectWorkers(machinesPerZone, inZone(zone)) {
 		unblocks = append(unblocks, c.blockLink("*", r.ip), c.blockLink(r.ip, "*"))
 	}
 	return func() {
@@ -89,8 +91,7 @@
 // open, wait. The returned function ends both. Unlike other links that were blocked, these have no commands under way
 // that may arrive late.
 func (c *cluster) holdConnections(zone string) func() {
-	inZone := func(r *workerProcess) bool { return r.machine.Zone == zone }
-	workers := c.selectWorkers(len(c.workers), inZone)
+	workers := c.selectWorkers(machinesPerZone, inZone(zone))
 	var unblocks []func()
 	c.setHeartbeatsLost(workers, true)
 	for _, r := range workers {
@@ -141,8 +142,7 @@
 // relayWorkers cuts the connections between the leader and the workers of a zone, and waits until their heartbeats
 // reach the leader through other controllers.
 func (c *cluster) relayWorkers(leader *controller, zone string) {
-	inZone := func(r *workerProcess) bool { return r.machine.Zone == zone }
-	for _, r := range c.selectWorkers(len(c.workers), inZone) {
+	for _, r := range c.selectWorkers(machinesPerZone, inZone(zone)) {
 		c.blockLink(r.ip, leader.ip)
 		c.blockLink(leader.ip, r.ip)
 	}
@@ -187,3 +187,68 @@
 		})
 	}
 }
+
+// cancellationStorm submits jobs to both zones, most of which are cancelled up to two seconds later.
+func (c *cluster) cancellationStorm(rng *rand.Rand, jobs int) {
+	shapes := []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service}
+	for range jobs {
+		id := c.submitToZone(shapes[rng.IntN(len(shapes))], 1+rng.IntN(machinesPerZone), c.types[0].Zones[rng.IntN(2)])
+		if rng.IntN(4) > 0 {
+			time.AfterFunc(time.Duration(rng.IntN(2000))*ms, func() {
+				c.cancelUntilFinal(id, c.controllers, 2*time.Minute)
+			})
+		}
+		time.Sleep(time.Duration(rng.IntN(600)) * ms)
+	}
+}
+
+// holdLeader holds all packets from the leader to the other controllers, for less than it takes to replace it.
+func holdLeader(c *cluster) func() {
+	leader := c.leader()
+	var unblocks []func()
+	for _, follower := range c.others(leader) {
+		unblocks = append(unblocks, c.blockLink(leader.ip, follower.ip))
+	}
+	return func() {
+		for _, f := range unblocks {
+			f()
+		}
+	}
+}
+
+// TestRandomLateStarts draws faults of one zone, of the leader and of its links while jobs are cancelled right after
+// their submission, with few or many sockets. It guards against any start after a confirmed cancellation.
+func TestRandomLateStarts(t *testing.T) {
+	const seeds = 10
+	for seed := testutil.Seed(); seed < testutil.Seed()+seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 54))
+			span := func(maxSeconds int) time.Duration { return time.Duration(1+rng.IntN(maxSeconds*1000)) * ms }
+			isolate := func(c *cluster) func() { return c.isolateWorkers("b") }
+			faults := []func(c *cluster){
+				during(span(15), isolate),
+				hangZone("b", span(15)),
+				during(span(1), holdLeader),
+				crashLeader(span(8)),
+				func(*cluster) {},
+			}
+			first, second := faults[rng.IntN(2)], faults[2+rng.IntN(len(faults)-2)]
+			sockets := []int{fewSockets, 2 * fewSockets, 500}[rng.IntN(3)]
+			runScenario(t, seed, defaultControllers, fastTimings, func(c *cluster) {
+				c.addRunningMachines()
+				if rng.IntN(3) == 0 {
+					c.relayWorkers(c.leader(), "a")
+				}
+				first(c)
+				c.cancellationStorm(rng, 6)
+				second(c)
+				c.cancellationStorm(rng, 6)
+				time.Sleep(time.Minute)
+				if c.occurrences("cancelled") == 0 || c.world.Starts == 0 {
+					t.Errorf("%d cancellations and %d starts", c.occurrences("cancelled"), c.world.Starts)
+				}
+			}, withoutRentals, func(c *cluster) { c.cfg.Quota.MaxSockets = sockets })
+		})
+	}
+}
