Commands to workers in one file; partitions of simulations end in one way

The scheduler's functions that send command batches and take their results stand beside the count of requests. No change of behaviour.

--- a/internal/coordination/scheduler/heartbeats.go
+++ b/internal/coordination/scheduler/heartbeats.go
@@ -47,34 +47,6 @@
 	e.ForwardNext(forward)
 }
 
-// handleCommandBatchResult applies the heartbeat with which a machine has answered a command batch. A machine that did
-// not answer gets no new tasks until it has had time for another heartbeat, since heartbeats can arrive even if
-// commands do not.
-func (s *Scheduler) handleCommandBatchResult(now time.Duration, e CommandBatchResult) {
-	s.workerRequests.commands--
-	if e.Heartbeat != nil && s.stepDownForLaterTerm(e.Heartbeat) {
-		return
-	}
-	if m := s.machines.Machine(e.Machine); m != nil {
-		s.applyCommandBatchResult(now, m, e)
-	}
-	s.sendWaitingCommands(now)
-}
-
-func (s *Scheduler) applyCommandBatchResult(now time.Duration, m *machineregistry.Machine, e CommandBatchResult) {
-	if e.NotSent {
-		s.machines.RecordCommandNotSent(m)
-		return
-	}
-	if e.Heartbeat != nil && e.Heartbeat.Machine == e.Machine {
-		s.applyHeartbeat(now, e.Heartbeat)
-	}
-	s.machines.RecordCommandResult(now, m, e.Acknowledged || e.Heartbeat != nil)
-	if e.Heartbeat == nil {
-		m.MarkUnresponsive(now + config.Seconds(2*s.cfg.Workers.HeartbeatSeconds))
-	}
-}
-
 // stepDownForLaterTerm ends the term if the fencing token in a heartbeat is of a later term, and reports whether it is.
 func (s *Scheduler) stepDownForLaterTerm(heartbeat *protocol.WorkerHeartbeat) bool {
 	term := protocol.TermOfToken(heartbeat.FencingToken)
@@ -109,25 +81,6 @@
 	}
 }
 
-// sendCommandBatch sends the commands that are due for a machine.
-func (s *Scheduler) sendCommandBatch(now time.Duration, m *machineregistry.Machine) {
-	commands := s.machines.TakeDueCommands(now, m)
-	if len(commands) == 0 {
-		return
-	}
-	s.machines.RecordCommandSent(m)
-	s.workerRequests.commands++
-	s.emit(SendCommandBatch{
-		Machine: m.Name,
-		Addr:    m.Addr,
-		Batch: protocol.CommandBatch{
-			FencingToken: s.machines.FencingToken(m),
-			Incarnation:  m.Incarnation,
-			Commands:     commands,
-		},
-	})
-}
-
 // The leadership is transferred if more than minRelayedMachines machines, and more than relayedRatio times as many as
 // send heartbeats to this controller, reach only other controllers.
 const (
--- a/internal/coordination/scheduler/workerrequests.go
+++ b/internal/coordination/scheduler/workerrequests.go
@@ -1,6 +1,12 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"pinebay/internal/config"
+	"pinebay/internal/coordination/machineregistry"
+	"pinebay/internal/protocol"
+)
 
 // workerRequests counts the requests to the addresses of workers that are in flight. The scheduler emits a request only
 // if it can be sent at once. Until then nothing is decided, so that commands that have become due or obsolete in the
@@ -43,6 +49,53 @@
 	}
 }
 
+// sendCommandBatch sends the commands that are due for a machine.
+func (s *Scheduler) sendCommandBatch(now time.Duration, m *machineregistry.Machine) {
+	commands := s.machines.TakeDueCommands(now, m)
+	if len(commands) == 0 {
+		return
+	}
+	s.machines.RecordCommandSent(m)
+	s.workerRequests.commands++
+	s.emit(SendCommandBatch{
+		Machine: m.Name,
+		Addr:    m.Addr,
+		Batch: protocol.CommandBatch{
+			FencingToken: s.machines.FencingToken(m),
+			Incarnation:  m.Incarnation,
+			Commands:     commands,
+		},
+	})
+}
+
+// handleCommandBatchResult applies the heartbeat with which a machine has answered a command batch. A machine that did
+// not answer gets no new tasks until it has had time for another heartbeat, since heartbeats can arrive even if
+// commands do not.
+func (s *Scheduler) handleCommandBatchResult(now time.Duration, e CommandBatchResult) {
+	s.workerRequests.commands--
+	if e.Heartbeat != nil && s.stepDownForLaterTerm(e.Heartbeat) {
+		return
+	}
+	if m := s.machines.Machine(e.Machine); m != nil {
+		s.applyCommandBatchResult(now, m, e)
+	}
+	s.sendWaitingCommands(now)
+}
+
+func (s *Scheduler) applyCommandBatchResult(now time.Duration, m *machineregistry.Machine, e CommandBatchResult) {
+	if e.NotSent {
+		s.machines.RecordCommandNotSent(m)
+		return
+	}
+	if e.Heartbeat != nil && e.Heartbeat.Machine == e.Machine {
+		s.applyHeartbeat(now, e.Heartbeat)
+	}
+	s.machines.RecordCommandResult(now, m, e.Acknowledged || e.Heartbeat != nil)
+	if e.Heartbeat == nil {
+		m.MarkUnresponsive(now + config.Seconds(2*s.cfg.Workers.HeartbeatSeconds))
+	}
+}
+
 // sendWaitingCommands sends commands that waited for the end of another request. It is called when a request has ended.
 func (s *Scheduler) sendWaitingCommands(now time.Duration) {
 	if s.workerRequests.commandsWaiting {
--- a/internal/simulation/cluster_test.go
+++ b/internal/simulation/cluster_test.go
@@ -440,15 +440,21 @@
 	}
 }
 
+// repairs are functions that end parts of a fault.
+type repairs []func()
+
+// run calls all functions in order.
+func (r repairs) run() {
+	for _, f := range r {
+		f()
+	}
+}
+
 // isolateFrom blocks the links between a controller and others in both directions. The returned function unblocks them.
 func (c *cluster) isolateFrom(n *controller, others ...*controller) func() {
-	var unblocks []func()
+	var unblocks repairs
 	for _, o := range others {
 		unblocks = append(unblocks, c.blockLink(n.ip, o.ip), c.blockLink(o.ip, n.ip))
 	}
-	return func() {
-		for _, f := range unblocks {
-			f()
-		}
-	}
+	return unblocks.run
 }
--- a/internal/simulation/faults_test.go
+++ b/internal/simulation/faults_test.go
@@ -74,7 +74,7 @@
 func isolateZone(c *cluster) func() {
 	c.recordOccurrence("zone")
 	n := c.controllers[0]
-	var unblocks []func()
+	var unblocks repairs
 	for _, o := range c.others(n) {
 		unblocks = append(unblocks, c.isolateFrom(n, o))
 	}
@@ -87,11 +87,16 @@
 			blockBoth(r.ip, o.ip)
 		}
 	}
-	return func() {
-		for _, f := range unblocks {
-			f()
-		}
+	return unblocks.run
+}
+
+// isolateWorkers partitions the workers of a zone from everything. The returned function ends the partition.
+func (c *cluster) isolateWorkers(zone string) func() {
+	var unblocks repairs
+	for _, r := range c.selectWorkers(99, inZone(zone)) {
+		unblocks = append(unblocks, c.blockLink("*", r.ip), c.blockLink(r.ip, "*"))
 	}
+	return unblocks.run
 }
 
 // slowController simulates a controller that is short of CPU time: every packet that it sends or receives is delayed,
@@ -167,16 +172,12 @@
 // late.
 func holdReplies(n int) fault {
 	return func(c *cluster) func() {
-		var unblocks []func()
+		var unblocks repairs
 		for _, r := range c.selectWorkers(n, hasTasks) {
 			c.recordOccurrence("deaf")
 			unblocks = append(unblocks, c.blockLink("*", r.ip))
 		}
-		return func() {
-			for _, f := range unblocks {
-				f()
-			}
-		}
+		return unblocks.run
 	}
 }
 
--- a/internal/simulation/latestart_test.go
+++ b/internal/simulation/latestart_test.go
@@ -36,19 +36,6 @@
 	time.Sleep(8 * time.Second)
 }
 
-// isolateWorkers partitions the workers of a zone from everything. The returned function ends the partition.
-func (c *cluster) isolateWorkers(zone string) func() {
-	var unblocks []func()
-	for _, r := range c.selectWorkers(machinesPerZone, inZone(zone)) {
-		unblocks = append(unblocks, c.blockLink("*", r.ip), c.blockLink(r.ip, "*"))
-	}
-	return func() {
-		for _, f := range unblocks {
-			f()
-		}
-	}
-}
-
 // submitToZone submits a job whose tasks take a whole machine of a zone each.
 func (c *cluster) submitToZone(shape protocol.Shape, tasks int, zone string) string {
 	j := c.newJob(shape, tasks, 0)
@@ -92,15 +79,13 @@
 // that may arrive late.
 func (c *cluster) holdConnections(zone string) func() {
 	workers := c.selectWorkers(machinesPerZone, inZone(zone))
-	var unblocks []func()
+	var unblocks repairs
 	c.setHeartbeatsLost(workers, true)
 	for _, r := range workers {
 		unblocks = append(unblocks, c.blockLink("*", r.ip))
 	}
 	return func() {
-		for _, f := range unblocks {
-			f()
-		}
+		unblocks.run()
 		c.setHeartbeatsLost(workers, false)
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -149,6 +134,16 @@
 	time.Sleep(30 * time.Second)
 }
 
+// holdLeader holds all packets from the leader to the other controllers. The returned function delivers them.
+func holdLeader(c *cluster) func() {
+	leader := c.leader()
+	var unblocks repairs
+	for _, follower := range c.others(leader) {
+		unblocks = append(unblocks, c.blockLink(leader.ip, follower.ip))
+	}
+	return unblocks.run
+}
+
 // TestNoLateStartInRelayedReply guards against start commands in the reply to a relayed heartbeat that is delayed
 // between the controllers, and is passed on to the worker although the job has been cancelled meanwhile.
 func TestNoLateStartInRelayedReply(t *testing.T) {
@@ -158,19 +153,13 @@
 			runScenario(t, 1, defaultControllers, fastTimings, func(c *cluster) {
 				c.addRunningMachines()
 				leader := c.leader()
-				followers := c.others(leader)
 				c.relayWorkers(leader, "a")
-				var unblocks []func()
 				id := c.submitToZone(shape, machinesPerZone, "a")
-				for _, follower := range followers {
-					unblocks = append(unblocks, c.blockLink(leader.ip, follower.ip))
-				}
+				release := holdLeader(c)
 				time.Sleep(500 * ms)
-				c.spawn(func() { c.cancelUntilFinal(id, followers, time.Minute) })
+				c.spawn(func() { c.cancelUntilFinal(id, c.others(leader), time.Minute) })
 				time.Sleep(400 * ms) // less than a call between controllers may take in all
-				for _, f := range unblocks {
-					f()
-				}
+				release()
 				time.Sleep(10 * time.Second)
 				if n := c.occurrences("cancelled"); n != 1 {
 					t.Errorf("%d jobs were cancelled, want 1", n)
@@ -202,20 +191,6 @@
 	}
 }
 
-// holdLeader holds all packets from the leader to the other controllers, for less than it takes to replace it.
-func holdLeader(c *cluster) func() {
-	leader := c.leader()
-	var unblocks []func()
-	for _, follower := range c.others(leader) {
-		unblocks = append(unblocks, c.blockLink(leader.ip, follower.ip))
-	}
-	return func() {
-		for _, f := range unblocks {
-			f()
-		}
-	}
-}
-
 // TestRandomLateStarts draws faults of one zone, of the leader and of its links while jobs are cancelled right after
 // their submission, with few or many sockets. It guards against any start after a confirmed cancellation.
 func TestRandomLateStarts(t *testing.T) {
--- a/internal/simulation/zonefailover_test.go
+++ b/internal/simulation/zonefailover_test.go
@@ -80,10 +80,7 @@
 		zone := c.resolveZone(zone)
 		workers := c.selectWorkers(99, inZone(zone))
 		c.setRentalsBlocked(zone, true)
-		var unblocks []func()
-		for _, r := range workers {
-			unblocks = append(unblocks, c.blockLink("*", r.ip), c.blockLink(r.ip, "*"))
-		}
+		endPartition := c.isolateWorkers(zone)
 		return func() {
 			c.mu.Lock()
 			for i, r := range workers {
@@ -93,9 +90,7 @@
 			}
 			c.mu.Unlock()
 			c.setRentalsBlocked(zone, false)
-			for _, f := range unblocks {
-				f()
-			}
+			endPartition()
 		}
 	}
 }
