--- a/internal/simulation/cluster_check_test.go
+++ b/internal/simulation/cluster_check_test.go
@@ -33,6 +33,13 @@
 	return ids
 }
 
+// starts returns the number of task starts so far.
+func (c *cluster) starts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.world.Starts
+}
+
 // workersWithJob returns the workers whose machines are occupied by tasks of a job. The caller holds c.mu.
 func (c *cluster) workersWithJob(id string) (workers []*workerProcess) {
 	for _, m := range c.world.sortedWorkers() {
@@ -109,8 +116,8 @@
 		c.submitMixture(9)
 		time.Sleep(240 * time.Second)
 		c.checkAllServed()
-		if c.world.Starts < 15 {
-			t.Errorf("only %d tasks were started, want at least 15", c.world.Starts)
+		if n := c.starts(); n < 15 {
+			t.Errorf("only %d tasks were started, want at least 15", n)
 		}
 		if c.term() != 1 {
 			t.Errorf("term is %d without any fault, want 1", c.term())
--- a/internal/simulation/latestart_test.go
+++ b/internal/simulation/latestart_test.go
@@ -66,7 +66,7 @@
 				if n := c.occurrences("cancelled"); n != machinesPerZone/2 {
 					t.Errorf("%d jobs were cancelled, want %d", n, machinesPerZone/2)
 				}
-				if c.world.Starts == 0 {
+				if c.starts() == 0 {
 					t.Error("no task was started")
 				}
 			}, withFewSockets, withoutRentals)
@@ -116,8 +116,8 @@
 				}
 				c.submitToZone(shape, machinesPerZone, "a")
 				time.Sleep(10 * time.Second)
-				if c.world.Starts != machinesPerZone {
-					t.Errorf("%d tasks started after the cancellation, want all %d", c.world.Starts, machinesPerZone)
+				if n := c.starts(); n != machinesPerZone {
+					t.Errorf("%d tasks started after the cancellation, want all %d", n, machinesPerZone)
 				}
 			}, withoutRentals)
 		})
@@ -169,8 +169,8 @@
 				}
 				c.submitToZone(shape, machinesPerZone, "a")
 				time.Sleep(10 * time.Second)
-				if c.world.Starts < machinesPerZone {
-					t.Errorf("%d tasks started, want at least %d", c.world.Starts, machinesPerZone)
+				if n := c.starts(); n < machinesPerZone {
+					t.Errorf("%d tasks started, want at least %d", n, machinesPerZone)
 				}
 			}, withoutRentals)
 		})
@@ -220,8 +220,8 @@
 				second(c)
 				c.cancellationStorm(rng, 6)
 				time.Sleep(time.Minute)
-				if c.occurrences("cancelled") == 0 || c.world.Starts == 0 {
-					t.Errorf("%d cancellations and %d starts", c.occurrences("cancelled"), c.world.Starts)
+				if c.occurrences("cancelled") == 0 || c.starts() == 0 {
+					t.Errorf("%d cancellations and %d starts", c.occurrences("cancelled"), c.starts())
 				}
 			}, withoutRentals, func(c *cluster) { c.cfg.Quota.MaxSockets = sockets })
 		})
