Registry: the batch in flight is its own record of the starts in it

The registry held a flag and two lists of placements for one batch, and filled one of the lists for every reply to a heartbeat with starts, where nobody read it. It keeps the commands that are in flight instead, which say whether there are any and which placements they start. No change of behaviour; TestStopRevokesStartInFlight still fails without the check, and TestNewStartsAreNotDelayed passes the batch that it has taken.

--- a/internal/coordination/machineregistry/commands.go
+++ b/internal/coordination/machineregistry/commands.go
@@ -18,11 +18,8 @@
 // derived from the machine's placements, unknown tasks and exited tasks, and a command stays due until a heartbeat
 // shows that it was executed.
 type commandState struct {
-	inFlight bool          // a direct command has not been answered yet
+	inFlight commandBatch  // direct commands that have not been answered yet; nil if there are none
 	retryAt  time.Duration // earliest time of the next direct command
-	// runsTaken holds the placements whose run commands are in the batch that was taken last, and runsInFlight those
-	// whose run commands are in the batch in flight.
-	runsTaken, runsInFlight []*Placement
 	// newCommandDue is set if a command has become due since the last batch was taken.
 	newCommandDue bool
 
@@ -64,11 +61,22 @@
 	*b = append(*b, protocol.Command{Verb: protocol.VerbForget, TaskName: task.String(), Attempt: attempt})
 }
 
+// starts reports whether the batch contains the run command of a placement.
+func (b commandBatch) starts(pl *Placement) bool {
+	if len(b) == 0 {
+		return false // the usual case
+	}
+	name := pl.Task.String()
+	return slices.ContainsFunc(b, func(c protocol.Command) bool {
+		return c.Verb == protocol.VerbRun && c.TaskName == name && c.Attempt == pl.Attempt
+	})
+}
+
 // TakeDueCommands returns the commands that are due for a machine, in a deterministic order, and marks them as sent.
 // Commands that exceed the limit of a batch are left for the next batch.
 func (r *Registry) TakeDueCommands(now time.Duration, m *Machine) []protocol.Command {
 	r.incrementEpochIfNeeded(now, m)
-	m.commands.newCommandDue, m.commands.runsTaken = false, nil
+	m.commands.newCommandDue = false
 	var batch commandBatch
 	if len(m.placements) > 0 {
 		for _, pl := range sortedPlacements(m.placements) {
@@ -100,7 +108,6 @@
 	case !pl.Stopping:
 		pl.runSent = true
 		pl.runFencingToken = r.FencingToken(m)
-		m.commands.runsTaken = append(m.commands.runsTaken, pl)
 		batch.addRun(pl.Task, pl.Attempt)
 	case pl.Reported:
 		batch.addStop(pl.Task, pl.Attempt, pl.GraceSeconds)
@@ -141,7 +148,7 @@
 // exited tasks. It never does so while a command is in flight. The second purpose also waits until no placement is
 // starting, because a new epoch would delay these starts.
 func (r *Registry) incrementEpochIfNeeded(now time.Duration, m *Machine) {
-	if m.commands.inFlight || m.commands.epoch >= protocol.MaxTokenEpoch {
+	if m.commands.inFlight != nil || m.commands.epoch >= protocol.MaxTokenEpoch {
 		return
 	}
 	starting, stopping := r.unreportedRuns(m)
@@ -238,13 +245,13 @@
 
 // acceptsDirectCommand reports whether a direct command may be sent to the machine now.
 func (m *Machine) acceptsDirectCommand(now time.Duration) bool {
-	return m.Registered && !m.Relayed && m.Addr != "" && !m.commands.inFlight && now >= m.commands.retryAt
+	return m.Registered && !m.Relayed && m.Addr != "" && m.commands.inFlight == nil && now >= m.commands.retryAt
 }
 
-// RecordCommandSent records that the commands that were taken last are being sent to the machine directly. No others
-// are sent until RecordCommandResult or RecordCommandNotSent is called.
-func (r *Registry) RecordCommandSent(m *Machine) {
-	m.commands.inFlight, m.commands.runsInFlight = true, m.commands.runsTaken
+// RecordCommandSent records that commands, of which there must be at least one, are being sent to the machine directly.
+// No others are sent until RecordCommandResult or RecordCommandNotSent is called.
+func (r *Registry) RecordCommandSent(m *Machine, commands []protocol.Command) {
+	m.commands.inFlight = commands
 }
 
 // TakeOutdatedBatches returns the machines whose batch in flight contains the run command of a placement that was
@@ -256,9 +263,7 @@
 }
 
 // RecordCommandNotSent records that the batch in flight was not sent. Commands that are still due may be sent at once.
-func (r *Registry) RecordCommandNotSent(m *Machine) {
-	m.commands.inFlight, m.commands.runsInFlight = false, nil
-}
+func (r *Registry) RecordCommandNotSent(m *Machine) { m.commands.inFlight = nil }
 
 // RecordCommandResult records the outcome of a direct command. After a success, unconfirmed commands are repeated only
 // after a pause, so that a heartbeat can confirm them first. After a failure, the next attempt is made at about the
@@ -266,7 +271,7 @@
 // hundreds of machines are unreachable, they would delay commands to the others.
 func (r *Registry) RecordCommandResult(now time.Duration, m *Machine, ok bool) {
 	const repeatsPerHeartbeat = 4
-	m.commands.inFlight, m.commands.runsInFlight = false, nil
+	m.commands.inFlight = nil
 	heartbeat := r.workerSettings.HeartbeatSeconds
 	switch {
 	case ok && m.commands.newCommandDue:
--- a/internal/coordination/machineregistry/commands_test.go
+++ b/internal/coordination/machineregistry/commands_test.go
@@ -183,11 +183,12 @@
 		t.Error("run command repeated immediately")
 	}
 	registry.AllowStart(second)
-	if len(machinesToCommand(registry, now)) != 1 || len(registry.TakeDueCommands(now, m)) == 0 {
+	due, commands := machinesToCommand(registry, now), registry.TakeDueCommands(now, m)
+	if len(due) != 1 || len(commands) == 0 {
 		t.Error("new start delayed by the pause after the last command")
 	}
 	// The same applies to a start that becomes due while a command is in flight.
-	registry.RecordCommandSent(m)
+	registry.RecordCommandSent(m, commands)
 	third := newTestPlacement(3, 1)
 	mustReserve(t, registry, now, third)
 	registry.AllowStart(third)
--- a/internal/coordination/machineregistry/placement.go
+++ b/internal/coordination/machineregistry/placement.go
@@ -1,7 +1,6 @@
 package machineregistry
 
 import (
-	"slices"
 	"time"
 
 	"pinebay/internal/protocol"
@@ -123,7 +122,7 @@
 // markBatchOutdated records that a placement was stopped while its run command may be in a batch in flight.
 func (r *Registry) markBatchOutdated(pl *Placement) {
 	m := r.machines[pl.Machine]
-	if m != nil && slices.Contains(m.commands.runsInFlight, pl) {
+	if m != nil && m.commands.inFlight.starts(pl) {
 		r.outdatedBatches = append(r.outdatedBatches, m)
 	}
 }
--- a/internal/coordination/scheduler/workerrequests.go
+++ b/internal/coordination/scheduler/workerrequests.go
@@ -55,7 +55,7 @@
 	if len(commands) == 0 {
 		return
 	}
-	s.machines.RecordCommandSent(m)
+	s.machines.RecordCommandSent(m, commands)
 	s.workerRequests.commands++
 	s.emit(SendCommandBatch{
 		Machine: m.Name,
