--- a/internal/simulation/latestart_test.go
+++ b/internal/simulation/latestart_test.go
@@ -44,36 +44,47 @@
 	return j.ID
 }
 
-// TestNoLateStartBehindUnreachableMachines guards against start commands that wait behind commands to unreachable
-// machines and are sent although their job has been cancelled meanwhile (review/6).
-func TestNoLateStartBehindUnreachableMachines(t *testing.T) {
-	for _, shape := range []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service} {
+// runForEachShape runs a scenario with fast timings for each shape of jobs as a parallel subtest.
+func runForEachShape(t *testing.T, f func(c *cluster, shape protocol.Shape), options ...func(*cluster)) {
+	t.Helper()
+	for _, shape := range jobShapes() {
 		t.Run(string(shape), func(t *testing.T) {
 			t.Parallel()
-			runScenario(t, 1, defaultControllers, fastTimings, func(c *cluster) {
-				c.addRunningMachines()
-				repair := c.isolateWorkers("b")
-				c.submitToZone(protocol.Array, machinesPerZone, "b")
-				time.Sleep(200 * ms)
-				for range machinesPerZone / 2 {
-					id := c.submitToZone(shape, 2, "a")
-					time.Sleep(cancelDelay)
-					c.spawn(func() { c.cancelUntilFinal(id, c.controllers, time.Minute) })
-				}
-				time.Sleep(10 * time.Second)
-				repair()
-				time.Sleep(time.Minute)
-				if n := c.occurrences("cancelled"); n != machinesPerZone/2 {
-					t.Errorf("%d jobs were cancelled, want %d", n, machinesPerZone/2)
-				}
-				if c.starts() == 0 {
-					t.Error("no task was started")
-				}
-			}, withFewSockets, withoutRentals)
+			runScenario(t, 1, defaultControllers, fastTimings, func(c *cluster) { f(c, shape) }, options...)
 		})
 	}
 }
 
+// jobShapes returns all shapes of jobs.
+func jobShapes() []protocol.Shape {
+	return []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service}
+}
+
+// TestNoLateStartBehindUnreachableMachines guards against start commands that wait behind commands to unreachable
+// machines and are sent although their job has been cancelled meanwhile (review/6).
+func TestNoLateStartBehindUnreachableMachines(t *testing.T) {
+	runForEachShape(t, func(c *cluster, shape protocol.Shape) {
+		c.addRunningMachines()
+		repair := c.isolateWorkers("b")
+		c.submitToZone(protocol.Array, machinesPerZone, "b")
+		time.Sleep(200 * ms)
+		for range machinesPerZone / 2 {
+			id := c.submitToZone(shape, 2, "a")
+			time.Sleep(cancelDelay)
+			c.spawn(func() { c.cancelUntilFinal(id, c.controllers, time.Minute) })
+		}
+		time.Sleep(10 * time.Second)
+		repair()
+		time.Sleep(time.Minute)
+		if n := c.occurrences("cancelled"); n != machinesPerZone/2 {
+			c.t.Errorf("%d jobs were cancelled, want %d", n, machinesPerZone/2)
+		}
+		if c.starts() == 0 {
+			c.t.Error("no task was started")
+		}
+	}, withFewSockets, withoutRentals)
+}
+
 // holdConnections makes the heartbeats of the workers in a zone time out and their connections, of which none may be
 // open, wait. The returned function ends both. Unlike other links that were blocked, these have no commands under way
 // that may arrive late.
@@ -98,30 +109,25 @@
 // TestNoLateStartAfterSlowConnection guards against start commands that wait for a connection to their machine and are
 // sent although their job has been cancelled meanwhile.
 func TestNoLateStartAfterSlowConnection(t *testing.T) {
-	for _, shape := range []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service} {
-		t.Run(string(shape), func(t *testing.T) {
-			t.Parallel()
-			runScenario(t, 1, defaultControllers, fastTimings, func(c *cluster) {
-				c.addRunningMachines()
-				time.Sleep(config.Seconds(c.cfg.Workers.LeaseSeconds)) // connections of probes are closed by then
-				release := c.holdConnections("a")
-				id := c.submitToZone(shape, machinesPerZone/2, "a")
-				time.Sleep(cancelDelay)
-				c.spawn(func() { c.cancelUntilFinal(id, c.controllers, time.Minute) })
-				time.Sleep(800 * ms) // less than commands may take
-				release()
-				time.Sleep(10 * time.Second)
-				if n := c.occurrences("cancelled"); n != 1 {
-					t.Errorf("%d jobs were cancelled, want 1", n)
-				}
-				c.submitToZone(shape, machinesPerZone, "a")
-				time.Sleep(10 * time.Second)
-				if n := c.starts(); n != machinesPerZone {
-					t.Errorf("%d tasks started after the cancellation, want all %d", n, machinesPerZone)
-				}
-			}, withoutRentals)
-		})
-	}
+	runForEachShape(t, func(c *cluster, shape protocol.Shape) {
+		c.addRunningMachines()
+		time.Sleep(config.Seconds(c.cfg.Workers.LeaseSeconds)) // connections of probes are closed by then
+		release := c.holdConnections("a")
+		id := c.submitToZone(shape, machinesPerZone/2, "a")
+		time.Sleep(cancelDelay)
+		c.spawn(func() { c.cancelUntilFinal(id, c.controllers, time.Minute) })
+		time.Sleep(800 * ms) // less than commands may take
+		release()
+		time.Sleep(10 * time.Second)
+		if n := c.occurrences("cancelled"); n != 1 {
+			c.t.Errorf("%d jobs were cancelled, want 1", n)
+		}
+		c.submitToZone(shape, machinesPerZone, "a")
+		time.Sleep(10 * time.Second)
+		if n := c.starts(); n != machinesPerZone {
+			c.t.Errorf("%d tasks started after the cancellation, want all %d", n, machinesPerZone)
+		}
+	}, withoutRentals)
 }
 
 // relayWorkers cuts the connections between the leader and the workers of a zone, and waits until their heartbeats
@@ -147,39 +153,34 @@
 // TestNoLateStartInRelayedReply guards against start commands in the reply to a relayed heartbeat that is delayed
 // between the controllers, and is passed on to the worker although the job has been cancelled meanwhile.
 func TestNoLateStartInRelayedReply(t *testing.T) {
-	for _, shape := range []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service} {
-		t.Run(string(shape), func(t *testing.T) {
-			t.Parallel()
-			runScenario(t, 1, defaultControllers, fastTimings, func(c *cluster) {
-				c.addRunningMachines()
-				leader := c.leader()
-				c.relayWorkers(leader, "a")
-				id := c.submitToZone(shape, machinesPerZone, "a")
-				release := holdLeader(c)
-				time.Sleep(500 * ms)
-				c.spawn(func() { c.cancelUntilFinal(id, c.others(leader), time.Minute) })
-				time.Sleep(400 * ms) // less than a call between controllers may take in all
-				release()
-				time.Sleep(10 * time.Second)
-				if n := c.occurrences("cancelled"); n != 1 {
-					t.Errorf("%d jobs were cancelled, want 1", n)
-				}
-				if c.leader() != leader {
-					t.Error("the leader has changed")
-				}
-				c.submitToZone(shape, machinesPerZone, "a")
-				time.Sleep(10 * time.Second)
-				if n := c.starts(); n < machinesPerZone {
-					t.Errorf("%d tasks started, want at least %d", n, machinesPerZone)
-				}
-			}, withoutRentals)
-		})
-	}
+	runForEachShape(t, func(c *cluster, shape protocol.Shape) {
+		c.addRunningMachines()
+		leader := c.leader()
+		c.relayWorkers(leader, "a")
+		id := c.submitToZone(shape, machinesPerZone, "a")
+		release := holdLeader(c)
+		time.Sleep(500 * ms)
+		c.spawn(func() { c.cancelUntilFinal(id, c.others(leader), time.Minute) })
+		time.Sleep(400 * ms) // less than a call between controllers may take in all
+		release()
+		time.Sleep(10 * time.Second)
+		if n := c.occurrences("cancelled"); n != 1 {
+			c.t.Errorf("%d jobs were cancelled, want 1", n)
+		}
+		if c.leader() != leader {
+			c.t.Error("the leader has changed")
+		}
+		c.submitToZone(shape, machinesPerZone, "a")
+		time.Sleep(10 * time.Second)
+		if n := c.starts(); n < machinesPerZone {
+			c.t.Errorf("%d tasks started, want at least %d", n, machinesPerZone)
+		}
+	}, withoutRentals)
 }
 
 // cancellationStorm submits jobs to both zones, most of which are cancelled up to two seconds later.
 func (c *cluster) cancellationStorm(rng *rand.Rand, jobs int) {
-	shapes := []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service}
+	shapes := jobShapes()
 	for range jobs {
 		id := c.submitToZone(shapes[rng.IntN(len(shapes))], 1+rng.IntN(machinesPerZone), c.types[0].Zones[rng.IntN(2)])
 		if rng.IntN(4) > 0 {
