Trace the connection only of requests with a precondition

Every request, those to the key-value store included, carried a trace of its connection, which only the requests that are checked again need.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -78,7 +78,8 @@
 	Body   []byte
 	// SlotWait is the time that the request waited for a slot of the client.
 	SlotWait time.Duration
-	// ConnectionWait is the time that it then waited for a connection. It is 0 if it got none.
+	// ConnectionWait is the time that it then waited for a connection. It is 0 if it got none, and measured only for
+	// requests with a precondition.
 	ConnectionWait time.Duration
 }
 
@@ -105,14 +106,16 @@
 	defer cancel()
 	gotSlot := time.Now()
 	var refusal error
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(conn httptrace.GotConnInfo) {
-			response.ConnectionWait = time.Since(gotSlot)
-			if refusal = r.checkPrecondition(); refusal != nil {
-				_ = conn.Conn.Close() // so that net/http cannot write the request to it
-			}
-		},
-	})
+	if r.Precondition != nil {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			GotConn: func(conn httptrace.GotConnInfo) {
+				response.ConnectionWait = time.Since(gotSlot)
+				if refusal = r.Precondition(); refusal != nil {
+					_ = conn.Conn.Close() // so that net/http cannot write the request to it
+				}
+			},
+		})
+	}
 	req, err := newRequest(ctx, r.Method, r.URL, r.Body)
 	if err != nil {
 		return response, err
@@ -144,13 +147,6 @@
 	return nil
 }
 
-func (r *Request) checkPrecondition() error {
-	if r.Precondition == nil {
-		return nil
-	}
-	return r.Precondition()
-}
-
 func (r *Request) wrapError(err error) error { return fmt.Errorf("%s %s: %w", r.Method, r.URL, err) }
 
 // newRequest returns a request with body encoded as MessagePack, or without a body if it is nil.
